Evict who connects and says nothing: usual clients waited behind them

At fault: clients/conn.go gave a first request 10 s (readPatience), and makeRoom spared every connection that had asked for nothing, so that Serve stopped accepting for so long. Now: makeRoom takes lingerers, the mute, the halting and the idle, in this order, and Serve looks again while it waits; with room for all the silent are told by 408 after 2 s. Tests in server_test.go fail on the old lines.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -16,6 +17,16 @@
 // past as a deadline wakes whoever reads from a connection.
 var past = time.Unix(1, 0)
 
+// state is what a connection is doing.
+type state int
+
+const (
+	waiting   state = iota // for a request's first byte
+	reading                // from that byte to the request's last
+	handling               // a request, to its answer's last byte
+	lingering              // after the answer to what cannot be read
+)
+
 // conn is one connection that was accepted and, through run, its goroutine.
 type conn struct {
 	server *Server
@@ -23,76 +34,146 @@
 	br     *bufio.Reader
 
 	// Under the server's lock.
-	idleSince time.Time // zero: a request is under way
-	evicted   bool
-	answered  bool // it has asked for something before
-	instance  bool // its last request was a call-back
+	state    state
+	since    time.Time // of the state; before the first answer since it was accepted
+	evicted  bool
+	answered bool // it has asked for something before
+	instance bool // its last request was a call-back
+}
+
+// use is how much a connection is needed while others want its place, the least first.
+type use int
+
+const (
+	done    use = iota // has its answer and is only kept from being reset
+	mute               // connected and said nothing: whoever has a request sends it at once
+	halting            // began a request and does not end it
+	spare              // stands between two requests
+	inUse
+)
+
+func (c *conn) use(now time.Time) use {
+	p := c.server.patience
+	switch age := now.Sub(c.since); {
+	case c.state == lingering && age >= p.lingerer:
+		return done
+	case c.state == waiting && !c.answered && age >= p.mute:
+		return mute
+	case c.state == reading && age >= p.halting:
+		return halting
+	case c.state == waiting && c.answered:
+		return spare
+	}
+	return inUse
 }
 
-// evict has an idle connection end, by its own goroutine.
+// evict has a connection that can be spared end, by its own goroutine.
 func (c *conn) evict() {
 	c.evicted = true
 	c.nc.SetReadDeadline(past)
 }
 
+// enter takes the connection into a state in which reads may last until a moment; false: it
+// is to end.
+func (c *conn) enter(next state, until time.Time) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.state = next
+	if c.answered {
+		c.since = time.Now()
+	}
+	return !c.evicted && c.nc.SetReadDeadline(until) == nil
+}
+
 func (c *conn) run() {
 	defer c.server.ended(c)
 	defer c.nc.Close()
 	c.br = bufio.NewReaderSize(c.nc, http1.MaxLine)
-	for c.awaitRequest() {
-		q, err := http1.ReadRequest(c.br, func() error {
-			_, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-			return err
-		})
-		if err != nil {
-			var m *http1.Malformed
-			if errors.As(err, &m) {
-				c.reply(m.Status, nil, m.Text+"\n", true)
-				c.linger()
-			}
+	for {
+		q, err := c.next()
+		var m *http1.Malformed
+		switch {
+		case errors.As(err, &m):
+			c.reply(m.Status, nil, m.Text+"\n", true)
+			c.linger()
 			return
-		}
-		if !c.handle(q) {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.tooSlow()
+			return
+		case err != nil || !c.handle(q):
 			return
 		}
 	}
 }
 
-// awaitRequest waits for a request's first byte; false: the connection is to end.
-func (c *conn) awaitRequest() bool {
+// next reads the next request.
+func (c *conn) next() (*http1.Request, error) {
+	if err := c.await(); err != nil {
+		return nil, err
+	}
+	return http1.ReadRequest(c.br, func() error {
+		_, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		return err
+	})
+}
+
+// tooSlow tells a peer whose request has not come why its connection ends. One that had to
+// make room may try again.
+func (c *conn) tooSlow() {
+	c.server.mu.Lock()
+	evicted := c.evicted
+	c.server.mu.Unlock()
+	if evicted {
+		c.reply(503, nil, "no room to wait for the request\n", true)
+		return
+	}
+	c.reply(408, nil, "the request did not come in time\n", true)
+}
+
+// await waits for a request's first byte. The end of a connection between two requests is
+// io.EOF, whoever ends it.
+func (c *conn) await() error {
 	s := c.server
 	s.mu.Lock()
-	if c.idleSince.IsZero() {
-		c.idleSince = time.Now()
+	first, now := !c.answered, time.Now()
+	until := c.since.Add(s.patience.first)
+	if c.state = waiting; !first {
+		c.since, until = now, now.Add(idlePatience)
 	}
-	switch {
-	case c.evicted:
-	case !c.answered:
-		c.nc.SetReadDeadline(time.Now().Add(readPatience))
-	case s.crowded: // since its last answer was under way
+	err := c.nc.SetReadDeadline(until)
+	if !first && s.crowded { // since its last answer was under way
 		c.evict()
-	default:
-		c.nc.SetReadDeadline(time.Now().Add(idlePatience))
 	}
 	s.mu.Unlock()
-	_, err := c.br.Peek(1)
+	if err != nil {
+		return err
+	}
+	_, err = c.br.Peek(1)
+	late := errors.Is(err, os.ErrDeadlineExceeded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
-		// A request may cross the end of the connection: one that has come is taken.
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.nc.SetReadDeadline(time.Time{}) != nil || sock.Look(c.nc) != sock.Data {
-			return false
+	// A request may cross the end of the connection: one that has come is taken.
+	if err != nil && (!late || c.nc.SetReadDeadline(time.Time{}) != nil || sock.Look(c.nc) != sock.Data) {
+		if !first {
+			return io.EOF
 		}
+		return err
+	}
+	c.state, now = reading, time.Now()
+	if !first {
+		c.since, until = now, now.Add(readPatience)
 	}
-	c.idleSince = time.Time{}
-	return c.nc.SetReadDeadline(time.Now().Add(readPatience)) == nil
+	if late || c.evicted {
+		until = now.Add(s.patience.halting)
+	}
+	return c.nc.SetReadDeadline(until)
 }
 
 // handle serves one request; false: the connection is to end.
 func (c *conn) handle(q *http1.Request) bool {
 	path, _, _ := strings.Cut(q.Target, "?")
 	c.server.mu.Lock()
-	c.instance = path == newsPath
+	c.state, c.instance = handling, path == newsPath
 	c.server.mu.Unlock()
 	want := "GET"
 	if path == newsPath || path == commandPath {
@@ -134,11 +215,13 @@
 // linger reads on for a moment after the answer to a malformed request: closing over bytes
 // unread would reset the connection, and the answer could be lost with it.
 func (c *conn) linger() {
-	if tcp, ok := c.nc.(*net.TCPConn); !ok || tcp.CloseWrite() != nil || c.nc.SetReadDeadline(time.Now().Add(lingering)) != nil {
+	tcp, ok := c.nc.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || !c.enter(lingering, time.Now().Add(lingerPatience)) {
 		return
 	}
+	rest := make([]byte, 4096)
 	for left := 4 * http1.MaxBody; left > 0; {
-		n, err := c.nc.Read(make([]byte, 4096))
+		n, err := c.nc.Read(rest)
 		if err != nil {
 			return
 		}
@@ -146,8 +229,6 @@
 	}
 }
 
-const lingering = 500 * time.Millisecond
-
 // waiter is the service client of one command.
 type waiter struct {
 	nc     net.Conn
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -18,12 +18,26 @@
 
 // The patience with a peer on a connection.
 const (
-	idlePatience  = 2 * time.Minute  // between requests
-	readPatience  = 10 * time.Second // for the first request, and from a request's first byte to its last
-	writePatience = 5 * time.Second  // for an answer
-	acceptPause   = 5 * time.Millisecond
+	idlePatience   = 2 * time.Minute        // between requests
+	readPatience   = 5 * time.Second        // from a later request's first byte to its last
+	writePatience  = 5 * time.Second        // for an answer
+	lingerPatience = 500 * time.Millisecond // after the answer to what can't be read
+	acceptPause    = 5 * time.Millisecond
 )
 
+// patience is how long a peer that owes us something keeps its place: in any case, and while
+// others want it. Whoever has a request sends it as soon as the connection is up.
+type patience struct {
+	first    time.Duration // for the whole of the first request
+	mute     time.Duration // while others wait, for its first byte,
+	halting  time.Duration // for the rest of a request
+	lingerer time.Duration // and for reading the answer to what can't be read
+}
+
+var usual = patience{
+	first: 2 * time.Second, mute: 100 * time.Millisecond, halting: 500 * time.Millisecond, lingerer: 50 * time.Millisecond,
+}
+
 // Core is where commands and call-backs go.
 type Core interface {
 	Take(*dispatch.Command)
@@ -39,6 +53,7 @@
 	settings decide.Settings
 	counters func() string
 	log      *log.Logger
+	patience patience
 	slots    chan struct{} // one for each connection; bounds the descriptors used here
 
 	mu       sync.Mutex
@@ -51,7 +66,7 @@
 func New(core Core, s decide.Settings, n wire.Names, most int, counters func() string, logger *log.Logger) *Server {
 	return &Server{
 		core: core, settings: s, counters: counters, log: logger, classes: numbered(n.Classes), tenants: numbered(n.Tenants),
-		slots: make(chan struct{}, most), conns: map[*conn]struct{}{},
+		patience: usual, slots: make(chan struct{}, most), conns: map[*conn]struct{}{},
 	}
 }
 
@@ -66,20 +81,7 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) {
 	var complained time.Time
-	for {
-		select {
-		case s.slots <- struct{}{}:
-		default: // all in use: one that stands idle makes room, else the next to be answered
-			s.makeRoom(true)
-			select {
-			case s.slots <- struct{}{}:
-				s.mu.Lock()
-				s.crowded = false
-				s.mu.Unlock()
-			case <-ctx.Done():
-				return
-			}
-		}
+	for s.room(ctx) {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
@@ -88,7 +90,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
-			s.makeRoom(false)
+			s.makeRoom(time.Now())
 		}
 		// Guards against a busy loop, and the program's end, while descriptors run short.
 		<-s.slots
@@ -100,11 +102,41 @@
 	}
 }
 
+// room takes a place for one more connection. While all are taken, one that can be spared
+// makes room, else the next to be answered. It looks again and again: who says nothing can
+// be spared after a while, and accepting must never wait for such a peer's patience.
+func (s *Server) room(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	s.setCrowded(true)
+	defer s.setCrowded(false)
+	tick := time.NewTicker(acceptPause)
+	defer tick.Stop()
+	for {
+		s.makeRoom(time.Now())
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *Server) setCrowded(yes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crowded = yes
+}
+
 func (s *Server) begin(nc net.Conn) {
-	c := &conn{server: s, nc: nc}
+	c := &conn{server: s, nc: nc, since: time.Now()}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	c.idleSince = time.Now()
 	s.mu.Unlock()
 	go c.run()
 }
@@ -135,7 +167,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.idleSince.IsZero() && c.idleSince.Before(before) && !c.instance {
+		if c.state == waiting && c.since.Before(before) && !c.instance {
 			c.evict()
 		}
 	}
@@ -147,26 +179,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idleSince.IsZero() || !c.instance {
+		if c.state != waiting || !c.instance {
 			return false
 		}
 	}
 	return true
 }
 
-// makeRoom ends the connection that has stood longest between two requests. One that has
-// asked for nothing yet is spared: it was opened for a request, which is on its way.
-func (s *Server) makeRoom(crowded bool) {
+// makeRoom ends the connection that can best be spared, if there is one.
+func (s *Server) makeRoom(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crowded = crowded
-	var oldest *conn
+	var spared *conn
 	for c := range s.conns {
-		if c.answered && !c.idleSince.IsZero() && !c.evicted && (oldest == nil || c.idleSince.Before(oldest.idleSince)) {
-			oldest = c
+		if u := c.use(now); !c.evicted && u < inUse && (spared == nil || u < spared.use(now) ||
+			u == spared.use(now) && c.since.Before(spared.since)) {
+			spared = c
 		}
 	}
-	if oldest != nil {
-		oldest.evict()
+	if spared != nil {
+		spared.evict()
 	}
 }
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -50,6 +52,15 @@
 	}, 20*time.Second, time.Millisecond)
 }
 
+// until waits until some connection is as f says.
+func until(t *testing.T, s *Server, f func(*conn) bool) {
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return slices.ContainsFunc(slices.Collect(maps.Keys(s.conns)), f)
+	}, 20*time.Second, time.Millisecond)
+}
+
 // short is a listener that fails for want of descriptors at first.
 type short struct {
 	net.Listener
@@ -65,11 +76,17 @@
 
 // serve starts a server of so many connections.
 func serve(t *testing.T, most, fails int) (*core, *Server, func() net.Conn) {
+	return serveWith(t, most, fails, patience{first: time.Minute, mute: time.Minute, halting: time.Minute, lingerer: time.Minute})
+}
+
+// serveWith is serve with so much patience.
+func serveWith(t *testing.T, most, fails int, p patience) (*core, *Server, func() net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	c := &core{taken: make(chan *dispatch.Command, 9), told: make(chan dispatch.News, 9)}
 	s := New(c, decide.Settings{Classes: []decide.Class{{Deadline: time.Minute}}}, wire.Names{Classes: []string{"safe"}},
 		most, func() string { return "" }, log.New(io.Discard, "", 0))
+	s.patience = p
 	wrapped := &short{Listener: l}
 	wrapped.fails.Store(int32(fails))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -135,6 +152,32 @@
 	require.Equal(t, 200, ask(t, newcomer, ready).Status)
 }
 
+// Peers that connect and say nothing, or stop in the middle of a request, took all places for
+// ten seconds, and nobody else was heard. They make room for others, and are told.
+func TestMutePeersMakeRoom(t *testing.T) {
+	for start, in := range map[string]state{"": waiting, ready[:9]: reading} {
+		_, s, dial := serve(t, 1, 0)
+		mute := dial()
+		fmt.Fprint(mute, start)
+		crowded(t, s)
+		until(t, s, func(c *conn) bool { return c.state == in })
+		s.makeRoom(time.Now().Add(time.Hour)) // when its time is up
+		require.Equal(t, 503, ask(t, mute, "").Status)
+		require.Equal(t, 200, ask(t, dial(), ready).Status)
+	}
+}
+
+// With room for all they are told too, after a while.
+func TestMutePeersAreTold(t *testing.T) {
+	_, _, dial := serveWith(t, 9, 0, patience{first: time.Millisecond})
+	mute, halting := dial(), dial()
+	fmt.Fprint(halting, ready[:9])
+	for _, c := range []net.Conn{mute, halting} {
+		p := ask(t, c, "")
+		require.Equal(t, []any{408, true}, []any{p.Status, p.Close})
+	}
+}
+
 // Whatever the module reads of a command must reach it.
 func TestCommandFields(t *testing.T) {
 	c, _, dial := serve(t, 2, 0)
