Reload the configuration on SIGHUP and move the watch to its discovery

Checked: PROXY_DISCOVERY keeps the address of the start, so the file must win; the old address closes its watches 1.5 s later, so the watch moves at once, within 0.4 s of jitter, and asks for the whole list: the new peer's revisions need not be those of the old. Stories: TestReloadMovesTheWatch, TestReload.

--- a/cmd/winglb/main.go
+++ b/cmd/winglb/main.go
@@ -21,8 +21,8 @@
 }
 
 func run() error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -37,6 +38,8 @@
 	Known     dispatch.List // as last held; may be out of date
 	Settings  decide.Settings
 	Names     wire.Names
+
+	getenv func(string) string
 }
 
 // Limits is what the machine allows.
@@ -77,7 +80,42 @@
 		}
 		return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
-	return f.check(getenv)
+	c, err := f.check(getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.getenv = getenv
+	return c, nil
+}
+
+// Reload reads the file anew, while the program runs. Its discovery wins over the variable,
+// which still tells the address of the start.
+func (c *Config) Reload() (*Config, error) {
+	return Load(func(name string) string {
+		if name == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return c.getenv(name)
+	})
+}
+
+// AtRestart names the keys in which another configuration differs and that count from the
+// next start on only.
+func (c *Config) AtRestart(next *Config) (keys []string) {
+	mine, its := c.Settings, next.Settings
+	mine.Seed, its.Seed = 0, 0 // new with each start
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
+		{"settings", reflect.DeepEqual(mine, its) && reflect.DeepEqual(c.Names, next.Names)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
 }
 
 func (f *file) check(getenv func(string) string) (*Config, error) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -54,3 +54,23 @@
 		require.NotContains(t, err.Error(), "\n")
 	}
 }
+
+// On a reload the file's discovery wins: the variable still tells that of the start. What
+// counts at the next start only is named.
+func TestReload(t *testing.T) {
+	file := t.TempDir() + "/config.json"
+	write := func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	write(whole)
+	env := map[string]string{"PROXY_CONFIG": file, "PROXY_DISCOVERY": "10.2.0.9:1", "PROXY_LISTEN": "127.0.0.9:1"}
+	c, err := Load(func(name string) string { return env[name] })
+	require.NoError(t, err)
+	require.Equal(t, "10.2.0.9:1", c.Discovery)
+	write(strings.Replace(strings.Replace(whole, "8c1f", "8c20", 1), "2048", "64", 1))
+	next, err := c.Reload()
+	require.NoError(t, err)
+	require.Equal(t, []any{"10.2.0.1:8500", "127.0.0.9:1"}, []any{next.Discovery, next.Listen})
+	require.Equal(t, []string{"limits"}, c.AtRestart(next))
+	write("{")
+	_, err = c.Reload()
+	require.ErrorContains(t, err, "PROXY_CONFIG")
+}
--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -5,9 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"caperrelay/internal/dispatch"
@@ -19,6 +20,7 @@
 const (
 	answerPatience = 5 * time.Second
 	quietest       = 3200 * time.Millisecond // what is told counts as told after 6 s, heard or not
+	jitter         = 400 * time.Millisecond  // of the first call after a move
 	maxObject      = 4 << 20                 // one line of a watch
 )
 
@@ -32,17 +34,21 @@
 
 // Watcher keeps a watch on the name table's changes.
 type Watcher struct {
+	silence time.Duration // after which a watch counts as lost
+	wanted  chan struct{}
+
+	mu       sync.Mutex
 	address  string
-	silence  time.Duration // after which a watch counts as lost
-	revision atomic.Int64
-	wanted   chan struct{}
+	revision int64
+	leave    context.CancelFunc // ends the watch that is on
+	moved    bool               // since that watch began
 }
 
 // NewWatcher watches from the given revision on.
 func NewWatcher(address string, revision int64) *Watcher {
-	w := &Watcher{address: address, silence: quietest, wanted: make(chan struct{}, 1)}
-	w.revision.Store(revision)
-	return w
+	return &Watcher{
+		address: address, revision: revision, silence: quietest, wanted: make(chan struct{}, 1), leave: func() {},
+	}
 }
 
 // Subscribe asks for a watch. It never blocks; while one is on, it does nothing.
@@ -53,6 +59,16 @@
 	}
 }
 
+// Move has the name table at another address from now on. The watch there begins with the
+// whole table: revisions told by another peer say nothing of what this one has told.
+func (w *Watcher) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.address, w.revision, w.moved = address, 0, true
+	w.leave()
+	w.Subscribe()
+}
+
 // Run serves subscriptions until the context ends. When to ask again after a loss is
 // the decision of whoever subscribes.
 func (w *Watcher) Run(ctx context.Context, sink Sink) {
@@ -62,21 +78,50 @@
 			return
 		case <-w.wanted:
 		}
-		err := w.watch(ctx, sink)
+		on, leave := context.WithCancel(ctx)
+		w.mu.Lock()
+		address, revision, moved := w.address, w.revision, w.moved
+		w.leave, w.moved = leave, false
+		w.mu.Unlock()
+		if moved { // all dispatchers are told at once; discovery works through calls in turn
+			select {
+			case <-on.Done():
+			case <-time.After(rand.N(jitter)):
+			}
+		}
+		err := w.watch(on, sink, address, revision)
+		leave()
 		if ctx.Err() != nil {
 			return
 		}
-		select { // what was asked for while this watch was on is answered with it
-		case <-w.wanted:
-		default:
+		w.mu.Lock()
+		moved = w.moved
+		if !moved {
+			select { // what was asked for while this watch was on is answered with it
+			case <-w.wanted:
+			default:
+			}
+		}
+		w.mu.Unlock()
+		if !moved { // else it was not lost: the next is wanted already
+			sink.Lost(err)
 		}
-		sink.Lost(err)
 	}
 }
 
-func (w *Watcher) watch(ctx context.Context, sink Sink) error {
+// told keeps the revision from which a later watch goes on; false: the table has moved.
+func (w *Watcher) told(revision int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.moved {
+		w.revision = revision
+	}
+	return !w.moved
+}
+
+func (w *Watcher) watch(ctx context.Context, sink Sink, address string, revision int64) error {
 	dialer := net.Dialer{Deadline: time.Now().Add(answerPatience)}
-	conn, err := dialer.DialContext(ctx, "tcp", w.address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
@@ -85,8 +130,8 @@
 	if err := conn.SetDeadline(time.Now().Add(answerPatience)); err != nil {
 		return err
 	}
-	target := "/catalog/members?stream=1&index=" + strconv.FormatInt(w.revision.Load(), 10)
-	ask := http1.AppendRequest(nil, "GET", target, http1.Header{{Name: "Host", Value: w.address}}, nil)
+	target := "/catalog/members?stream=1&index=" + strconv.FormatInt(revision, 10)
+	ask := http1.AppendRequest(nil, "GET", target, http1.Header{{Name: "Host", Value: address}}, nil)
 	if _, err := conn.Write(ask); err != nil {
 		return err
 	}
@@ -119,7 +164,9 @@
 		if err != nil {
 			return err
 		}
-		w.revision.Store(l.Revision)
+		if !w.told(l.Revision) {
+			return errors.New("the name table has moved")
+		}
 		sink.Listed(l)
 	}
 }
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -91,6 +91,18 @@
 	targets  chan string   // what each watch asked for
 	signals  chan os.Signal
 	ended    chan error
+
+	configure func(discovery string) // writes the configuration anew
+}
+
+// nameTable starts a name table, whose watches the story gets.
+func (w *world) nameTable() *peer {
+	return listen(w.t, func(c net.Conn, q *http1.Request) bool {
+		w.targets <- q.Target
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+		w.watches <- c
+		return true
+	})
 }
 
 func member(address, phase string) string {
@@ -115,17 +127,16 @@
 func startAt(t *testing.T, address string, script func(w *world, c net.Conn, q *http1.Request) bool) *world {
 	w := &world{t: t, watches: make(chan net.Conn, 9), targets: make(chan string, 9), signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	w.instance = listen(t, func(c net.Conn, q *http1.Request) bool { return script(w, c, q) })
-	w.table = listen(t, func(c net.Conn, q *http1.Request) bool {
-		w.targets <- q.Target
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-		w.watches <- c
-		return true
-	})
+	w.table = w.nameTable()
 	file := t.TempDir() + "/config.json"
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1f","known":{"revision":7,"complete":true,"members":[%s]},"settings":%s}`,
-		"127.0.0.1:0", w.table.Addr(), member(cmp.Or(address, w.instance.Addr().String()), "in_service"), settings)
-	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	c, err := config.Load(func(name string) string { return map[string]string{"PROXY_CONFIG": file}[name] })
+	w.configure = func(discovery string) {
+		text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1f","known":{"revision":7,"complete":true,"members":[%s]},"settings":%s}`,
+			"127.0.0.1:0", discovery, member(cmp.Or(address, w.instance.Addr().String()), "in_service"), settings)
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	}
+	w.configure(w.table.Addr().String())
+	variables := map[string]string{"PROXY_CONFIG": file, "PROXY_DISCOVERY": w.table.Addr().String()}
+	c, err := config.Load(func(name string) string { return variables[name] })
 	require.NoError(t, err)
 	w.program, err = New(c, log.New(io.Discard, "", 0))
 	require.NoError(t, err)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -10,7 +10,9 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"caperrelay/internal/config"
@@ -98,7 +100,7 @@
 	p.log.Printf("%s, %d commands held", next, p.loop.Holding())
 }
 
-// Run serves until a signal comes and nothing is held any more.
+// Run serves until a signal to end comes and nothing is held any more.
 func (p *Program) Run(signals <-chan os.Signal) error {
 	p.enter(Starting)
 	l, err := net.Listen("tcp", p.config.Listen)
@@ -115,9 +117,11 @@
 	go p.watcher.Run(ctx, p)
 	p.address = l.Addr().String()
 	go p.server.Serve(ctx, l)
+	end := make(chan struct{})
+	go p.obey(ctx, signals, end)
 	p.enter(Serving)
 
-	<-signals
+	<-end
 	p.enter(Departing)
 	p.server.Drain()
 	time.Sleep(departure)
@@ -136,6 +140,42 @@
 	return nil
 }
 
+// obey takes signals: SIGHUP reads the configuration anew, in every phase, any other closes end.
+func (p *Program) obey(ctx context.Context, signals <-chan os.Signal, end chan<- struct{}) {
+	ending := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				p.reload()
+			case !ending:
+				ending = true
+				close(end)
+			}
+		}
+	}
+}
+
+// reload takes the configuration file as it is now. A faulty one changes nothing.
+func (p *Program) reload() {
+	next, err := p.config.Reload()
+	if err != nil {
+		p.log.Printf("configuration not reloaded: %v", err)
+		return
+	}
+	if keys := p.config.AtRestart(next); len(keys) > 0 {
+		p.log.Printf("configuration: %s count from the next start on", strings.Join(keys, ", "))
+	}
+	p.log.Printf("configuration reloaded, discovery at %s", next.Discovery)
+	if next.Discovery != p.config.Discovery {
+		p.config.Discovery = next.Discovery
+		p.watcher.Move(next.Discovery)
+	}
+}
+
 // Listed takes the name table's news: the pool first, which guards each send.
 func (p *Program) Listed(l dispatch.List) {
 	p.pool.Listed(l)
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -174,6 +174,31 @@
 	w.await(func() bool { return !w.program.pool.Takes("s-1") })
 }
 
+// SIGHUP ended the program. It has the file read anew: discovery is watched where the file
+// says, whatever the variable of the start says, and its whole list counts. A file that
+// cannot be read changes nothing.
+func TestReloadMovesTheWatch(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	require.Equal(t, "/catalog/members?stream=1&index=7", <-w.targets)
+	old := <-w.watches
+	w.configure("nowhere")
+	for range 3 { // the third finds room once the first has been obeyed
+		w.signals <- syscall.SIGHUP
+	}
+	next := w.nameTable()
+	w.configure(next.Addr().String())
+	w.signals <- syscall.SIGHUP
+	require.Equal(t, "/catalog/members?stream=1&index=0", <-w.targets)
+	_, err := old.Read(make([]byte, 1))
+	require.Error(t, err, "the old watch is ended")
+	line := `{"revision":3,"complete":true,"members":[]}` + "\n"
+	fmt.Fprintf(<-w.watches, "%x\r\n%s\r\n", len(line), line)
+	w.await(func() bool { return !w.program.pool.Takes("s-1") })
+	require.Equal(t, Serving, w.program.Phase())
+	next.cut() // and what is lost is asked for there
+	require.Equal(t, "/catalog/members?stream=1&index=3", <-w.targets)
+}
+
 // SIGTERM loses nothing: what is held is answered, new connections and call-backs still
 // come, and the program ends by itself.
 func TestTerminationAnswersWhatIsHeld(t *testing.T) {
