Answer at once what an instance cannot use, at no cost to its health

At fault: instances/conn.go took 400 for an error; clients/parse.go took an empty X-Time-Left for a missing one. Fields that differ and a fragment in the target are refused as well: an instance might read them otherwise than we do.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -807,7 +807,7 @@
 		w.running -= r.Slots
 	}
 	d.judgeConn(r, a, e.Outcome)
-	if e.Outcome != Cancelled {
+	if e.Outcome != Cancelled && e.Outcome != Moot {
 		d.fared(a, e.Outcome != OK && !a.started)
 	}
 	switch e.Outcome {
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -7,14 +7,14 @@
 )
 
 // admit gives a command its place in the books and tells the module of it. What the
-// module can't be asked about fails here: an id that is in hand already, since call-backs
+// module can't be asked about ends here: an id that is in hand already, since call-backs
 // could not be told apart, and a class that the settings do not have.
 func (l *Loop) admit(c *Command) {
 	l.Books.Taken.Add(1)
 	if l.ids[c.ID] != nil || c.Class < 0 || c.Class >= len(l.settings.Classes) {
 		l.holding.Add(-1)
-		l.Books.answer(Failed)
-		c.Client.Answer(Answer{Verdict: Failed})
+		l.Books.answer(Unusable)
+		c.Client.Answer(Answer{Verdict: Unusable})
 		return
 	}
 	for l.lastID++; l.lastID == 0 || l.requests[l.lastID] != nil; l.lastID++ {
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -31,6 +31,7 @@
 	line("commands_answered", &b.answers[Served])
 	line("commands_nacked", &b.answers[Nacked])
 	line("commands_failed", &b.answers[Failed])
+	line("commands_unusable", &b.answers[Unusable])
 	line("commands_lapsed", &b.Lapsed)
 	line("attempts_sent", &b.Sent)
 	for o := range b.outcomes {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,9 +41,10 @@
 
 // The verdicts.
 const (
-	Served Verdict = iota
-	Nacked         // refused: trying again is harmless
-	Failed         // promises nothing
+	Served   Verdict = iota
+	Nacked           // refused: trying again is harmless
+	Failed           // promises nothing
+	Unusable         // no instance can do it as it stands, and none has
 	numVerdicts
 )
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -14,6 +14,21 @@
 	})
 }
 
+// Unusable says that an instance can't use a command as it stands: another could not either,
+// so it is answered at once. What a service client sends must not count against an instance's
+// health: for the module the attempt was never made.
+func (l *Loop) Unusable(a *Attempt) {
+	l.post(func(l *Loop) {
+		if a.over {
+			return
+		}
+		if h := l.requests[a.request]; !h.answered {
+			l.answer(h, Answer{Verdict: Unusable})
+		}
+		l.end(a, decide.Moot)
+	})
+}
+
 // Probed is the answer to a probe.
 func (l *Loop) Probed(instance string, o decide.Outcome) {
 	l.post(func(l *Loop) { l.tell(decide.Probed{Worker: l.number(instance), Outcome: o}) })
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -141,7 +141,7 @@
 		c.since, until = now, now.Add(idlePatience)
 	}
 	err := c.nc.SetReadDeadline(until)
-	if !first && s.crowded { // since its last answer was under way
+	if c.evicted || !first && s.crowded { // before it was here, or since its last answer was under way
 		c.evict()
 	}
 	s.mu.Unlock()
@@ -273,5 +273,8 @@
 		}
 		return c.reply(503, h, "refused: trying again is harmless\n", end)
 	}
+	if a.Verdict == dispatch.Unusable {
+		return c.reply(400, nil, "no instance can use the command, or its id is in hand\n", end)
+	}
 	return c.reply(502, nil, "failed\n", end)
 }
--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -23,6 +23,11 @@
 	countersPath = "/_counters"
 )
 
+// commandFields are the header fields that a command is read from.
+var commandFields = []string{
+	"Host", "X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "X-Weight-Hint", "X-Facts", "X-Repeat",
+}
+
 const (
 	maxID   = 128
 	maxLeft = 24 * time.Hour
@@ -31,11 +36,19 @@
 // parse reads a command's fields. The time that it leaves becomes a deadline here.
 func (s *Server) parse(q *http1.Request, now time.Time) (*dispatch.Command, error) {
 	h := q.Header
+	for _, name := range commandFields {
+		if h.Conflicts(name) { // an instance might read another of them than we do
+			return nil, errors.New(name + ": more than one")
+		}
+	}
 	c := &dispatch.Command{ID: h.Get("X-Correlation-Id"), Payload: q, Repeat: h.Get("X-Repeat") == "1"}
 	// The id goes into lines and targets that are written on.
 	if !http1.Visible(c.ID) || len(c.ID) > maxID || strings.ContainsAny(c.ID, "/?#%") {
 		return nil, errors.New("X-Correlation-Id: missing or malformed")
 	}
+	if strings.Contains(q.Target, "#") { // no part of a target that is sent
+		return nil, errors.New("target: malformed")
+	}
 	var ok bool
 	if c.Class, ok = s.classes[h.Get("X-Service-Class")]; !ok {
 		return nil, errors.New("X-Service-Class: missing or unknown")
@@ -44,9 +57,9 @@
 		c.Tenant = len(s.tenants) // of no known tenant: it has no share
 	}
 	left := s.settings.Classes[c.Class].Deadline
-	if text := h.Get("X-Time-Left"); text != "" {
+	if h.Given("X-Time-Left") {
 		var err error
-		if left, err = span(text); err != nil {
+		if left, err = span(h.Get("X-Time-Left")); err != nil {
 			return nil, fmt.Errorf("X-Time-Left: %w", err)
 		}
 	}
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -48,6 +49,17 @@
 	return ""
 }
 
+// Given tells whether there is a field of that name, were it empty.
+func (h Header) Given(name string) bool {
+	return slices.ContainsFunc(h, func(f Field) bool { return strings.EqualFold(f.Name, name) })
+}
+
+// Conflicts tells whether fields of that name differ.
+func (h Header) Conflicts(name string) bool {
+	first := h.Get(name)
+	return slices.ContainsFunc(h, func(f Field) bool { return strings.EqualFold(f.Name, name) && f.Value != first })
+}
+
 // Has tells whether a field holds the token in its comma-separated list.
 func (h Header) Has(name, token string) bool {
 	for _, f := range h {
--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -29,6 +29,9 @@
 	response *http1.Response // where it was answered
 }
 
+// unusable tells whether the instance says that no instance could do the command as it stands.
+func (e end) unusable() bool { return e.stage == answered && e.response.Status == 400 }
+
 // outcome is what the end says of an attempt; over is false where the instance has taken it.
 func (e end) outcome() (o decide.Outcome, over bool) {
 	switch e.stage {
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -23,6 +23,7 @@
 // Reports takes what comes of what was sent.
 type Reports interface {
 	Ended(*dispatch.Attempt, decide.Outcome)
+	Unusable(*dispatch.Attempt)
 	Probed(instance string, o decide.Outcome)
 }
 
@@ -115,7 +116,9 @@
 		p.mu.Lock()
 		delete(p.out, a)
 		p.mu.Unlock()
-		if o, over := e.outcome(); over {
+		if e.unusable() {
+			p.reports.Unusable(a)
+		} else if o, over := e.outcome(); over {
 			p.reports.Ended(a, o)
 		}
 	}
