Send keyed jobs to the keepers of the own zone before those of all

At fault: decide.go, derive: with a key only the one keeper in all zones was tried, so that each key's jobs from the other site crossed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,8 +55,9 @@
 	keyMemory = 4 * time.Second // over which a key's requests are counted
 )
 
-// derive makes the policies that are not given: for requests with a key the workers that keep
-// what it needs, then own zone, then the others, each best_first, ending in the default tag.
+// derive makes the policies that are not given: for requests with a key the workers that keep what it
+// needs, those of the own zone before all, then own zone, then the others, each best_first, ending in the
+// default tag. A keeper in each zone costs one more fetch of a key, crossing to the only one a price each time.
 func derive(s Settings) []Policy {
 	rule := Invalidate{Rule: MaxConcurrentInvocations, Threshold: math.MaxInt32}
 	if s.ReportsFree {
@@ -67,7 +68,9 @@
 		all := Block{Workers: []Label{{Zone: Any, Kind: c.Kind}}, Strategy: BestFirst, Invalidate: rule}
 		keyed, near := all, all
 		keyed.ByKey, near.Workers = true, []Label{{Zone: s.Zone, Kind: c.Kind}}
-		ps = append(ps, Policy{Blocks: []Block{keyed, near, all}, Followup: Default})
+		own := near
+		own.ByKey = true
+		ps = append(ps, Policy{Blocks: []Block{own, keyed, near, all}, Followup: Default})
 	}
 	return ps
 }
@@ -320,11 +323,11 @@
 	d.shun()
 	// While connecting takes long, a move costs more than a queue, but to an open connection.
 	d.openOnly = r.out > 0 && d.setup() > d.grace(r, nil)
-	for _, b := range r.c.blocks {
+	for i, b := range r.c.blocks {
 		if w := d.walk(b, r); w != nil {
 			return w
 		}
-		if b.ByKey && r.Key > 0 {
+		if last := i+1 == len(r.c.blocks) || !r.c.blocks[i+1].ByKey; b.ByKey && r.Key > 0 && last {
 			return nil // held for those that keep what it needs
 		}
 	}
--- a/decide/keys_test.go
+++ b/decide/keys_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// TestKeepersOfTheOwnZoneComeFirst: each crossing has a price; only what the own zone's keeper
+// has no room for crosses, to the one keeper of all.
+func TestKeepersOfTheOwnZoneComeFirst(t *testing.T) {
+	for key := range uint64(20) {
+		s := site(1, true, false, false)
+		s.Zone = 1
+		w := newWorld(t, s)
+		var lines []Worker
+		for id := uint32(1); id <= 8; id++ {
+			l := Worker{ID: id, Zone: int(id % 2), State: Ready}
+			w.list[id], lines = l, append(lines, l)
+		}
+		w.handle(ListFull{Workers: lines})
+		if first, _ := w.keyed(key + 1); first%2 != 1 {
+			t.Errorf("key %d crossed to %d though its own zone had room", key, first)
+		}
+	}
+}
+
 // TestHotKeyHasMoreKeepers: a key whose jobs fill workers goes to several.
 func TestHotKeyHasMoreKeepers(t *testing.T) {
 	w := fleet(t, site(1, true, false, false), 8)
--- a/decide/size_test.go
+++ b/decide/size_test.go
@@ -214,7 +214,7 @@
 		}
 		w.d.ordered = 0
 		w.handle()
-		if left := w.d.classes[0].blocks[1].members[0].ID != first; left != late {
+		if left := w.d.classes[0].blocks[2].members[0].ID != first; left != late {
 			t.Errorf("late %v: the head was left %v", late, left)
 		}
 	}
