--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,6 +46,8 @@
 	partySize     = 32      // dispatchers that tell each other of their load
 	unsafeShare   = 0.3     // of the failures at an idle age that bar it for unsafe jobs
 	ageMemory     = 6.0     // sends at an idle age that it is judged on
+	fewHeld       = 3       // workers to a request held, up to which keyed ones may go further
+	widen         = 2.0     // by so many keepers for each aim that they have waited
 	idleDouble    = 4       // windows of the rule on cold workers in which trust in idle connections doubles
 	recheck       = 8       // one in so many repeatable jobs still tries an old connection
 	ringPoints    = 8       // places of a worker on the ring of keys
@@ -377,7 +379,14 @@
 // which takes longer than a wait, fills its slots and pushes out what others need there.
 func (d *Dispatcher) keepers(r *request) int {
 	rate := d.keys[r.Key].n / keyMemory.Seconds() * float64(d.s.Dispatchers)
-	return 1 + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).ceiling))
+	wider, held := 0, 0
+	for _, q := range d.queues {
+		held += len(q)
+	}
+	if held <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
+		wider = int(widen * float64(d.now-r.arrived) / float64(max(r.c.Aim, 1)))
+	}
+	return 1 + wider + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).ceiling))
 }
 
 // lastResort ends the default tag's hold with its pick of a random healthy worker, full as it may be. It
--- a/decide/keys_test.go
+++ b/decide/keys_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// TestWaitingKeyedJobGoesFurther: it was held for its keeper until it was refused, beside workers
+// that nobody else waited for. Where many wait, a fetch elsewhere would take their place.
+func TestWaitingKeyedJobGoesFurther(t *testing.T) {
+	for _, many := range []bool{false, true} {
+		w := fleet(t, site(1, true, false, false), 8)
+		w.keyed(5)
+		at, j := w.keyed(5)
+		if at != 0 {
+			t.Fatal("the keeper was not full")
+		}
+		if many {
+			for range 8 {
+				w.keyed(5)
+			}
+		}
+		r := w.d.requests[j.ID]
+		before := w.d.keepers(r)
+		w.d.now += r.c.Aim
+		if further := w.d.keepers(r) > before; further == many {
+			t.Errorf("many wait %v: goes further %v", many, further)
+		}
+	}
+}
+
 // TestHotKeyHasMoreKeepers: a key whose jobs fill workers goes to several.
 func TestHotKeyHasMoreKeepers(t *testing.T) {
 	w := fleet(t, site(1, true, false, false), 8)
