Bar the class that errs at an instance, not the instance, and unsafe ones for longer

Checked: a probe of each outcome by instance and class; no 400s and no resets there; other instances erred once or twice. At fault: decide.go, erred: its one strike was taken back by alive with the next start. Now an excess of errors of a class bars that class there, for twice the time those that must not run twice, so that a job that can be repeated is the next to try; each further error doubles it.

--- a/decide/api.go
+++ b/decide/api.go
@@ -357,7 +357,7 @@
 	d := &Dispatcher{
 		s: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Dispatcher))),
 		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, tenants: make([]demand, len(s.Tenants)),
-		requests: map[uint32]*request{}, keys: map[uint64]demand{}, errs: tally{n: errMemory},
+		requests: map[uint32]*request{}, keys: map[uint64]demand{},
 		peers: map[int]*peer{}, sums: map[uint32]*loadSum{},
 		queues: make([][]*request, 2*len(s.Classes)), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
 		budget: AttemptBudget{Spare: extraSpare, PerRequest: extraShare, Span: max(s.Classes[0].Deadline, time.Second)},
@@ -366,7 +366,7 @@
 		d.budget = *s.Rules.Budget
 	}
 	for i, p := range s.Policies {
-		c := &class{Class: s.Classes[i], followup: p.Followup}
+		c := &class{Class: s.Classes[i], followup: p.Followup, errs: tally{n: errMemory}}
 		for _, b := range p.Blocks {
 			c.blocks = append(c.blocks, &block{Block: b})
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -797,13 +797,22 @@
 	}
 }
 
-// erred takes whether a job ended in an error, which speaks against its worker as far as errors come more
-// often there than elsewhere: guards against requests that fail wherever they go costing it its trust.
-func (d *Dispatcher) erred(w *worker, yes bool) {
-	w.errs.add(yes, errMemory)
-	d.errs.add(yes, 8*errMemory)
-	if yes && w.errs.share > d.errs.share+errMargin {
-		d.strike(w)
+// erred takes whether a job ended in an error, which bars its class there for a while as far as errors of the
+// class come more often there than elsewhere: guards against requests that fail wherever they go costing a
+// worker its trust, and against one that fails a single class and starts its jobs as well as any.
+func (d *Dispatcher) erred(w *worker, c int, yes bool) {
+	w.errs[c].add(yes, errMemory)
+	d.classes[c].errs.add(yes, 8*errMemory)
+	if yes && w.errs[c].share > d.classes[c].errs.share+errMargin {
+		f := &w.refusals[c]
+		f.n = min(f.n+1, maxStrikes)
+		after := d.backoff(d.classes[c].Aim, f.n)
+		f.until = d.now + after
+		for i, other := range d.classes { // what may fail but once waits until others have tried
+			if other.Effect == Unsafe {
+				w.refusals[i].until = max(w.refusals[i].until, d.now+2*after)
+			}
+		}
 	}
 }
 
@@ -847,7 +856,7 @@
 	switch e.Outcome {
 	case OK:
 		w.refusals[r.Class].n /= 2
-		d.erred(w, false)
+		d.erred(w, r.Class, false)
 		d.learn(r, a)
 		d.alive(w)
 	case TimedOut, Cancelled:
@@ -863,7 +872,7 @@
 		d.refused(r, a)
 	case Errored:
 		r.errs++
-		d.erred(w, true)
+		d.erred(w, r.Class, true)
 	case ConnectFailed, Reset:
 		if !kept {
 			d.strike(w)
--- a/decide/keys_test.go
+++ b/decide/keys_test.go
@@ -172,7 +172,25 @@
 	if struck > 20 { // by chance a few; a hundred requests failed
 		t.Errorf("workers lost their trust %d times", struck)
 	}
-	if w.d.workers[4].strikes == 0 {
-		t.Error("the worker that fails all is trusted")
+	if w.d.workers[4].refusals[0].n < 2 {
+		t.Error("the worker that fails all is offered more")
+	}
+}
+
+// TestErrorsOfOneClassBarIt: a worker that started every job and failed those of one class won
+// its trust back with each start, and went on to be sent that class. A job that may fail but
+// once waits until others have tried.
+func TestErrorsOfOneClassBarIt(t *testing.T) {
+	w := fleet(t, site(1, true, false, false), 2)
+	for range 20 {
+		w.d.erred(w.d.workers[2], 0, false)
+	}
+	for range 3 {
+		w.d.erred(w.d.workers[1], 0, true)
+		w.d.alive(w.d.workers[1])
+	}
+	f := w.d.workers[1].refusals
+	if f[0].until <= w.now || f[1].until != 0 || f[2].until <= f[0].until {
+		t.Errorf("barred until %v, %v, %v", f[0].until, f[1].until, f[2].until)
 	}
 }
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -562,7 +562,7 @@
 		c := w.d.classes
 		c[0].served, c[1].served, c[2].offered, c[2].served = 0, c[1].offered, 1, 1
 		w.d.stale = true
-		w.handle(w.end(running, 0, Errored, nil)) // a struck worker: trial once its backoff is over
+		w.handle(w.end(running, 0, ConnectFailed, nil)) // a struck worker: trial once its backoff is over
 		c[0].served = 0
 		w.now += 90 * ms
 		w.d.workers[1].retryAt, w.d.stale, w.d.ordered = w.now, true, 0
--- a/decide/state.go
+++ b/decide/state.go
@@ -18,6 +18,7 @@
 	followup          Followup
 	budget            time.Duration // of a first try: the longest seen
 	stuck             bool          // no worker is valid for its requests
+	errs              tally         // jobs that ended in an error, at all workers
 	offered, served   float64       // worth asked for and served in time, fading
 }
 
@@ -47,7 +48,7 @@
 	suspect  condition
 	refusals []refusal // of each class
 	late     tally     // starts that came late
-	errs     tally     // jobs that ended in an error
+	errs     []tally   // jobs of each class that ended in an error
 	zone     *zoneStat
 	told     [2]uint8 // load last told to the peers
 	peers    *loadSum // load that the peers tell of
@@ -176,7 +177,6 @@
 	openOnly              bool             // in the pick at hand: only workers with an idle connection
 	mostIdle              time.Duration    // a kept connection broke after twice that, at idleAt
 	idleAt                time.Duration
-	errs                  tally               // jobs that ended in an error, at all workers
 	ages                  [8]tally            // sends that failed, by how long their connection was idle
 	wakeAt                time.Duration       // when the timer was asked for
 	late, stall           time.Duration       // by how much this batch came too late, and the longest such
@@ -296,7 +296,7 @@
 			} else if l.State == Gone {
 				continue
 			}
-			w = &worker{Worker: Worker{State: Ready}, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{n: 2}, errs: tally{n: 1}}
+			w = &worker{Worker: Worker{State: Ready}, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{n: 2}, errs: slices.Repeat([]tally{{n: 3}}, len(d.classes))}
 			w.refusals = make([]refusal, len(d.classes))
 			d.workers[l.ID] = w
 		}
