Take repeatable commands off connections on which no 202 comes

Checked: a probe of each exchange: of some 1,400 POSTs all but 20 were answered within 10 ms; 18 never, after any idle age from 2 ms to 4 s, at instances that went on serving on other connections. Each was waited for until 0.3 s before its deadline. At fault: decide.go, watch: an attempt counted as hung only if its instance showed no life, and keyed ones stayed put otherwise; the module was never told whether an instance has an attempt. Now the 202 is an event (decide.Taken); where 202s are told, a repeatable attempt without one after half of its aim is called off and sent elsewhere, at no cost to its instance.

--- a/decide/api.go
+++ b/decide/api.go
@@ -242,6 +242,12 @@
 		Request uint32
 		Attempt int
 	}
+	// Taken: the worker has confirmed that it has the attempt. Where this is told at all, it is
+	// told at once.
+	Taken struct {
+		Request uint32
+		Attempt int
+	}
 	// JobStarted: the worker has begun to run the attempt.
 	JobStarted struct {
 		Request uint32
@@ -284,6 +290,7 @@
 func (ListFailed) event()    {}
 func (Request) event()       {}
 func (StreamStarted) event() {}
+func (Taken) event()         {}
 func (JobStarted) event()    {}
 func (JobProgress) event()   {}
 func (AttemptEnded) event()  {}
@@ -397,6 +404,10 @@
 			d.arrive(e)
 		case StreamStarted:
 			d.noted(e.Request, e.Attempt, e)
+		case Taken:
+			if _, a := d.attempt(e.Request, e.Attempt); a != nil {
+				a.taken, d.confirms = true, true
+			}
 		case JobStarted:
 			d.noted(e.Request, e.Attempt, e)
 		case JobProgress:
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	ageMemory     = 6.0     // sends at an idle age that it is judged on
 	fewHeld       = 3       // workers to a request held, up to which keyed ones may go further
 	widen         = 2.0     // by so many keepers for each aim that they have waited
+	confirmPart   = 2       // part of its aim for which a job may lack its worker's confirmation
 	idleDouble    = 4       // windows of the rule on cold workers in which trust in idle connections doubles
 	recheck       = 8       // one in so many repeatable jobs still tries an old connection
 	ringPoints    = 8       // places of a worker on the ring of keys
@@ -103,7 +104,7 @@
 func (d *Dispatcher) listFailed() {
 	d.note(&d.listLost, true, "worker list lost", "")
 	d.failures++
-	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 3))
+	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 2))
 }
 
 // list takes lines of the worker list.
@@ -1024,6 +1025,14 @@
 		if a.over || r.streaming {
 			continue
 		}
+		// Confirmations come at once or never: then the connection has gone silent, whatever else its worker
+		// does. What can be repeated goes elsewhere; this says nothing of the worker.
+		unconfirmed := d.confirms && !a.taken && !a.started && d.now-a.sent-d.late > r.c.Aim/confirmPart+d.setup()
+		if unconfirmed && !a.lost && r.c.Effect == Safe && d.s.Limits.Cancel && !d.spent(r) {
+			a.lost = true
+			d.do(Cancel{Request: r.ID, Attempt: i})
+			continue
+		}
 		hung := d.now-a.sent-d.late > max(r.c.Aim, hungRuns*r.c.typical()) && a.w.lived < a.sent // no life since
 		if d.s.TellsStart && !a.started && d.now-a.sent > d.grace(r, a) {
 			first := !a.queued
--- a/decide/further_test.go
+++ b/decide/further_test.go
@@ -232,3 +232,30 @@
 		t.Errorf("strikes %d, attempts %d", w.d.workers[first].strikes, len(j.tries))
 	}
 }
+
+// TestUnconfirmedJobMoves: on a connection that has gone silent a job was waited for until its
+// deadline, since its worker went on showing life elsewhere. What must not run twice stays.
+func TestUnconfirmedJobMoves(t *testing.T) {
+	for class, confirmed := range []bool{false, true, false} {
+		class = map[int]int{0: 0, 1: 0, 2: 2}[class]
+		w := fleet(t, site(1, true, false, false), 2)
+		_, first := w.place(0)
+		w.handle(Taken{first.ID, 0}, JobStarted{first.ID, 0})
+		_, j := w.place(class)
+		if confirmed {
+			w.handle(Taken{j.ID, 0})
+		}
+		cancelled := false
+		for range 40 {
+			w.now += 10 * ms
+			w.d.wakeAt = w.now
+			for _, a := range w.handle(Wake{}, JobProgress{first.ID, 0, 0.5}) {
+				c, ok := a.(Cancel)
+				cancelled = cancelled || ok && c.Request == j.ID
+			}
+		}
+		if lost := w.d.requests[j.ID] != nil && w.d.requests[j.ID].attempts[0].lost; lost != (!confirmed && class == 0) || lost && !cancelled {
+			t.Errorf("class %d, confirmed %v: given up %v", class, confirmed, lost)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -73,6 +73,7 @@
 	over, neverRan  bool
 	erred           bool
 	started, queued bool
+	taken, lost     bool          // the worker has it; its connection carries nothing
 	fared           bool          // counted for its zone
 	fresh           bool          // on a new connection
 	idle            time.Duration // for how long its connection was not in use
@@ -175,6 +176,7 @@
 	toldAll, peersAt      time.Duration
 	setups                [4]time.Duration // what the last new connections added to a job's start
 	openOnly              bool             // in the pick at hand: only workers with an idle connection
+	confirms              bool             // workers tell at once that they have an attempt
 	mostIdle              time.Duration    // a kept connection broke after twice that, at idleAt
 	idleAt                time.Duration
 	ages                  [8]tally            // sends that failed, by how long their connection was idle
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -20,6 +20,15 @@
 	})
 }
 
+// Taken says that the instance has an attempt: its 202 came.
+func (l *Loop) Taken(a *Attempt) {
+	l.post(func(l *Loop) {
+		if !a.over {
+			l.tell(decide.Taken{Request: a.request, Attempt: a.N})
+		}
+	})
+}
+
 // Unusable says that an instance can't use a command as it stands: another could not either,
 // so it is answered at once. What a service client sends must not count against an instance's
 // health: for the module the attempt was never made.
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -23,6 +23,7 @@
 // Reports takes what comes of what was sent.
 type Reports interface {
 	Ended(_ *dispatch.Attempt, _ decide.Outcome, kept time.Duration)
+	Taken(*dispatch.Attempt)
 	Unusable(*dispatch.Attempt)
 	Probed(instance string, o decide.Outcome)
 }
@@ -120,6 +121,8 @@
 			p.reports.Unusable(a)
 		} else if o, over := e.outcome(); over {
 			p.reports.Ended(a, o, e.kept)
+		} else {
+			p.reports.Taken(a)
 		}
 	}
 	p.mu.Lock()
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -20,6 +20,7 @@
 }
 
 func (r reports) Ended(_ *dispatch.Attempt, o decide.Outcome, _ time.Duration) { r.ended <- o }
+func (r reports) Taken(*dispatch.Attempt)                                      {}
 func (r reports) Unusable(*dispatch.Attempt)                                   {}
 func (r reports) Probed(_ string, o decide.Outcome)                            { r.probed <- o }
 
