--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -17,16 +17,17 @@
 type reports struct {
 	ended  chan decide.Outcome
 	probed chan decide.Outcome
+	taken  chan *dispatch.Attempt
 }
 
 func (r reports) Ended(_ *dispatch.Attempt, o decide.Outcome, _ time.Duration) { r.ended <- o }
-func (r reports) Taken(*dispatch.Attempt)                                      {}
+func (r reports) Taken(a *dispatch.Attempt)                                    { r.taken <- a }
 func (r reports) Unusable(*dispatch.Attempt)                                   {}
 func (r reports) Probed(_ string, o decide.Outcome)                            { r.probed <- o }
 
 // pool returns one of so many connections and instances that show each request.
 func pool(t *testing.T, most int, ids ...string) (*Pool, reports, chan *http1.Request) {
-	r, seen := reports{make(chan decide.Outcome, 9), make(chan decide.Outcome, 9)}, make(chan *http1.Request, 9)
+	r, seen := reports{make(chan decide.Outcome, 9), make(chan decide.Outcome, 9), make(chan *dispatch.Attempt, 9)}, make(chan *http1.Request, 9)
 	p := NewPool(Limits{Connections: most, Connect: 10 * time.Second, Idle: time.Minute})
 	p.ReportTo(r)
 	var l dispatch.List
@@ -50,7 +51,9 @@
 						}
 						q.Header = append(q.Header, http1.Field{Name: "From", Value: c.RemoteAddr().String()})
 						seen <- q
-						if q.Method != "POST" { // attempts stay unanswered
+						if q.Target == "/take" {
+							c.Write([]byte("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"))
+						} else if q.Method != "POST" { // other attempts stay unanswered
 							c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 						}
 					}
@@ -102,6 +105,16 @@
 	}
 }
 
+// A 202 is told, so that the module can tell an instance at work from a silent connection.
+func TestTakenIsTold(t *testing.T) {
+	p, r, _ := pool(t, 9, "s-1")
+	a := attempt("s-1")
+	a.Command.Payload.(*http1.Request).Target = "/take"
+	p.Send(a)
+	require.Equal(t, a, <-r.taken)
+	require.Empty(t, r.ended)
+}
+
 // A drain told between the decision and the first byte stops the send.
 func TestDrainToldBeforeTheFirstByte(t *testing.T) {
 	p, r, seen := pool(t, 9, "s-1")
