Give operators an address: health, figures, quiesce and resume

Checked: /_health alone tells the front, and departing already closes connections in the right way, so quiescing is departing without its end.

--- a/decide/state.go
+++ b/decide/state.go
@@ -408,6 +408,22 @@
 	return w.foreign * math.Exp(-(d.now-w.seen).Seconds()/d.longest())
 }
 
+// Fleet tells how many workers are listed, and how many of those are avoided now: not ready, not
+// trusted, or barred for every class.
+func (d *Dispatcher) Fleet() (listed, avoided int) {
+	for _, w := range d.workers {
+		if w.unlisted || w.State == Gone {
+			continue
+		}
+		listed++
+		barred := !slices.ContainsFunc(w.refusals, func(f refusal) bool { return f.until <= d.now })
+		if w.State != Ready || w.strikes > 0 || barred {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 func (d *Dispatcher) do(a Action) { d.out = append(d.out, a) }
 
 // backoff doubles base with n and jitters it, so that dispatchers spread out.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Name      string
 	Listen    string // service clients and call-backs come here
 	Discovery string // the name table's peer
+	Admin     string // operators call here; empty: nowhere
 	Limits    Limits
 	Known     dispatch.List // as last held; may be out of date
 	Settings  decide.Settings
@@ -52,6 +53,7 @@
 // file is PROXY_CONFIG as it is written.
 type file struct {
 	Name, Listen, Discovery, Seed string
+	Admin                         string `json:"admin_addr"`
 	Limits                        struct {
 		Cores    *float64 `json:"cores"`
 		MemoryMB *int     `json:"memory_mb"`
@@ -108,7 +110,8 @@
 		key  string
 		same bool
 	}{
-		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"admin_addr", c.Admin == next.Admin}, {"limits", c.Limits == next.Limits},
 		{"settings", reflect.DeepEqual(mine, its) && reflect.DeepEqual(c.Names, next.Names)},
 	} {
 		if !k.same {
@@ -136,6 +139,11 @@
 	if c.Discovery, err = address("discovery", "PROXY_DISCOVERY", getenv, f.Discovery); err != nil {
 		return nil, err
 	}
+	if getenv("PROXY_ADMIN_ADDR") != "" || f.Admin != "" {
+		if c.Admin, err = address("admin_addr", "PROXY_ADMIN_ADDR", getenv, f.Admin); err != nil {
+			return nil, err
+		}
+	}
 	switch l := c.Limits; {
 	case !(l.Cores > 0):
 		return nil, fmt.Errorf("limits.cores: %v is no number of cores", l.Cores)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -33,6 +33,7 @@
 	require.Equal(t, Limits{1, 2048, 4096}, c.Limits)
 	require.Equal(t, []string{"preview"}, c.Names.Classes)
 	require.Len(t, c.Known.Members, 1)
+	require.Empty(t, c.Admin, "operators have no address in older configurations")
 	require.Equal(t, []time.Duration{defaultConnect, defaultIdle}, []time.Duration{c.Settings.Limits.ConnectTimeout, c.Settings.Limits.ConnIdle})
 	c, err = load(t, strings.Replace(whole, `"limits"`, `"other"`, 1), nil)
 	require.NoError(t, err)
@@ -43,7 +44,7 @@
 	_, err := Load(func(string) string { return "" })
 	require.ErrorContains(t, err, "PROXY_CONFIG")
 	for _, tt := range []struct{ from, to, key string }{
-		{`"n3"`, `""`, "name"}, {`10.0.0.4:8000`, `10.0.0.4`, "listen"}, {`10.2.0.1:8500`, ``, "discovery"},
+		{`"n3"`, `""`, "name"}, {`"n3"`, `"n3","admin_addr":"x"`, "admin_addr"}, {`10.0.0.4:8000`, `10.0.0.4`, "listen"}, {`10.2.0.1:8500`, ``, "discovery"},
 		{`8c1f30d27a5be964`, `xyz`, "seed"}, {`8c1f30d27a5be964`, ``, "seed"}, {`"cores":1.0`, `"cores":-1`, "limits.cores"},
 		{`2048`, `1`, "limits.memory_mb"}, {`4096`, `3`, "limits.sockets"}, {`4096`, `"many"`, "sockets"},
 		{`"in_service"`, `"asleep"`, "known"}, {`"free"`, `"odd"`, "settings"}, {`"settings"`, `"other"`, "settings"},
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -12,8 +12,8 @@
 func (l *Loop) admit(c *Command) {
 	l.Books.Taken.Add(1)
 	if l.ids[c.ID] != nil || c.Class < 0 || c.Class >= len(l.settings.Classes) {
-		l.holding.Add(-1)
-		l.Books.answer(Unusable)
+		l.Books.holding.Add(-1)
+		l.Books.answer(c, Unusable)
 		c.Client.Answer(Answer{Verdict: Unusable})
 		return
 	}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"caperrelay/decide"
 )
@@ -11,19 +13,69 @@
 // Books counts what became of commands and attempts.
 type Books struct {
 	Taken, Lapsed, Sent, Probes, StrayNews atomic.Int64
+	Loads, LoadErrors                      atomic.Int64 // configuration files taken and turned down
+	written                                atomic.Int64 // attempts that went out whole
+	listed, avoided                        atomic.Int64 // instances, as the module sees them
+	holding                                atomic.Int64 // commands taken and not answered
 	answers                                [numVerdicts]atomic.Int64
 	outcomes                               [decide.Moot + 1]atomic.Int64
+
+	mu      sync.Mutex
+	classes []*classBook // by class; one that the settings no longer have stays
+}
+
+// classBook is how the commands of one class were answered.
+type classBook struct {
+	name    string
+	answers [numVerdicts]atomic.Int64
+}
+
+// open begins a book for each class that has none yet.
+func (b *Books) open(names []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, name := range names[len(b.classes):] {
+		b.classes = append(b.classes, &classBook{name: name})
+	}
+}
+
+func (b *Books) answer(c *Command, v Verdict) {
+	b.answers[v].Add(1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.Class >= 0 && c.Class < len(b.classes) {
+		b.classes[c.Class].answers[v].Add(1)
+	}
 }
 
-func (b *Books) answer(v Verdict)         { b.answers[v].Add(1) }
 func (b *Books) outcome(o decide.Outcome) { b.outcomes[o].Add(1) }
 
+// Figures lists what operators go by, one "proxy.name=value" a line.
+func (b *Books) Figures() string {
+	var s strings.Builder
+	line := func(name string, n int64) { fmt.Fprintf(&s, "proxy.%s=%d\n", name, n) }
+	b.mu.Lock()
+	for _, c := range b.classes {
+		line("passed."+c.name, c.answers[Served].Load())
+		line("dropped."+c.name, c.answers[Nacked].Load())
+		line("bad_gateway."+c.name, c.answers[Failed].Load()+c.answers[Unusable].Load())
+	}
+	b.mu.Unlock()
+	line("upstream_tries", b.written.Load())
+	line("in_progress", b.holding.Load())
+	line("known_encoders", b.listed.Load())
+	line("skipped_encoders", b.avoided.Load())
+	line("loads", b.Loads.Load())
+	line("load_errors", b.LoadErrors.Load())
+	return s.String()
+}
+
 var outcomeNames = [...]string{
 	decide.OK: "ok", decide.Errored: "errored", decide.Full: "full", decide.TimedOut: "timed_out",
 	decide.ConnectFailed: "connect_failed", decide.Reset: "reset", decide.Cancelled: "cancelled", decide.Moot: "moot",
 }
 
-// String lists the counters, one "name value" a line.
+// String lists all counters, one "name value" a line, and the operators' figures.
 func (b *Books) String() string {
 	var s strings.Builder
 	line := func(name string, n *atomic.Int64) { fmt.Fprintf(&s, "%s %d\n", name, n.Load()) }
@@ -39,12 +91,24 @@
 	}
 	line("probes_sent", &b.Probes)
 	line("news_for_no_attempt", &b.StrayNews)
+	s.WriteString(b.Figures())
 	return s.String()
 }
 
+// figuresEvery is how often what the module sees is noted for the operators' figures.
+const figuresEvery = 200 * time.Millisecond
+
+// notes keeps the operators' figures of the fleet up to date, from now on.
+func (l *Loop) notes() {
+	listed, avoided := l.mod.Fleet()
+	l.Books.listed.Store(int64(listed))
+	l.Books.avoided.Store(int64(avoided))
+	l.timers.at(time.Now().Add(figuresEvery), l.notes)
+}
+
 // answer books a command's one final answer and hands it to the service client.
 func (l *Loop) answer(h *held, a Answer) {
-	l.Books.answer(a.Verdict)
+	l.Books.answer(h.Command, a.Verdict)
 	l.conclude(h)
 	h.Client.Answer(a)
 	l.forget(h)
@@ -53,7 +117,7 @@
 // conclude marks a command as owed nothing more.
 func (l *Loop) conclude(h *held) {
 	h.answered = true
-	l.holding.Add(-1)
+	l.Books.holding.Add(-1)
 }
 
 // forget drops a command that is answered and has no attempt out.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"caperrelay/decide"
+	"caperrelay/internal/wire"
 )
 
 // Command is one request of a service client.
@@ -106,7 +107,6 @@
 	workers  map[uint32]string // instance ids by the module's
 	numbers  map[string]uint32
 	timers   timers
-	holding  atomic.Int64 // commands taken and not answered
 	Books    Books
 }
 
@@ -126,24 +126,27 @@
 const inbox = 8192
 
 // New returns a loop for a dispatcher that holds nothing.
-func New(s decide.Settings, fleet Fleet, table NameTable, logger *log.Logger) (*Loop, error) {
+func New(s decide.Settings, n wire.Names, fleet Fleet, table NameTable, logger *log.Logger) (*Loop, error) {
 	mod, err := decide.New(s)
 	if err != nil {
 		return nil, err
 	}
-	return &Loop{
+	l := &Loop{
 		mod: mod, settings: s, fleet: fleet, table: table, log: logger, in: make(chan message, inbox),
 		ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
-	}, nil
+	}
+	l.Books.open(n.Classes)
+	return l, nil
 }
 
 // Holding is how many commands are taken and not answered.
-func (l *Loop) Holding() int64 { return l.holding.Load() }
+func (l *Loop) Holding() int64 { return l.Books.holding.Load() }
 
 // Run serves until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
+	l.notes()
 	for {
 		alarm.Reset(l.timers.wait(time.Now()))
 		select {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -33,7 +33,7 @@
 		Dispatchers: 1, Granularity: time.Millisecond, Limits: decide.Limits{Attempts: 3, Cancel: true},
 		Classes: []decide.Class{{Aim: time.Minute, Deadline: time.Hour, Worth: 1, Kind: decide.Any}},
 		Rules:   decide.Rules{Cold: time.Second, FallWindow: time.Second, MustAskIn: time.Second},
-	}, f, f, log.New(io.Discard, "", 0))
+	}, wire.Names{Classes: []string{"safe"}}, f, f, log.New(io.Discard, "", 0))
 	require.NoError(t, err)
 	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
 	l.Take(&Command{ID: "c1", Deadline: time.Now().Add(time.Hour), Client: c})
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -20,6 +20,9 @@
 	})
 }
 
+// Written says that an attempt has gone out whole.
+func (l *Loop) Written(*Attempt) { l.Books.written.Add(1) }
+
 // Taken says that the instance has an attempt: its 202 came.
 func (l *Loop) Taken(a *Attempt) {
 	l.post(func(l *Loop) {
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -13,7 +13,7 @@
 
 // Take hands a command in. From now on it is owed one answer.
 func (l *Loop) Take(c *Command) {
-	l.holding.Add(1)
+	l.Books.holding.Add(1)
 	l.post(func(l *Loop) { l.admit(c) })
 }
 
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -148,10 +148,11 @@
 	<-s.slots
 }
 
-// Drain has each answer from now on close its connection. The listener goes on.
-func (s *Server) Drain() {
+// Away says whether service clients are sent away: then the front is told no, and each answer
+// closes its connection. The listener goes on.
+func (s *Server) Away(yes bool) {
 	s.mu.Lock()
-	s.draining = true
+	s.draining = yes
 	s.mu.Unlock()
 }
 
--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -74,6 +74,7 @@
 	deadline       time.Time
 	mostIdle       time.Duration // of the connection; 0: any
 	gated          bool          // new work: only for an instance that is ready
+	sent           func()        // called once it is written whole, if at all; may be nil
 	done           func(end)     // called once, from the connection's goroutine
 
 	mu      sync.Mutex
@@ -221,6 +222,9 @@
 	if n, err := c.nc.Write(text); err != nil && n < len(text) {
 		return end{stage: unmade}
 	}
+	if x.sent != nil {
+		x.sent()
+	}
 	p, err := http1.ReadResponse(c.br, x.method)
 	if err != nil {
 		return end{stage: broken}
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -23,6 +23,7 @@
 // Reports takes what comes of what was sent.
 type Reports interface {
 	Ended(_ *dispatch.Attempt, _ decide.Outcome, kept time.Duration)
+	Written(*dispatch.Attempt)
 	Taken(*dispatch.Attempt)
 	Unusable(*dispatch.Attempt)
 	Probed(instance string, o decide.Outcome)
@@ -113,6 +114,7 @@
 func (p *Pool) Send(a *dispatch.Attempt) {
 	q := a.Command.Payload.(*http1.Request)
 	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, deadline: a.Deadline, mostIdle: a.MostIdle, gated: true}
+	x.sent = func() { p.reports.Written(a) }
 	x.done = func(e end) {
 		p.mu.Lock()
 		delete(p.out, a)
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -21,6 +21,7 @@
 }
 
 func (r reports) Ended(_ *dispatch.Attempt, o decide.Outcome, _ time.Duration) { r.ended <- o }
+func (r reports) Written(*dispatch.Attempt)                                    {}
 func (r reports) Taken(a *dispatch.Attempt)                                    { r.taken <- a }
 func (r reports) Unusable(*dispatch.Attempt)                                   {}
 func (r reports) Probed(_ string, o decide.Outcome)                            { r.probed <- o }
--- /dev/null
+++ b/internal/net/operators/operators_test.go
@@ -0,0 +1,76 @@
+package operators
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// desk is healthy and can do nothing else.
+type desk struct{}
+
+func (desk) Health() error   { return nil }
+func (desk) Figures() string { return "proxy.loads=0\n" }
+func (desk) Quiesce() error  { return errors.New("not\nnow") }
+func (desk) Resume() error   { return nil }
+
+func serve(t *testing.T) func() net.Conn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go New(desk{}, log.New(io.Discard, "", 0)).Serve(l)
+	return func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+}
+
+func ask(t *testing.T, c net.Conn, text string) string {
+	if text != "" {
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err, "the answer is not lost with a reset")
+	return string(answer)
+}
+
+// Each call gets its answer, and whatever is none is told so.
+func TestCalls(t *testing.T) {
+	dial := serve(t)
+	for text, want := range map[string]string{
+		"health\n": "OK\n", "health\r\n": "OK\n", "counters\n": "proxy.loads=0\nEND\n", "quiesce\n": "ERR not now\n",
+		"resume\nhealth\n": "OK\n", "health now\n": "ERR wrong number of words\n", "\n": "ERR an empty call\n",
+		"reboot\n":                          "ERR no such call: health, counters, quiesce, resume\n",
+		strings.Repeat("x", 9000) + "\n":    "ERR the line is too long\n",
+		"health" + strings.Repeat(" ", 500): "ERR the line is too long\n",
+	} {
+		require.Equal(t, want, ask(t, dial(), text), text[:min(len(text), 20)])
+	}
+	half := dial()
+	io.WriteString(half, "resum")
+	require.NoError(t, half.(*net.TCPConn).CloseWrite())
+	require.Equal(t, "ERR no whole call came\n", ask(t, half, ""))
+}
+
+// Callers that never end their line took all places. They make room, the longest first.
+func TestMuteCallersMakeRoom(t *testing.T) {
+	dial := serve(t)
+	var mute []net.Conn
+	for range mostCallers {
+		mute = append(mute, dial())
+		io.WriteString(mute[len(mute)-1], "hea")
+	}
+	require.Equal(t, "OK\n", ask(t, dial(), "health\n"))
+	require.Equal(t, "ERR the call did not come in time\n", ask(t, mute[0], ""))
+	require.Equal(t, "OK\n", ask(t, mute[mostCallers-1], "lth\n"), "the last is heard all the same")
+}
--- /dev/null
+++ b/internal/program/desk.go
@@ -0,0 +1,34 @@
+package program
+
+import "errors"
+
+// What operators ask for: the program is the desk of their peer. Nothing here waits for the
+// decision loop.
+
+// Health is nil once the program can serve.
+func (p *Program) Health() error {
+	switch p.Phase() {
+	case Serving, Quiescing, Quiesced:
+		return nil
+	}
+	return errors.New(p.Phase().String())
+}
+
+// Figures lists what operators go by.
+func (p *Program) Figures() string { return p.loop.Books.Figures() }
+
+// Quiesce sends service clients away. What is held is answered, and call-backs are taken.
+func (p *Program) Quiesce() error {
+	if p.enter(Quiescing, Serving) || p.Phase() == Quiescing || p.Phase() == Quiesced {
+		return nil
+	}
+	return errors.New(p.Phase().String())
+}
+
+// Resume takes service clients again.
+func (p *Program) Resume() error {
+	if p.enter(Serving, Quiescing, Quiesced) || p.Phase() == Serving {
+		return nil
+	}
+	return errors.New(p.Phase().String())
+}
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -130,7 +130,7 @@
 	w.table = w.nameTable()
 	file := t.TempDir() + "/config.json"
 	w.configure = func(discovery string) {
-		text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1f","known":{"revision":7,"complete":true,"members":[%s]},"settings":%s}`,
+		text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin_addr":"127.0.0.1:0","discovery":%q,"seed":"1f","known":{"revision":7,"complete":true,"members":[%s]},"settings":%s}`,
 			"127.0.0.1:0", discovery, member(cmp.Or(address, w.instance.Addr().String()), "in_service"), settings)
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	}
@@ -177,6 +177,25 @@
 	return n
 }
 
+// call makes an operator's call and returns the answer.
+func (w *world) call(line string) string {
+	c, err := net.Dial("tcp", w.program.Admin())
+	require.NoError(w.t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintln(c, line)
+	text, err := io.ReadAll(c)
+	require.NoError(w.t, err)
+	return string(text)
+}
+
+// figure is one of the operators' figures, by its name.
+func (w *world) figure(name string) string {
+	_, rest, _ := strings.Cut("\n"+w.call("counters"), "\nproxy."+name+"=")
+	value, _, _ := strings.Cut(rest, "\n")
+	return value
+}
+
 // dial opens a connection to the program; the test's end closes it.
 func (w *world) dial() net.Conn {
 	c := w.connect()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -10,8 +10,9 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,26 +21,30 @@
 	"caperrelay/internal/net/clients"
 	"caperrelay/internal/net/instances"
 	"caperrelay/internal/net/nametable"
+	"caperrelay/internal/net/operators"
 )
 
 // Phase is a state of the program.
 type Phase int32
 
-// The phases, in their order.
+// The phases, in their order. An operator can have the program leave quiescing and quiesced again,
+// to serving.
 const (
 	Starting  Phase = iota // parts are made, nothing listens
 	Serving                // commands are taken in
-	Departing              // told to end: the front still sends, answers close connections
-	Draining               // the front has moved on: what is held is answered
+	Quiescing              // clients are sent away: the front still sends, answers close connections
+	Quiesced               // the front has moved on: idle connections are closed as well
+	Departing              // told to end: as quiescing
+	Draining               // as quiesced, until what is held is answered
 	Stopped                // nothing is held and nothing listens
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "departing", "draining", "stopped"}[p]
+	return [...]string{"starting", "serving", "quiescing", "quiesced", "departing", "draining", "stopped"}[p]
 }
 
 const (
-	// The front goes on sending for up to 0.4 s after a planned restart has begun.
+	// The front goes on sending for up to 0.4 s after it was told no.
 	departure = 600 * time.Millisecond
 	// A service client's connection that has been idle for so long is closed then.
 	quiet = 200 * time.Millisecond
@@ -54,12 +59,16 @@
 type Program struct {
 	config  *config.Config
 	log     *log.Logger
-	phase   atomic.Int32
 	address string // set before the phase is Serving
+	admin   string // likewise; empty: operators have no address
 	loop    *dispatch.Loop
 	pool    *instances.Pool
 	watcher *nametable.Watcher
 	server  *clients.Server
+
+	mu    sync.Mutex
+	phase Phase
+	since time.Time // of the phase
 }
 
 // New makes the parts of a dispatcher.
@@ -81,7 +90,7 @@
 		s.Limits.Open = open
 	}
 	var err error
-	if p.loop, err = dispatch.New(s, p.pool, p.watcher, logger); err != nil {
+	if p.loop, err = dispatch.New(s, c.Names, p.pool, p.watcher, logger); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	p.pool.ReportTo(p.loop)
@@ -92,21 +101,46 @@
 // Address is where the program listens, once it serves.
 func (p *Program) Address() string { return p.address }
 
+// Admin is where operators call, once it serves, if they have an address.
+func (p *Program) Admin() string { return p.admin }
+
 // Phase is the state that the program is in.
-func (p *Program) Phase() Phase { return Phase(p.phase.Load()) }
+func (p *Program) Phase() Phase {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.phase
+}
 
-func (p *Program) enter(next Phase) {
-	p.phase.Store(int32(next))
+// enter takes the program to a phase from one of others; false: it is in none of those.
+func (p *Program) enter(next Phase, from ...Phase) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(from, p.phase) {
+		return false
+	}
+	p.phase, p.since = next, time.Now()
+	p.server.Away(next > Serving)
 	p.log.Printf("%s, %d commands held", next, p.loop.Holding())
+	return true
 }
 
 // Run serves until a signal to end comes and nothing is held any more.
 func (p *Program) Run(signals <-chan os.Signal) error {
-	p.enter(Starting)
 	l, err := net.Listen("tcp", p.config.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	defer l.Close()
+	p.address = l.Addr().String()
+	if p.config.Admin != "" {
+		a, err := net.Listen("tcp", p.config.Admin)
+		if err != nil {
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+		defer a.Close()
+		p.admin = a.Addr().String()
+		go operators.New(p, p.log).Serve(a)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	known := p.config.Known
@@ -115,45 +149,52 @@
 	p.loop.Listed(known, p.config.Names, true)
 	go p.loop.Run(ctx)
 	go p.watcher.Run(ctx, p)
-	p.address = l.Addr().String()
 	go p.server.Serve(ctx, l)
-	end := make(chan struct{})
-	go p.obey(ctx, signals, end)
-	p.enter(Serving)
-
-	<-end
-	p.enter(Departing)
-	p.server.Drain()
-	time.Sleep(departure)
-
-	p.enter(Draining)
-	for tick := time.NewTicker(check); ; <-tick.C {
-		p.server.CloseIdle(time.Now().Add(-quiet))
+	p.enter(Serving, Starting)
+	go p.obey(ctx, signals)
+	for tick := time.NewTicker(check); p.Phase() != Stopped; <-tick.C {
+		p.advance(time.Now())
+	}
+	p.log.Printf("counters at exit:\n%s", p.loop.Books.String())
+	return nil
+}
+
+// advance does what time brings about in a phase.
+func (p *Program) advance(now time.Time) {
+	p.mu.Lock()
+	phase, since := p.phase, p.since
+	p.mu.Unlock()
+	switch moved := now.Sub(since) >= departure; phase {
+	case Quiescing:
+		if moved {
+			p.enter(Quiesced, Quiescing)
+		}
+	case Quiesced:
+		p.server.CloseIdle(now.Add(-quiet))
+	case Departing:
+		if moved {
+			p.enter(Draining, Departing)
+		}
+	case Draining:
+		p.server.CloseIdle(now.Add(-quiet))
 		// Give-ups that are on their way spare instances work for nobody; each ends within a second.
 		if p.loop.Holding() == 0 && !p.pool.Busy() && p.server.Quiet() {
-			break
+			p.enter(Stopped, Draining)
 		}
 	}
-	l.Close()
-	p.enter(Stopped)
-	p.log.Printf("counters at exit:\n%s", p.loop.Books.String())
-	return nil
 }
 
-// obey takes signals: SIGHUP reads the configuration anew, in every phase, any other closes end.
-func (p *Program) obey(ctx context.Context, signals <-chan os.Signal, end chan<- struct{}) {
-	ending := false
+// obey takes signals: SIGHUP reads the configuration anew, in every phase, any other ends the program.
+func (p *Program) obey(ctx context.Context, signals <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case s := <-signals:
-			switch {
-			case s == syscall.SIGHUP:
+			if s == syscall.SIGHUP {
 				p.reload()
-			case !ending:
-				ending = true
-				close(end)
+			} else {
+				p.enter(Departing, Serving, Quiescing, Quiesced)
 			}
 		}
 	}
@@ -163,12 +204,14 @@
 func (p *Program) reload() {
 	next, err := p.config.Reload()
 	if err != nil {
+		p.loop.Books.LoadErrors.Add(1)
 		p.log.Printf("configuration not reloaded: %v", err)
 		return
 	}
 	if keys := p.config.AtRestart(next); len(keys) > 0 {
 		p.log.Printf("configuration: %s count from the next start on", strings.Join(keys, ", "))
 	}
+	p.loop.Books.Loads.Add(1)
 	p.log.Printf("configuration reloaded, discovery at %s", next.Discovery)
 	if next.Discovery != p.config.Discovery {
 		p.config.Discovery = next.Discovery
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -236,6 +236,49 @@
 	}
 }
 
+// Told to send clients away, the program went on saying yes to the front. It says no, takes what
+// crosses and what instances tell, closes what is idle, and once told to, serves as before.
+func TestQuiesceAndResume(t *testing.T) {
+	took := make(chan string, 9)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		took <- id(q)
+		return answer(c, 202)
+	})
+	health := func() int {
+		c := w.connect()
+		defer c.Close()
+		fmt.Fprint(c, "GET /_health HTTP/1.1\r\n\r\n")
+		return w.read(c).Status
+	}
+	require.Equal(t, 200, health())
+	held, idle, ours := w.dial(), w.dial(), w.dial()
+	w.post(ours, "/_jobs/news", nil, `{"id":"c0","from":"s-1","state":"running","share":0.4}`)
+	require.Equal(t, 204, w.read(ours).Status)
+	w.command(held, "c1", "safe", "30000m")
+	require.Equal(t, "c1", <-took)
+	for range 2 {
+		require.Equal(t, "OK\n", w.call("quiesce"))
+		require.Equal(t, 503, health())
+	}
+	require.Equal(t, "OK\n", w.call("health"), "it could serve")
+	_, err := io.ReadAll(idle)
+	require.NoError(t, err, "closed")
+	require.Equal(t, Quiesced, w.program.Phase())
+	require.Equal(t, "1", w.figure("in_progress"))
+	w.post(ours, "/_jobs/news", nil, `{"id":"c1","from":"s-1","state":"done","result":"r"}`)
+	require.Equal(t, 204, w.read(ours).Status, "an instance's connection stays")
+	p := w.read(held)
+	require.Equal(t, []any{"r", true}, []any{string(p.Body), p.Close})
+	require.Equal(t, "OK\n", w.call("resume"))
+	require.Equal(t, 200, health())
+	again := w.dial()
+	w.command(again, "c2", "safe", "30000m")
+	require.Equal(t, "c2", <-took)
+	require.Equal(t, 204, w.news("c2", "s-1", "done", "r"))
+	require.False(t, w.read(again).Close)
+	require.Equal(t, []string{"2", "2", "0"}, []string{w.figure("passed.safe"), w.figure("upstream_tries"), w.figure("bad_gateway.safe")})
+}
+
 // Whatever comes in, the answer is plain and the program goes on.
 func TestMalformedInput(t *testing.T) {
 	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
