--- a/cmd/winglb/main.go
+++ b/cmd/winglb/main.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := program.New(c, log.New(os.Stderr, c.Name+" ", log.LstdFlags|log.Lmicroseconds))
+	p, err := program.New(c, log.New(os.Stderr, fmt.Sprintf("%s[%d] ", c.Name, os.Getpid()), log.LstdFlags|log.Lmicroseconds))
 	if err != nil {
 		return err
 	}
--- a/decide/api.go
+++ b/decide/api.go
@@ -12,6 +12,9 @@
 // Any in a [Label] matches every zone or every kind.
 const Any = -1
 
+// Older is the number, among peers, of this dispatcher's own older process.
+const Older = -2
+
 // Strategy is how a block chooses among its valid workers.
 type Strategy string
 
@@ -278,7 +281,16 @@
 		Outcome Outcome
 		Report  *Report
 	}
-	// PeerSaid is a message of another dispatcher.
+	// Yield: a newer process of this dispatcher takes what comes, or, if not Yes, has gone. What is
+	// held stays here.
+	Yield struct{ Yes bool }
+	// Relieve: an older process of this dispatcher has yielded to this one, and keeps what it holds.
+	Relieve struct{ Memory Memory }
+	// Alone: the older process of this dispatcher has gone.
+	Alone struct{}
+	// Room: so many requests may be held from now on.
+	Room struct{ Open int }
+	// PeerSaid is a message of another dispatcher, or of the Older process of this one.
 	PeerSaid struct {
 		Peer int
 		Body []byte
@@ -298,6 +310,10 @@
 func (Wake) event()          {}
 func (Probed) event()        {}
 func (PeerSaid) event()      {}
+func (Yield) event()         {}
+func (Relieve) event()       {}
+func (Alone) event()         {}
+func (Room) event()          {}
 
 // Action is something the dispatcher wants done.
 type Action interface{ action() }
@@ -424,6 +440,14 @@
 			d.probed(e)
 		case PeerSaid:
 			d.heard(e)
+		case Yield:
+			d.yield(e.Yes)
+		case Relieve:
+			d.relieve(e.Memory)
+		case Alone:
+			d.alone()
+		case Room:
+			d.s.Limits.Open = e.Open
 		}
 	}
 	d.settle()
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,6 +100,24 @@
 	}
 }
 
+// yield begins what binds two processes of one dispatcher as one, for the older: it sends nothing more to cold
+// workers, whose budget is the newer's, and tells what it occupies. Or it ends that: the newer has gone.
+func (d *Dispatcher) yield(yes bool) { d.yielded, d.moved, d.freed, d.toldAll = yes, true, true, 0 }
+
+// relieve is the same for the newer, which leaves the spare attempts to the older.
+func (d *Dispatcher) relieve(m Memory) {
+	d.remember(m)
+	d.spareFrom = math.MaxInt64
+}
+
+// alone ends it: the older has gone. What it sent counts until it would have left the window.
+func (d *Dispatcher) alone() {
+	if p := d.peers[Older]; p != nil {
+		d.forget(p)
+	}
+	d.spareFrom, d.freed = d.now+d.budget.Span, true
+}
+
 // listFailed asks for the list again after a while.
 func (d *Dispatcher) listFailed() {
 	d.note(&d.listLost, true, "worker list lost", "")
@@ -524,14 +542,18 @@
 			return true
 		}
 	}
-	return d.warmth(w) < 1 && !d.coldTurn(w) // rule 4: this dispatcher's share of the budget
+	return d.warmth(w) < 1 && (d.yielded || !d.coldTurn(w)) // rule 4: this dispatcher's share of the budget
 }
 
 // affordable tells whether the budget allows one more attempt beyond a first (move, retry or copy), in any
 // window that ends now. Where no rule sets it, it keeps retries from becoming most of the load.
 func (d *Dispatcher) affordable() bool {
 	d.extras, d.taken = since(d.extras, d.now-d.budget.Span), since(d.taken, d.now-d.budget.Span+1)
-	return float64(len(d.extras)+1) <= d.budget.Spare+d.budget.PerRequest*float64(len(d.taken))
+	spare := d.budget.Spare
+	if d.now < d.spareFrom { // an older process of this dispatcher may use it, or has
+		spare = 0
+	}
+	return float64(len(d.extras)+1) <= spare+d.budget.PerRequest*float64(len(d.taken))
 }
 
 // coldGap is how long a cold worker is left alone by this dispatcher for a job of so many
@@ -1080,7 +1102,7 @@
 // tell sends the peers this dispatcher's load on each worker: what has changed, all of it now and then.
 // With more dispatchers than a few, only its party, which uses the same workers first.
 func (d *Dispatcher) tell() {
-	if !d.tells() {
+	if !d.tells() && !d.yielded {
 		return
 	}
 	whole := d.toldAll == 0 || d.now-d.toldAll >= d.tellEvery()
@@ -1091,7 +1113,7 @@
 	if !whole && len(body) == 1 {
 		return
 	}
-	if d.s.Dispatchers <= partySize {
+	if d.s.Dispatchers <= partySize || d.yielded {
 		d.do(TellPeers{To: Any, Body: body})
 		return
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -190,6 +190,8 @@
 	freed                 bool                // something happened that may have made a worker valid
 	drainAt               time.Duration       // else held requests are looked at again from then on
 	moved                 bool                // this dispatcher's load at a worker since the last message
+	yielded               bool                // a newer process of this dispatcher takes what comes
+	spareFrom             time.Duration       // spare attempts are an older process's until then
 	trusted               int                 // ready workers without a strike
 	out                   []Action
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,7 @@
 	Listen    string // service clients and call-backs come here
 	Discovery string // the name table's peer
 	Admin     string // operators call here; empty: nowhere
+	Dir       string // for what processes of one dispatcher leave each other
 	Limits    Limits
 	Known     dispatch.List // as last held; may be out of date
 	Settings  decide.Settings
@@ -123,7 +124,7 @@
 
 func (f *file) check(getenv func(string) string) (*Config, error) {
 	c := &Config{
-		Name: cmp.Or(getenv("PROXY_NAME"), f.Name),
+		Name: cmp.Or(getenv("PROXY_NAME"), f.Name), Dir: cmp.Or(getenv("TMPDIR"), os.TempDir()),
 		Limits: Limits{
 			Cores: orDefault(f.Limits.Cores, 1), MemoryMB: orDefault(f.Limits.MemoryMB, defaultMemoryMB),
 			Sockets: orDefault(f.Limits.Sockets, defaultSockets),
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,8 +95,10 @@
 type Loop struct {
 	mod      *decide.Dispatcher
 	settings decide.Settings
+	names    wire.Names
 	fleet    Fleet
 	table    NameTable
+	other    Other
 	log      *log.Logger
 	in       chan message
 	events   []decide.Event // of the batch at hand
@@ -104,10 +106,15 @@
 	ids      map[string]*held // commands in hand by correlation id
 	requests map[uint32]*held // and by the module's
 	lastID   uint32
-	workers  map[uint32]string // instance ids by the module's
-	numbers  map[string]uint32
-	timers   timers
-	Books    Books
+	// Of the other process, while there is one.
+	elsewhere map[string]bool // commands in the older one's hands
+	held      atomic.Int64    // how many there were at first
+	yielded   bool            // to a newer one
+
+	workers map[uint32]string // instance ids by the module's
+	numbers map[string]uint32
+	timers  timers
+	Books   Books
 }
 
 // held is a command in hand: until it is answered and its attempts have ended.
@@ -126,14 +133,14 @@
 const inbox = 8192
 
 // New returns a loop for a dispatcher that holds nothing.
-func New(s decide.Settings, n wire.Names, fleet Fleet, table NameTable, logger *log.Logger) (*Loop, error) {
+func New(s decide.Settings, n wire.Names, fleet Fleet, table NameTable, other Other, logger *log.Logger) (*Loop, error) {
 	mod, err := decide.New(s)
 	if err != nil {
 		return nil, err
 	}
 	l := &Loop{
-		mod: mod, settings: s, fleet: fleet, table: table, log: logger, in: make(chan message, inbox),
-		ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
+		mod: mod, settings: s, names: n, fleet: fleet, table: table, other: other, log: logger, in: make(chan message, inbox),
+		elsewhere: map[string]bool{}, ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
 	}
 	l.Books.open(n.Classes)
 	return l, nil
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -14,13 +14,20 @@
 )
 
 // fleet notes what it is asked for; the loop under test runs by hand, without a goroutine.
-type fleet struct{ sent, givenUp []*Attempt }
+type fleet struct {
+	sent, givenUp []*Attempt
+	ended         []string
+}
 
 func (f *fleet) Send(a *Attempt)   { f.sent = append(f.sent, a) }
 func (f *fleet) GiveUp(a *Attempt) { f.givenUp = append(f.givenUp, a) }
 func (f *fleet) Probe(string)      {}
 func (f *fleet) Release(string)    {}
 func (f *fleet) Subscribe()        {}
+func (f *fleet) News(News) bool    { return false }
+func (f *fleet) Took(string)       {}
+func (f *fleet) Ended(id string)   { f.ended = append(f.ended, id) }
+func (f *fleet) Load([]byte)       {}
 
 type client struct{ answers []Answer }
 
@@ -33,7 +40,7 @@
 		Dispatchers: 1, Granularity: time.Millisecond, Limits: decide.Limits{Attempts: 3, Cancel: true},
 		Classes: []decide.Class{{Aim: time.Minute, Deadline: time.Hour, Worth: 1, Kind: decide.Any}},
 		Rules:   decide.Rules{Cold: time.Second, FallWindow: time.Second, MustAskIn: time.Second},
-	}, wire.Names{Classes: []string{"safe"}}, f, f, log.New(io.Discard, "", 0))
+	}, wire.Names{Classes: []string{"safe"}}, f, f, f, log.New(io.Discard, "", 0))
 	require.NoError(t, err)
 	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
 	l.Take(&Command{ID: "c1", Deadline: time.Now().Add(time.Hour), Client: c})
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -58,8 +58,19 @@
 	State    NewsState
 	Share    float64 // of a running job
 	Result   []byte  // of one that is done
+	Via      Process `json:"-"`
 }
 
+// Process is where word of an instance came from.
+type Process int
+
+// The processes.
+const (
+	This Process = iota // an instance told this one
+	OlderProcess
+	NewerProcess
+)
+
 // NewsState is what has become of a job.
 type NewsState int
 
@@ -80,7 +91,9 @@
 func (l *Loop) news(n News) {
 	a := l.outAt(n.ID, n.From)
 	if a == nil {
-		l.Books.StrayNews.Add(1)
+		if l.ids[n.ID] != nil || !l.other.News(n) {
+			l.Books.StrayNews.Add(1)
+		}
 		return
 	}
 	switch n.State {
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -34,7 +34,10 @@
 			l.table.Subscribe()
 		case decide.Log:
 			l.log.Print(l.named(a.Text))
-		case decide.TellPeers: // dispatchers here have no way to talk to each other
+		case decide.TellPeers: // other dispatchers here cannot be talked to, this one's other process can
+			if l.yielded {
+				l.other.Load(a.Body)
+			}
 		}
 	}
 }
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -39,6 +39,7 @@
 	evicted  bool
 	answered bool // it has asked for something before
 	instance bool // its last request was a call-back
+	passed   bool // to another process
 }
 
 // use is how much a connection is needed while others want its place, the least first.
@@ -87,12 +88,18 @@
 
 func (c *conn) run() {
 	defer c.server.ended(c)
-	defer c.nc.Close()
+	defer func() {
+		if !c.passed {
+			c.nc.Close()
+		}
+	}()
 	c.br = bufio.NewReaderSize(c.nc, http1.MaxLine)
 	for {
 		q, err := c.next()
 		var m *http1.Malformed
 		switch {
+		case errors.Is(err, errPassed):
+			return
 		case errors.As(err, &m):
 			c.reply(m.Status, nil, m.Text+"\n", true)
 			c.linger()
@@ -130,11 +137,30 @@
 	c.reply(408, nil, "the request did not come in time\n", true)
 }
 
+// errPassed says that a connection is another process's now.
+var errPassed = errors.New("passed on")
+
+// pass hands the connection, which stands between two requests, to the process that takes over,
+// if there is one. What has come unread goes with it. The server's lock is held.
+func (c *conn) pass() bool {
+	tcp, ok := c.nc.(*net.TCPConn)
+	if c.server.heir == nil || !ok || c.br.Buffered() > 0 {
+		return false
+	}
+	c.passed = true
+	c.server.heir.Pass(tcp, c.answered, c.instance)
+	return true
+}
+
 // await waits for a request's first byte. The end of a connection between two requests is
 // io.EOF, whoever ends it.
 func (c *conn) await() error {
 	s := c.server
 	s.mu.Lock()
+	if c.pass() {
+		s.mu.Unlock()
+		return errPassed
+	}
 	first, now := !c.answered, time.Now()
 	until := c.since.Add(s.patience.first)
 	if c.state = waiting; !first {
@@ -152,6 +178,9 @@
 	late := errors.Is(err, os.ErrDeadlineExceeded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if late && c.pass() {
+		return errPassed
+	}
 	// A request may cross the end of the connection: one that has come is taken.
 	if err != nil && (!late || c.nc.SetReadDeadline(time.Time{}) != nil || sock.Look(c.nc) != sock.Data) {
 		if !first {
@@ -200,7 +229,7 @@
 func (c *conn) reply(status int, h http1.Header, body string, end bool) bool {
 	c.server.mu.Lock()
 	c.answered = true
-	end = end || c.evicted || c.server.crowded || c.server.draining && !c.instance
+	end = end || c.evicted || c.server.crowded || c.server.draining && c.server.heir == nil && !c.instance
 	c.server.mu.Unlock()
 	if end {
 		h = append(h, http1.Field{Name: "Connection", Value: "close"})
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -60,6 +61,16 @@
 	draining bool
 	crowded  bool // somebody waits for a connection: answers close theirs
 	conns    map[*conn]struct{}
+	heir     Heir // takes over; nil: nobody
+	lent     int  // slots that connections of an older process still take
+}
+
+// Heir is the way to the process that takes over.
+type Heir interface {
+	// Pass hands it a connection that stands between two requests.
+	Pass(nc *net.TCPConn, answered, instance bool)
+	// Left says that one which was not passed has ended.
+	Left()
 }
 
 // New returns a server for at most so many connections.
@@ -78,7 +89,7 @@
 	return m
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed or its deadline has passed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) {
 	var complained time.Time
 	for s.room(ctx) {
@@ -94,6 +105,9 @@
 		}
 		// Guards against a busy loop, and the program's end, while descriptors run short.
 		<-s.slots
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
 		if now := time.Now(); now.Sub(complained) >= time.Second {
 			complained = now
 			s.log.Printf("accept: %v", err)
@@ -115,7 +129,7 @@
 	defer s.setCrowded(false)
 	tick := time.NewTicker(acceptPause)
 	defer tick.Stop()
-	for {
+	for !s.Yielded() {
 		s.makeRoom(time.Now())
 		select {
 		case s.slots <- struct{}{}:
@@ -125,6 +139,7 @@
 			return false
 		}
 	}
+	return false
 }
 
 func (s *Server) setCrowded(yes bool) {
@@ -133,8 +148,9 @@
 	s.crowded = yes
 }
 
-func (s *Server) begin(nc net.Conn) {
-	c := &conn{server: s, nc: nc, since: time.Now()}
+func (s *Server) begin(nc net.Conn) { s.run(&conn{server: s, nc: nc, since: time.Now()}) }
+
+func (s *Server) run(c *conn) {
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -144,10 +160,102 @@
 func (s *Server) ended(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
+	if s.heir != nil && !c.passed {
+		s.heir.Left()
+	}
 	s.mu.Unlock()
 	<-s.slots
 }
 
+// Yield has each connection that stands between two requests go to the process that takes over,
+// now and as their answers are written. Whoever serves the listener must have it end.
+func (s *Server) Yield(to Heir) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heir = to
+	for c := range s.conns {
+		if c.state == waiting {
+			c.nc.SetReadDeadline(past)
+		}
+	}
+}
+
+// Keep ends that: there is nobody to take over.
+func (s *Server) Keep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heir = nil
+}
+
+// Yielded tells whether another process takes over.
+func (s *Server) Yielded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heir != nil
+}
+
+// Adopt serves a connection that an older process has passed. The slot that it took there is its
+// slot here.
+func (s *Server) Adopt(nc net.Conn, answered, instance bool) {
+	s.mu.Lock()
+	lent := s.lent > 0
+	if lent {
+		s.lent--
+	}
+	s.mu.Unlock()
+	if !lent {
+		select {
+		case s.slots <- struct{}{}:
+		default:
+			nc.Close()
+			return
+		}
+	}
+	s.run(&conn{server: s, nc: nc, since: time.Now(), answered: answered, instance: instance})
+}
+
+// Lend leaves an older process so many slots for the connections that it still holds.
+func (s *Server) Lend(n int) {
+	for range n {
+		select {
+		case s.slots <- struct{}{}:
+			s.mu.Lock()
+			s.lent++
+			s.mu.Unlock()
+		default:
+			return
+		}
+	}
+}
+
+// Returned takes a slot back from the older process; false: it has none any more.
+func (s *Server) Returned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lent == 0 {
+		return false
+	}
+	s.lent--
+	<-s.slots
+	if s.heir != nil {
+		s.heir.Left()
+	}
+	return true
+}
+
+// ReturnAll takes back what is left of the older process's slots: it has gone.
+func (s *Server) ReturnAll() {
+	for s.Returned() {
+	}
+}
+
+// Connections is how many connections there are, with those of an older process.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) + s.lent
+}
+
 // Away says whether service clients are sent away: then the front is told no, and each answer
 // closes its connection. The listener goes on.
 func (s *Server) Away(yes bool) {
@@ -159,7 +267,7 @@
 func (s *Server) leaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.draining && s.heir == nil
 }
 
 // CloseIdle ends the connections of service clients that have stood between requests since
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -195,6 +195,15 @@
 	go p.run(&conn{pool: p, in: in, work: make(chan *exchange, 1)}, x)
 }
 
+// Bound says how many connections there may be from now on. Idle ones beyond that are closed.
+func (p *Pool) Bound(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Connections = connections
+	for busy := p.conns - p.idle(); busy+p.idle() > connections && p.evict(); {
+	}
+}
+
 // evict closes the connection that has been idle longest. It guards the limit on
 // descriptors, which call-backs and the name table need too.
 func (p *Pool) evict() bool {
--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// From has the first watch be at an address, from a revision on. It must come before Run.
+func (w *Watcher) From(address string, revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.address, w.revision = address, revision
+}
+
 // Subscribe asks for a watch. It never blocks; while one is on, it does nothing.
 func (w *Watcher) Subscribe() {
 	select {
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -93,6 +93,7 @@
 	ended    chan error
 
 	configure func(discovery string) // writes the configuration anew
+	variables map[string]string
 }
 
 // nameTable starts a name table, whose watches the story gets.
@@ -125,7 +126,7 @@
 
 // startAt has the name table give another address for the instance, unless that is empty.
 func startAt(t *testing.T, address string, script func(w *world, c net.Conn, q *http1.Request) bool) *world {
-	w := &world{t: t, watches: make(chan net.Conn, 9), targets: make(chan string, 9), signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	w := &world{t: t, watches: make(chan net.Conn, 9), targets: make(chan string, 9)}
 	w.instance = listen(t, func(c net.Conn, q *http1.Request) bool { return script(w, c, q) })
 	w.table = w.nameTable()
 	file := t.TempDir() + "/config.json"
@@ -135,21 +136,47 @@
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	}
 	w.configure(w.table.Addr().String())
-	variables := map[string]string{"PROXY_CONFIG": file, "PROXY_DISCOVERY": w.table.Addr().String()}
-	c, err := config.Load(func(name string) string { return variables[name] })
-	require.NoError(t, err)
-	w.program, err = New(c, log.New(io.Discard, "", 0))
-	require.NoError(t, err)
-	go func() { w.ended <- w.program.Run(w.signals) }()
+	w.variables = map[string]string{"PROXY_CONFIG": file, "TMPDIR": t.TempDir(), "PROXY_DISCOVERY": w.table.Addr().String()}
+	w.run()
 	t.Cleanup(func() {
 		w.instance.stop() // whatever a story left held ends
 		w.instance.scripts.Wait()
-		w.signals <- syscall.SIGTERM
 	})
 	w.await(func() bool { return w.program.Phase() == Serving })
 	return w
 }
 
+// run starts the program.
+func (w *world) run() {
+	c, err := config.Load(func(name string) string { return w.variables[name] })
+	require.NoError(w.t, err)
+	w.program, err = New(c, log.New(io.Discard, "", 0))
+	require.NoError(w.t, err)
+	w.signals, w.ended = make(chan os.Signal, 1), make(chan error, 1)
+	p, signals, ended := w.program, w.signals, w.ended
+	go func() { ended <- p.Run(signals) }()
+	w.t.Cleanup(func() {
+		select {
+		case signals <- syscall.SIGTERM:
+		default:
+		}
+	})
+}
+
+// beside starts another program beside the one at hand, which it returns the new one for; the
+// world's is the new one then.
+func (w *world) beside() (older *world) {
+	before := *w
+	w.run()
+	return &before
+}
+
+// tellTable has a watch tell a list of the one instance.
+func tellTable(watch net.Conn, revision int, complete bool, line string) {
+	text := fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`+"\n", revision, complete, line)
+	fmt.Fprintf(watch, "%x\r\n%s\r\n", len(text), text)
+}
+
 // refusing returns an address that refuses connections. A socket holds its port until the
 // test's end: a port just closed could be opened by another test.
 func refusing(t *testing.T) string {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -19,6 +19,7 @@
 	"caperrelay/internal/config"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/clients"
+	"caperrelay/internal/net/handover"
 	"caperrelay/internal/net/instances"
 	"caperrelay/internal/net/nametable"
 	"caperrelay/internal/net/operators"
@@ -28,19 +29,23 @@
 type Phase int32
 
 // The phases, in their order. An operator can have the program leave quiescing and quiesced again,
-// to serving.
+// to serving; a newer process that dies has it leave yielded.
 const (
-	Starting  Phase = iota // parts are made, nothing listens
+	Starting  Phase = iota // parts are made, nothing is taken in
+	Relieving              // an older process has been asked to yield
 	Serving                // commands are taken in
 	Quiescing              // clients are sent away: the front still sends, answers close connections
 	Quiesced               // the front has moved on: idle connections are closed as well
+	Yielded                // a newer process takes what comes: what is held is answered
 	Departing              // told to end: as quiescing
-	Draining               // as quiesced, until what is held is answered
+	Draining               // told to end: as quiesced or yielded, until nothing is held
 	Stopped                // nothing is held and nothing listens
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "quiescing", "quiesced", "departing", "draining", "stopped"}[p]
+	return [...]string{
+		"starting", "relieving", "serving", "quiescing", "quiesced", "yielded", "departing", "draining", "stopped",
+	}[p]
 }
 
 const (
@@ -65,36 +70,50 @@
 	pool    *instances.Pool
 	watcher *nametable.Watcher
 	server  *clients.Server
+	bounds  bounds
+	fresh   chan struct{} // closed once discovery has told of the list
 
-	mu    sync.Mutex
-	phase Phase
-	since time.Time // of the phase
+	mu           sync.Mutex
+	phase        Phase
+	since        time.Time // of the phase
+	ending       bool      // told to end while relieving
+	listener     *net.TCPListener
+	table        nametable.Table
+	discovery    string
+	older, newer *handover.Link   // the other processes, nil: none
+	before       handover.Message // the older one's state
+	door         *handover.Door
 }
 
+// bounds is what the parts may use while this process is alone.
+type bounds struct{ open, listener, pool int }
+
 // New makes the parts of a dispatcher.
 func New(c *config.Config, logger *log.Logger) (*Program, error) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB) * (1 << 20)))
 	debug.SetGCPercent(collectAt)
-	p := &Program{config: c, log: logger}
+	p := &Program{config: c, log: logger, fresh: make(chan struct{}), discovery: c.Discovery, since: time.Now()}
 	sockets := c.Limits.Sockets - reservedSockets
+	p.bounds.pool = sockets * 2 / 5
 	p.pool = instances.NewPool(instances.Limits{
-		Connections: sockets * 2 / 5, Connect: c.Settings.Limits.ConnectTimeout, Idle: c.Settings.Limits.ConnIdle,
+		Connections: p.bounds.pool, Connect: c.Settings.Limits.ConnectTimeout, Idle: c.Settings.Limits.ConnIdle,
 	})
 	p.watcher = nametable.NewWatcher(c.Discovery, c.Known.Revision)
 	// Each command held keeps a connection. Some must stay free, or no call-back could come
 	// in and nothing held would ever end: the module refuses what goes beyond.
-	listener := sockets - sockets*2/5
+	p.bounds.listener = sockets - p.bounds.pool
 	s := c.Settings
-	if open := listener - listener/6; s.Limits.Open <= 0 || s.Limits.Open > open {
+	if open := p.bounds.listener - p.bounds.listener/6; s.Limits.Open <= 0 || s.Limits.Open > open {
 		s.Limits.Open = open
 	}
+	p.bounds.open = s.Limits.Open
 	var err error
-	if p.loop, err = dispatch.New(s, c.Names, p.pool, p.watcher, logger); err != nil {
+	if p.loop, err = dispatch.New(s, c.Names, p.pool, p.watcher, others{p}, logger); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	p.pool.ReportTo(p.loop)
-	p.server = clients.New(p.loop, s, c.Names, listener, p.loop.Books.String, logger)
+	p.server = clients.New(p.loop, s, c.Names, p.bounds.listener, p.loop.Books.String, logger)
+	p.resize()
 	return p, nil
 }
 
@@ -126,12 +145,6 @@
 
 // Run serves until a signal to end comes and nothing is held any more.
 func (p *Program) Run(signals <-chan os.Signal) error {
-	l, err := net.Listen("tcp", p.config.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	defer l.Close()
-	p.address = l.Addr().String()
 	if p.config.Admin != "" {
 		a, err := net.Listen("tcp", p.config.Admin)
 		if err != nil {
@@ -141,30 +154,37 @@
 		p.admin = a.Addr().String()
 		go operators.New(p, p.log).Serve(a)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	known := p.config.Known
 	known.Complete = true
-	p.pool.Listed(known)
-	p.loop.Listed(known, p.config.Names, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if list := p.meet(ctx); list != nil {
+		known = *list
+	}
+	if err := p.listen(); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer p.listener.Close()
+	p.take(known, true)
 	go p.loop.Run(ctx)
 	go p.watcher.Run(ctx, p)
-	go p.server.Serve(ctx, l)
-	p.enter(Serving, Starting)
 	go p.obey(ctx, signals)
 	for tick := time.NewTicker(check); p.Phase() != Stopped; <-tick.C {
-		p.advance(time.Now())
+		p.advance(ctx, time.Now())
 	}
+	p.leave()
 	p.log.Printf("counters at exit:\n%s", p.loop.Books.String())
 	return nil
 }
 
 // advance does what time brings about in a phase.
-func (p *Program) advance(now time.Time) {
+func (p *Program) advance(ctx context.Context, now time.Time) {
 	p.mu.Lock()
 	phase, since := p.phase, p.since
 	p.mu.Unlock()
 	switch moved := now.Sub(since) >= departure; phase {
+	case Starting, Relieving:
+		p.relieve(ctx, now)
 	case Quiescing:
 		if moved {
 			p.enter(Quiesced, Quiescing)
@@ -194,7 +214,7 @@
 			if s == syscall.SIGHUP {
 				p.reload()
 			} else {
-				p.enter(Departing, Serving, Quiescing, Quiesced)
+				p.end()
 			}
 		}
 	}
@@ -213,16 +233,40 @@
 	}
 	p.loop.Books.Loads.Add(1)
 	p.log.Printf("configuration reloaded, discovery at %s", next.Discovery)
-	if next.Discovery != p.config.Discovery {
-		p.config.Discovery = next.Discovery
+	p.mu.Lock()
+	moved := next.Discovery != p.discovery
+	p.discovery = next.Discovery
+	p.mu.Unlock()
+	if moved {
 		p.watcher.Move(next.Discovery)
 	}
 }
 
-// Listed takes the name table's news: the pool first, which guards each send.
+// end has the program end in order.
+func (p *Program) end() {
+	p.mu.Lock()
+	p.ending = true // while relieving: the older process may have yielded already
+	p.mu.Unlock()
+	_ = p.enter(Stopped, Starting) || p.enter(Departing, Serving, Quiescing, Quiesced) || p.enter(Draining, Yielded)
+}
+
+// Listed takes the name table's news.
 func (p *Program) Listed(l dispatch.List) {
+	p.take(l, false)
+	select {
+	case <-p.fresh:
+	default:
+		close(p.fresh)
+	}
+}
+
+// take takes a list: the pool first, which guards each send.
+func (p *Program) take(l dispatch.List, cached bool) {
+	p.mu.Lock()
+	p.table.Take(l)
+	p.mu.Unlock()
 	p.pool.Listed(l)
-	p.loop.Listed(l, p.config.Names, false)
+	p.loop.Listed(l, p.config.Names, cached)
 }
 
 // Lost takes the end of a watch.
--- /dev/null
+++ b/internal/program/relief_test.go
@@ -0,0 +1,111 @@
+package program
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/internal/net/handover"
+	"caperrelay/internal/net/http1"
+)
+
+// A second program at the address ended at once. It takes over: once it has a fresh list it gets
+// the listener and the connections, and what is held at the older one ends well, whichever of the
+// two an instance's word comes to.
+func TestNewProcessTakesOver(t *testing.T) {
+	took := make(chan string, 9)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		took <- id(q)
+		return answer(c, 202)
+	})
+	held, kept, mute, ours := w.dial(), w.dial(), w.dial(), w.dial()
+	w.command(held, "c1", "once", "30000m")
+	require.Equal(t, "c1", <-took)
+	fmt.Fprint(kept, "GET /_health HTTP/1.1\r\n\r\n")
+	require.Equal(t, 200, w.read(kept).Status)
+	w.post(ours, "/_jobs/news", nil, `{"id":"c0","from":"s-1","state":"running","share":0.4}`)
+	require.Equal(t, 204, w.read(ours).Status)
+	<-w.watches
+
+	older := w.beside()
+	second := <-w.watches
+	w.await(func() bool { return w.program.Admin() != "" })
+	require.Equal(t, "ERR starting\n", w.call("health"), "without a fresh list it cannot serve")
+	require.Equal(t, Serving, older.program.Phase())
+	tellTable(second, 7, true, member(w.instance.Addr().String(), "in_service"))
+	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
+	require.Equal(t, "OK\n", w.call("health"))
+	require.Equal(t, older.program.Address(), w.program.Address())
+
+	older.signals <- syscall.SIGTERM
+	again := w.dial()
+	w.command(again, "c1", "safe", "30000m")
+	require.Equal(t, 400, w.read(again).Status, "the id is in hand")
+	w.post(ours, "/_jobs/news", nil, `{"id":"c1","from":"s-1","state":"done","result":"r"}`)
+	require.Equal(t, 204, w.read(ours).Status)
+	p := w.read(held)
+	require.Equal(t, []any{"r", false}, []any{string(p.Body), p.Close})
+	require.NoError(t, <-older.ended)
+	for i, c := range []net.Conn{held, kept, mute, w.dial()} { // all are the new one's
+		name := fmt.Sprint("d", i)
+		w.command(c, name, "safe", "30000m")
+		require.Equal(t, name, <-took)
+		require.Equal(t, 204, w.news(name, "s-1", "done", name))
+		require.Equal(t, name, string(w.read(c).Body))
+	}
+	require.Equal(t, Serving, w.program.Phase())
+}
+
+// A new process that dies before the older one was told to end leaves that in service.
+func TestOlderServesAgain(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		w.news(id(q), "s-1", "done", "r")
+		return answer(c, 202)
+	})
+	link, err := handover.Call(w.program.path())
+	require.NoError(t, err)
+	read := make(chan handover.Kind, 9)
+	go link.Run(func(m handover.Message, f *os.File) {
+		read <- m.Kind
+		if f != nil {
+			f.Close()
+		}
+	})
+	require.Equal(t, handover.State, <-read)
+	link.Tell(handover.Message{Kind: handover.Ready})
+	require.Equal(t, handover.Yielded, <-read)
+	waits := w.dial() // in the queue of a listener that nobody serves now
+	w.command(waits, "c1", "safe", "30000m")
+	link.Close()
+	require.Equal(t, 200, w.read(waits).Status)
+	require.Equal(t, Serving, w.program.Phase())
+	w.beside()
+	tellTable(<-w.watches, 7, true, member(w.instance.Addr().String(), "in_service"))
+	w.await(func() bool { return w.program.Phase() == Serving })
+}
+
+// Whatever lies where the door should be, of an older life or half written, a program starts, and
+// the next finds its door.
+func TestDoorOverRubbish(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	dir := filepath.Join(t.TempDir(), strings.Repeat("long", 30)) // beyond what an address holds
+	require.NoError(t, os.Mkdir(dir, 0o700))
+	w.variables["TMPDIR"] = dir
+	path := handover.Path(dir, "127.0.0.1:0")
+	for _, rubbish := range []string{path, path + ".new"} {
+		require.NoError(t, os.WriteFile(rubbish, []byte("{"), 0o600))
+	}
+	w.run()
+	w.await(func() bool { return w.program.Phase() == Serving })
+	older := w.beside()
+	for range 3 {
+		tellTable(<-w.watches, 7, true, member(w.instance.Addr().String(), "in_service"))
+	}
+	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
+}
