--- a/decide/api.go
+++ b/decide/api.go
@@ -12,9 +12,6 @@
 // Any in a [Label] matches every zone or every kind.
 const Any = -1
 
-// Older is the number, among peers, of this dispatcher's own older process.
-const Older = -2
-
 // Strategy is how a block chooses among its valid workers.
 type Strategy string
 
@@ -281,16 +278,10 @@
 		Outcome Outcome
 		Report  *Report
 	}
-	// Yield: a newer process of this dispatcher takes what comes, or, if not Yes, has gone. What is
-	// held stays here.
-	Yield struct{ Yes bool }
-	// Relieve: an older process of this dispatcher has yielded to this one, and keeps what it holds.
+	// Relieve: this process takes over from one that has what is here in its memory. Nothing may
+	// have arrived yet.
 	Relieve struct{ Memory Memory }
-	// Alone: the older process of this dispatcher has gone.
-	Alone struct{}
-	// Room: so many requests may be held from now on.
-	Room struct{ Open int }
-	// PeerSaid is a message of another dispatcher, or of the Older process of this one.
+	// PeerSaid is a message of another dispatcher.
 	PeerSaid struct {
 		Peer int
 		Body []byte
@@ -310,10 +301,7 @@
 func (Wake) event()          {}
 func (Probed) event()        {}
 func (PeerSaid) event()      {}
-func (Yield) event()         {}
 func (Relieve) event()       {}
-func (Alone) event()         {}
-func (Room) event()          {}
 
 // Action is something the dispatcher wants done.
 type Action interface{ action() }
@@ -389,7 +377,7 @@
 		d.budget = *s.Rules.Budget
 	}
 	for i, p := range s.Policies {
-		c := &class{Class: s.Classes[i], followup: p.Followup, errs: tally{n: errMemory}}
+		c := &class{Class: s.Classes[i], followup: p.Followup, errs: tally{N: errMemory}}
 		for _, b := range p.Blocks {
 			c.blocks = append(c.blocks, &block{Block: b})
 		}
@@ -440,14 +428,8 @@
 			d.probed(e)
 		case PeerSaid:
 			d.heard(e)
-		case Yield:
-			d.yield(e.Yes)
 		case Relieve:
-			d.relieve(e.Memory)
-		case Alone:
-			d.alone()
-		case Room:
-			d.s.Limits.Open = e.Open
+			d.remember(e.Memory)
 		}
 	}
 	d.settle()
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,24 +100,6 @@
 	}
 }
 
-// yield begins what binds two processes of one dispatcher as one, for the older: it sends nothing more to cold
-// workers, whose budget is the newer's, and tells what it occupies. Or it ends that: the newer has gone.
-func (d *Dispatcher) yield(yes bool) { d.yielded, d.moved, d.freed, d.toldAll = yes, true, true, 0 }
-
-// relieve is the same for the newer, which leaves the spare attempts to the older.
-func (d *Dispatcher) relieve(m Memory) {
-	d.remember(m)
-	d.spareFrom = math.MaxInt64
-}
-
-// alone ends it: the older has gone. What it sent counts until it would have left the window.
-func (d *Dispatcher) alone() {
-	if p := d.peers[Older]; p != nil {
-		d.forget(p)
-	}
-	d.spareFrom, d.freed = d.now+d.budget.Span, true
-}
-
 // listFailed asks for the list again after a while.
 func (d *Dispatcher) listFailed() {
 	d.note(&d.listLost, true, "worker list lost", "")
@@ -163,7 +145,7 @@
 		})
 		slices.SortFunc(d.fleet, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	maps.DeleteFunc(d.keys, func(_ uint64, k demand) bool { return d.now-k.last > 4*keyMemory })
+	maps.DeleteFunc(d.keys, func(_ uint64, k demand) bool { return d.now-k.Last > 4*keyMemory })
 	best := slices.Clone(d.fleet)
 	// Weighted rendezvous hashing: each dispatcher (or party) has its own order, heads spread by capacity.
 	// With few dispatchers speed decides; of those who chose a worker alike, late starts make some leave.
@@ -182,7 +164,7 @@
 		} else {
 			slow *= 1 + 1/sharp
 		}
-		w.rank = -math.Log(own) * math.Exp(sharp*slow+lateWeight*w.late.share) / size
+		w.rank = -math.Log(own) * math.Exp(sharp*slow+lateWeight*w.late.Share) / size
 	}
 	slices.SortStableFunc(best, func(a, b *worker) int { return cmp.Compare(a.rank, b.rank) })
 	d.fill(best, changed)
@@ -397,7 +379,7 @@
 // a worker its key's jobs fill. What a job needs must be fetched at a worker that lacks it,
 // which takes longer than a wait, fills its slots and pushes out what others need there.
 func (d *Dispatcher) keepers(r *request) int {
-	rate := d.keys[r.Key].n / keyMemory.Seconds() * float64(d.s.Dispatchers)
+	rate := d.keys[r.Key].N / keyMemory.Seconds() * float64(d.s.Dispatchers)
 	wider, held := 0, 0
 	for _, q := range d.queues {
 		held += len(q)
@@ -405,7 +387,7 @@
 	if held <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
 		wider = int(widen * float64(d.now-r.arrived) / float64(max(r.c.Aim, 1)))
 	}
-	return 1 + wider + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).ceiling))
+	return 1 + wider + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).Ceiling))
 }
 
 // lastResort ends the default tag's hold with its pick of a random healthy worker, full as it may be. It
@@ -421,7 +403,7 @@
 
 // valid applies a block's invalidate rule after its precondition.
 func (d *Dispatcher) valid(r *request, w *worker, inv Invalidate) bool {
-	refused := d.now < w.refusals[r.Class].until && !d.outage()
+	refused := d.now < w.refusals[r.Class].Until && !d.outage()
 	if w.State != Ready || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
 		return false
 	}
@@ -458,7 +440,7 @@
 // nothing. It is probed, and gets trials once some probes went unanswered. Guards against lists of what
 // is not ours; may keep new workers waiting.
 func (d *Dispatcher) doubted(w *worker) bool {
-	return w.lived == 0 && d.served && d.s.Limits.Probes && d.fresh.share > freshDoubt
+	return w.lived == 0 && d.served && d.s.Limits.Probes && d.fresh.Share > freshDoubt
 }
 
 // probed takes the answer. It proves a worker in doubt; it is no verdict on one whose jobs tell more.
@@ -481,7 +463,7 @@
 	a.fared = true
 	for _, z := range d.zones {
 		if z != a.w.zone {
-			z.bad.share *= 1 - 1/(4*zoneMemory) // what was bad is tried again
+			z.bad.Share *= 1 - 1/(4*zoneMemory) // what was bad is tried again
 		}
 	}
 	a.w.zone.bad.add(badly, zoneMemory)
@@ -492,10 +474,10 @@
 func (d *Dispatcher) shun() {
 	best := math.Inf(1)
 	for _, z := range d.zones {
-		best = min(best, z.bad.share)
+		best = min(best, z.bad.Share)
 	}
 	for _, z := range d.zones {
-		excess := z.bad.share - best - max(zoneMargin, 4*d.s.Prices.CrossZone)
+		excess := z.bad.Share - best - max(zoneMargin, 4*d.s.Prices.CrossZone)
 		z.shunned = excess > 0 && d.rng.Float64() < 2*excess
 	}
 }
@@ -512,7 +494,7 @@
 		}
 		mem += float64(w.peers[1]) / 8
 	}
-	size = cmp.Or(w.slots, d.kind(w.Kind).slots) // one not heard of yet is as large as its kind
+	size = cmp.Or(w.slots, d.kind(w.Kind).Slots) // one not heard of yet is as large as its kind
 	if size == 0 || d.s.TellsStart {
 		return used, mem, math.Floor(*d.ceiling(w))
 	}
@@ -542,24 +524,20 @@
 			return true
 		}
 	}
-	return d.warmth(w) < 1 && (d.yielded || !d.coldTurn(w)) // rule 4: this dispatcher's share of the budget
+	return d.warmth(w) < 1 && !d.coldTurn(w) // rule 4: this dispatcher's share of the budget
 }
 
 // affordable tells whether the budget allows one more attempt beyond a first (move, retry or copy), in any
 // window that ends now. Where no rule sets it, it keeps retries from becoming most of the load.
 func (d *Dispatcher) affordable() bool {
 	d.extras, d.taken = since(d.extras, d.now-d.budget.Span), since(d.taken, d.now-d.budget.Span+1)
-	spare := d.budget.Spare
-	if d.now < d.spareFrom { // an older process of this dispatcher may use it, or has
-		spare = 0
-	}
-	return float64(len(d.extras)+1) <= spare+d.budget.PerRequest*float64(len(d.taken))
+	return float64(len(d.extras)+1) <= d.budget.Spare+d.budget.PerRequest*float64(len(d.taken))
 }
 
 // coldGap is how long a cold worker is left alone by this dispatcher for a job of so many
 // slot seconds: its share of the budget, earned at the worker's size by its present warmth.
 func (d *Dispatcher) coldGap(w *worker, work float64) time.Duration {
-	size := max(1, w.slots, d.kind(w.Kind).slots)
+	size := max(1, w.slots, d.kind(w.Kind).Slots)
 	rate := coldShare * d.s.Rules.FallMultiple * d.warmth(w) * size / float64(d.s.Dispatchers)
 	return time.Duration(work / rate * float64(time.Second))
 }
@@ -641,12 +619,12 @@
 // dropped tells whether sends on connections idle for so long, or for less, fail more often than on young
 // ones (other troubles strike at any age). For an unsafe job an unknown age counts as one that fails.
 func (d *Dispatcher) dropped(idle time.Duration, effect Effect) bool {
-	k, young, most := d.ageOf(idle), d.ages[0].share, 0.5
+	k, young, most := d.ageOf(idle), d.ages[0].Share, 0.5
 	if effect == Unsafe {
 		most = unsafeShare
 	}
-	return k > 0 && effect == Unsafe && d.ages[k].n == 0 || slices.ContainsFunc(d.ages[1:k+1],
-		func(t tally) bool { return t.share > young+(1-young)*most })
+	return k > 0 && effect == Unsafe && d.ages[k].N == 0 || slices.ContainsFunc(d.ages[1:k+1],
+		func(t tally) bool { return t.Share > young+(1-young)*most })
 }
 
 // judgeConn takes what the end of an attempt says of the connection that it went out on.
@@ -756,7 +734,7 @@
 	} else {
 		d.lower(w)
 	}
-	d.kind(w.Kind).slots = max(d.kind(w.Kind).slots, w.running)
+	d.kind(w.Kind).Slots = max(d.kind(w.Kind).Slots, w.running)
 	d.alive(w)
 }
 
@@ -764,7 +742,7 @@
 // one for all workers of a kind, of all their jobs; else each worker's, of our own jobs.
 func (d *Dispatcher) ceiling(w *worker) *float64 {
 	if d.allTell() {
-		return &d.kind(w.Kind).ceiling
+		return &d.kind(w.Kind).Ceiling
 	}
 	return &w.ceiling
 }
@@ -777,7 +755,7 @@
 func (d *Dispatcher) lower(w *worker) {
 	if d.allTell() {
 		k := d.kind(w.Kind)
-		k.ceiling = max(firstCeiling, k.slots, k.ceiling-ceilingStep)
+		k.Ceiling = max(firstCeiling, k.Slots, k.Ceiling-ceilingStep)
 	} else if w.running > 0 {
 		w.ceiling = min(w.ceiling, w.running)
 	} else {
@@ -812,8 +790,8 @@
 // of the whole worker, slowly perhaps of the class: guards against throttles, quotas, false refusals.
 func (d *Dispatcher) refused(r *request, a *attempt) {
 	f := &a.w.refusals[r.Class]
-	f.n = min(f.n+1, maxStrikes)
-	f.until = d.now + d.backoff(r.c.Aim, f.n)
+	f.N = min(f.N+1, maxStrikes)
+	f.Until = d.now + d.backoff(r.c.Aim, f.N)
 	if d.now-a.sent-d.late <= d.grace(r, a) {
 		d.crowded(true)
 		d.strike(a.w)
@@ -826,14 +804,14 @@
 func (d *Dispatcher) erred(w *worker, c int, yes bool) {
 	w.errs[c].add(yes, errMemory)
 	d.classes[c].errs.add(yes, 8*errMemory)
-	if yes && w.errs[c].share > d.classes[c].errs.share+errMargin {
+	if yes && w.errs[c].Share > d.classes[c].errs.Share+errMargin {
 		f := &w.refusals[c]
-		f.n = min(f.n+1, maxStrikes)
-		after := d.backoff(d.classes[c].Aim, f.n)
-		f.until = d.now + after
+		f.N = min(f.N+1, maxStrikes)
+		after := d.backoff(d.classes[c].Aim, f.N)
+		f.Until = d.now + after
 		for i, other := range d.classes { // what may fail but once waits until others have tried
 			if other.Effect == Unsafe {
-				w.refusals[i].until = max(w.refusals[i].until, d.now+2*after)
+				w.refusals[i].Until = max(w.refusals[i].Until, d.now+2*after)
 			}
 		}
 	}
@@ -878,7 +856,7 @@
 	}
 	switch e.Outcome {
 	case OK:
-		w.refusals[r.Class].n /= 2
+		w.refusals[r.Class].N /= 2
 		d.erred(w, r.Class, false)
 		d.learn(r, a)
 		d.alive(w)
@@ -959,7 +937,7 @@
 	c.logRun += (math.Log(run) - c.logRun) / c.jobs
 	dev, k := math.Log(run)-c.logRun, d.kind(w.Kind)
 	w.dev, w.n = w.dev*(1-1/speedMemory)+dev, w.n*(1-1/speedMemory)+1
-	k.dev, k.n = k.dev*(1-1/speedMemory)+dev, k.n*(1-1/speedMemory)+1
+	k.Dev, k.N = k.Dev*(1-1/speedMemory)+dev, k.N*(1-1/speedMemory)+1
 }
 
 // report takes a worker's own figures: its size while it has room.
@@ -975,7 +953,7 @@
 	}
 	size := p.FreeSlots + max(p.Active, 0)
 	w.slots = math.Round(size)
-	d.kind(w.Kind).slots = max(d.kind(w.Kind).slots, w.slots)
+	d.kind(w.Kind).Slots = max(d.kind(w.Kind).Slots, w.slots)
 }
 
 // sweep looks at everything that time alone changes.
@@ -1102,7 +1080,7 @@
 // tell sends the peers this dispatcher's load on each worker: what has changed, all of it now and then.
 // With more dispatchers than a few, only its party, which uses the same workers first.
 func (d *Dispatcher) tell() {
-	if !d.tells() && !d.yielded {
+	if !d.tells() {
 		return
 	}
 	whole := d.toldAll == 0 || d.now-d.toldAll >= d.tellEvery()
@@ -1113,7 +1091,7 @@
 	if !whole && len(body) == 1 {
 		return
 	}
-	if d.s.Dispatchers <= partySize || d.yielded {
+	if d.s.Dispatchers <= partySize {
 		d.do(TellPeers{To: Any, Body: body})
 		return
 	}
--- a/decide/keys_test.go
+++ b/decide/keys_test.go
@@ -91,7 +91,7 @@
 func TestHotKeyHasMoreKeepers(t *testing.T) {
 	w := fleet(t, site(1, true, false, false), 8)
 	w.keyed(5)
-	w.d.keys[5] = demand{n: 400, last: w.now}
+	w.d.keys[5] = demand{N: 400, Last: w.now}
 	var at []uint32
 	for range 3 {
 		if got, _ := w.keyed(5); got != 0 && !slices.Contains(at, got) {
@@ -110,7 +110,7 @@
 		s := site(1, true, false, false)
 		w := fleet(t, s, 8)
 		first, j := w.keyed(5)
-		w.d.keys[5] = demand{n: 50, last: w.now}
+		w.d.keys[5] = demand{N: 50, Last: w.now}
 		for range 50 {
 			w.now += 10 * ms
 			if alive {
@@ -172,7 +172,7 @@
 	if struck > 20 { // by chance a few; a hundred requests failed
 		t.Errorf("workers lost their trust %d times", struck)
 	}
-	if w.d.workers[4].refusals[0].n < 2 {
+	if w.d.workers[4].refusals[0].N < 2 {
 		t.Error("the worker that fails all is offered more")
 	}
 }
@@ -190,7 +190,7 @@
 		w.d.alive(w.d.workers[1])
 	}
 	f := w.d.workers[1].refusals
-	if f[0].until <= w.now || f[1].until != 0 || f[2].until <= f[0].until {
-		t.Errorf("barred until %v, %v, %v", f[0].until, f[1].until, f[2].until)
+	if f[0].Until <= w.now || f[1].Until != 0 || f[2].Until <= f[0].Until {
+		t.Errorf("barred until %v, %v, %v", f[0].Until, f[1].Until, f[2].Until)
 	}
 }
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -1,85 +1,204 @@
 package decide
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// Memory is what a dispatcher has learned, for the process that takes over from it.
+// Memory is what a dispatcher knows, for the process that takes over from it: what it has learned,
+// and the requests in hand with their attempts. What the list tells is told anew.
 type Memory struct {
-	Workers  []WorkerMemory
-	Classes  []ClassMemory // one for each class
-	Kinds    map[int]KindMemory
-	Admitted float64
-	MostIdle time.Duration
-	IdleAt   time.Duration
-	Confirms bool
-	Setups   [4]time.Duration
+	Workers       []WorkerMemory
+	Classes       []ClassMemory // one for each class
+	Kinds         map[int]kindStat
+	Zones         map[int]tally // of attempts that fared badly
+	Keys          map[uint64]demand
+	Tenants       []demand
+	Requests      []RequestMemory
+	Taken, Extras []time.Duration // inside the budget's window
+
+	Admitted, Tokens float64
+	Fresh            tally
+	MostIdle, IdleAt time.Duration
+	Ages             [8]tally
+	Setups           [4]time.Duration
+	Served, Confirms bool
 }
 
-// WorkerMemory is what was learned of a worker's process.
+// WorkerMemory is what is known of a worker's process.
 type WorkerMemory struct {
-	ID                       uint32
-	Started                  time.Duration
-	Ceiling, Slots           float64
-	Ghost                    float64
-	Dev, N                   float64
-	Strikes, Probes          int
-	RetryAt, Lived, ColdNext time.Duration
-	Lead                     time.Duration
-	Late, LateN              float64
+	Worker
+	Ceiling, Slots, Ghost          float64
+	Dev, N                         float64
+	Strikes, Probes                int
+	RetryAt, Lived, ColdNext, Lead time.Duration
+	Late                           tally
+	Errs                           []tally // of each class
+	Refusals                       []refusal
 }
 
 // ClassMemory is what was learned of a class.
 type ClassMemory struct {
 	Run, LogRun, Jobs, Offered, Served float64
 	Budget                             time.Duration
+	Errs                               tally
+}
+
+// RequestMemory is a request that is owed its answer.
+type RequestMemory struct {
+	Request
+	Arrived, Due, Limit time.Duration
+	Late, Over          bool
+	Errs                int
+	Attempts            []AttemptMemory
+}
+
+// AttemptMemory is one attempt of it.
+type AttemptMemory struct {
+	Worker                                                           Worker
+	Sent, Note, Begun, Idle                                          time.Duration
+	Ended, NeverRan, Erred, Started, Queued, Taken, Lost, Fared, New bool
 }
 
-// KindMemory is what was learned of a kind of worker.
-type KindMemory struct{ Dev, N, Slots, Ceiling float64 }
+// mostKeys is of how many keys the demand is handed over: it is learned anew within seconds.
+const mostKeys = 4096
 
-// Memory is what has been learned so far.
+// Memory is what this dispatcher knows by now.
 func (d *Dispatcher) Memory() Memory {
 	m := Memory{
-		Kinds: map[int]KindMemory{}, Admitted: d.admitted, MostIdle: d.mostIdle, IdleAt: d.idleAt,
-		Confirms: d.confirms, Setups: d.setups,
+		Kinds: map[int]kindStat{}, Zones: map[int]tally{}, Keys: map[uint64]demand{}, Tenants: d.tenants, Taken: d.taken, Extras: d.extras,
+		Admitted: d.admitted, Tokens: d.tokens, Fresh: d.fresh, MostIdle: d.mostIdle, IdleAt: d.idleAt, Ages: d.ages,
+		Setups: d.setups, Served: d.served, Confirms: d.confirms,
 	}
 	for _, w := range d.workers {
-		m.Workers = append(m.Workers, WorkerMemory{
-			ID: w.ID, Started: w.Started, Ceiling: w.ceiling, Slots: w.slots, Ghost: w.ghost, Dev: w.dev, N: w.n,
+		l := WorkerMemory{
+			Worker: w.Worker, Ceiling: w.ceiling, Slots: w.slots, Ghost: w.ghost, Dev: w.dev, N: w.n,
 			Strikes: w.strikes, Probes: w.probes, RetryAt: w.retryAt, Lived: w.lived, ColdNext: w.coldNext, Lead: w.lead,
-			Late: w.late.share, LateN: w.late.n,
-		})
+			Late: w.late, Errs: w.errs, Refusals: w.refusals,
+		}
+		m.Workers = append(m.Workers, l)
 	}
 	for _, c := range d.classes {
-		m.Classes = append(m.Classes, ClassMemory{c.run, c.logRun, c.jobs, c.offered, c.served, c.budget})
+		m.Classes = append(m.Classes, ClassMemory{c.run, c.logRun, c.jobs, c.offered, c.served, c.budget, c.errs})
 	}
 	for id, k := range d.kinds {
-		m.Kinds[id] = KindMemory{k.dev, k.n, k.slots, k.ceiling}
+		m.Kinds[id] = *k
+	}
+	for _, z := range d.zones {
+		m.Zones[z.id] = z.bad
+	}
+	for k, n := range d.keys {
+		if len(m.Keys) < mostKeys {
+			m.Keys[k] = n
+		}
+	}
+	for _, r := range d.live {
+		if r.done {
+			continue
+		}
+		l := RequestMemory{
+			Request: r.Request, Arrived: r.arrived, Due: r.due, Limit: r.limit, Late: r.late, Over: r.over, Errs: r.errs,
+		}
+		for _, a := range r.attempts {
+			l.Attempts = append(l.Attempts, AttemptMemory{
+				a.w.Worker, a.sent, a.note, a.begun, a.idle,
+				a.over, a.neverRan, a.erred, a.started, a.queued, a.taken, a.lost, a.fared, a.fresh,
+			})
+		}
+		m.Requests = append(m.Requests, l)
 	}
 	return m
 }
 
-// remember takes what an earlier process of this dispatcher has learned. It holds for the same
-// processes of workers only.
+// remember takes over what another process of this dispatcher knew.
 func (d *Dispatcher) remember(m Memory) {
-	d.admitted, d.mostIdle, d.idleAt, d.confirms, d.setups = m.Admitted, m.MostIdle, m.IdleAt, m.Confirms, m.Setups
+	d.taken, d.extras, d.admitted, d.tokens, d.fresh = m.Taken, m.Extras, m.Admitted, m.Tokens, m.Fresh
+	d.mostIdle, d.idleAt, d.ages, d.setups, d.served, d.confirms = m.MostIdle, m.IdleAt, m.Ages, m.Setups, m.Served, m.Confirms
 	for _, l := range m.Workers {
+		if d.workers[l.ID] == nil && l.State == Draining { // a later list may name it again
+			if d.upsert([]Worker{l.Worker}, false); d.workers[l.ID] != nil {
+				d.workers[l.ID].unlisted = true
+			}
+		}
 		w := d.workers[l.ID]
-		if w == nil || w.Started != l.Started {
-			continue
+		if w != nil && w.Started < l.Started { // an old list, of an earlier process
+			w.Started = l.Started
+		}
+		if w != nil && w.Started == l.Started { // else it has been started anew
+			w.ceiling, w.slots, w.ghost, w.dev, w.n, w.lead = l.Ceiling, l.Slots, l.Ghost, l.Dev, l.N, l.Lead
+			w.probes, w.retryAt, w.lived, w.coldNext, w.late = l.Probes, l.RetryAt, l.Lived, l.ColdNext, l.Late
+			copy(w.errs, l.Errs)
+			copy(w.refusals, l.Refusals)
+			if l.State == Draining { // for its process, whatever an older list says
+				w.State = Draining
+			}
+			w.strikes = l.Strikes
 		}
-		w.ceiling, w.slots, w.ghost, w.dev, w.n, w.lead = l.Ceiling, l.Slots, l.Ghost, l.Dev, l.N, l.Lead
-		w.probes, w.retryAt, w.lived, w.coldNext, w.late = l.Probes, l.RetryAt, l.Lived, l.ColdNext, tally{l.LateN, l.Late}
-		d.judge(w, l.Strikes)
-		d.served = d.served || w.lived > 0
-	}
-	for i, l := range m.Classes {
-		if i < len(d.classes) && l.Jobs > 0 {
-			c := d.classes[i]
-			c.run, c.logRun, c.jobs, c.offered, c.served, c.budget = l.Run, l.LogRun, l.Jobs, l.Offered, l.Served, l.Budget
+	}
+	d.trusted = 0
+	for _, w := range d.workers {
+		if w.State == Ready && w.strikes == 0 {
+			d.trusted++
 		}
 	}
-	for id, l := range m.Kinds {
-		*d.kind(id) = kindStat{l.Dev, l.N, l.Slots, l.Ceiling}
+	for i, l := range m.Classes[:min(len(m.Classes), len(d.classes))] {
+		c := d.classes[i]
+		c.run, c.logRun, c.jobs, c.offered, c.served, c.budget, c.errs = l.Run, l.LogRun, l.Jobs, l.Offered, l.Served, l.Budget, l.Errs
+	}
+	for id, k := range m.Kinds {
+		*d.kind(id) = k
+	}
+	for id, bad := range m.Zones {
+		d.zone(id).bad = bad
+	}
+	for k, n := range m.Keys {
+		d.keys[k] = n
+	}
+	copy(d.tenants, m.Tenants)
+	slices.SortFunc(m.Requests, func(a, b RequestMemory) int {
+		return cmp.Or(cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
+	})
+	for _, l := range m.Requests {
+		d.resume(l)
 	}
 	d.stale, d.freed, d.ordered = true, true, 0
 }
+
+// resume goes on with a request that another process of this dispatcher had in hand.
+func (d *Dispatcher) resume(l RequestMemory) {
+	if l.Class < 0 || l.Class >= len(d.classes) || d.requests[l.ID] != nil {
+		return
+	}
+	r := &request{
+		Request: l.Request, c: d.classes[l.Class], arrived: l.Arrived, due: l.Due, limit: l.Limit,
+		late: l.Late, over: l.Over, errs: l.Errs,
+	}
+	for _, t := range l.Attempts {
+		w := d.workers[t.Worker.ID]
+		if w == nil || w.Started != t.Worker.Started { // that process of it has gone
+			t.Worker.State = Gone
+			w = &worker{Worker: t.Worker, zone: d.zone(t.Worker.Zone), peers: &loadSum{},
+				errs: make([]tally, len(d.classes)), refusals: make([]refusal, len(d.classes))}
+		}
+		a := &attempt{
+			w: w, sent: t.Sent, note: t.Note, begun: t.Begun, idle: t.Idle, over: t.Ended, neverRan: t.NeverRan,
+			erred: t.Erred, started: t.Started, queued: t.Queued, taken: t.Taken, lost: t.Lost, fared: t.Fared, fresh: t.New,
+		}
+		r.attempts = append(r.attempts, a)
+		if a.over {
+			continue
+		}
+		r.out++
+		w.own, w.mem, w.open = w.own+r.Slots, w.mem+r.Memory, w.open+1
+		w.conns = w.open // none idle: the connections stayed there
+		if a.started {
+			w.running += r.Slots
+		}
+	}
+	d.requests[r.ID] = r
+	d.live = append(d.live, r)
+	if r.out == 0 {
+		d.hold(r, false)
+	}
+}
--- /dev/null
+++ b/decide/memory_test.go
@@ -0,0 +1,82 @@
+package decide
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// relieve has another dispatcher take over, by way of what one process tells the other.
+func (w *world) relieve() {
+	w.t.Helper()
+	text, err := json.Marshal(w.d.Memory())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var m Memory
+	if err := json.Unmarshal(text, &m); err != nil {
+		w.t.Fatal(err)
+	}
+	w.s.Seed++
+	if w.d, err = New(w.s); err != nil {
+		w.t.Fatal(err)
+	}
+	var lines []Worker
+	for _, l := range w.list {
+		if l.State != Gone {
+			lines = append(lines, l)
+		}
+	}
+	w.wakes = nil
+	w.handle(ListFull{Workers: lines, Cached: true})
+	w.handle(Relieve{Memory: m})
+}
+
+// One process after the other decides for one dispatcher: all rules bind them as one, and nothing
+// of a request is lost or kept for good.
+func TestRulesAcrossProcesses(t *testing.T) {
+	for seed := range uint64(24) {
+		s := budgeted(site(seed, seed&1 != 0, seed&2 != 0, false))
+		s.Rules.GoneIsAdvice = false
+		randomDayWith(t, s, 1500, func(w *world, i int) {
+			if i%97 == 96 {
+				w.relieve()
+			}
+		})
+	}
+}
+
+// A process that took over began with ceilings of one slot and stacked its jobs on those of the
+// one before.
+func TestLearnedIsHandedOver(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Policies = nil
+	w := fleet(t, s, 1)
+	w.d.workers[1].ceiling = 3
+	var sent []*job
+	for range 2 {
+		if got, j := w.place(2); got == 1 {
+			sent = append(sent, j)
+		}
+	}
+	if len(sent) != 2 {
+		t.Fatalf("%d jobs sent", len(sent))
+	}
+	w.handle(JobStarted{sent[0].ID, 0})
+	w.relieve()
+	k := w.d.workers[1]
+	if k.own != 2 || k.running != 1 || k.ceiling != 3 || k.lived != w.now {
+		t.Errorf("own %v, running %v, ceiling %v, lived %v", k.own, k.running, k.ceiling, k.lived)
+	}
+	w.now += 10 * time.Millisecond
+	if got, _ := w.place(2); got != 1 {
+		t.Error("no room for a third job")
+	}
+	if got, _ := w.place(2); got != 0 {
+		t.Error("a fourth job was stacked on those of before")
+	}
+	w.handle(w.end(sent[0], 0, OK, nil), w.end(sent[1], 0, Reset, nil))
+	if !sent[1].answered {
+		t.Error("an unsafe job that may have run is not failed")
+	}
+}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -288,6 +288,13 @@
 }
 
 func randomDay(t *testing.T, s Settings, steps int) {
+	t.Helper()
+	randomDayWith(t, s, steps, func(*world, int) {})
+}
+
+// randomDayWith does something before each step.
+func randomDayWith(t *testing.T, s Settings, steps int, before func(w *world, step int)) {
+	t.Helper()
 	w := newWorld(t, s)
 	var lines []Worker
 	for id := range uint32(6) {
@@ -296,7 +303,8 @@
 		lines = append(lines, l)
 	}
 	w.handle(ListFull{Workers: lines, Cached: true})
-	for range steps {
+	for i := range steps {
+		before(w, i)
 		w.step(0.3)
 	}
 	for range 2000 { // no more arrivals: everything must drain
--- a/decide/state.go
+++ b/decide/state.go
@@ -62,8 +62,8 @@
 
 // refusal is a worker's word that it takes no more of a class.
 type refusal struct {
-	n     int // doublings of the backoff
-	until time.Duration
+	N     int // doublings of the backoff
+	Until time.Duration
 }
 
 type attempt struct {
@@ -80,13 +80,13 @@
 }
 
 // tally is the share of bad events among the last few.
-type tally struct{ n, share float64 }
+type tally struct{ N, Share float64 }
 
 func (t *tally) add(bad bool, memory float64) {
-	t.n = min(t.n+1, memory)
-	t.share -= t.share / t.n
+	t.N = min(t.N+1, memory)
+	t.Share -= t.Share / t.N
 	if bad {
-		t.share += 1 / t.n
+		t.Share += 1 / t.N
 	}
 }
 
@@ -112,17 +112,17 @@
 
 // demand is how often a key or a tenant was asked for lately, fading.
 type demand struct {
-	n    float64
-	last time.Duration
+	N    float64
+	Last time.Duration
 }
 
 func (k demand) at(now time.Duration) float64 {
-	return k.n * math.Exp(-(now-k.last).Seconds()/keyMemory.Seconds())
+	return k.N * math.Exp(-(now-k.Last).Seconds()/keyMemory.Seconds())
 }
 
-func (k *demand) bump(now time.Duration) { k.n, k.last = 1+k.at(now), now }
+func (k *demand) bump(now time.Duration) { k.N, k.Last = 1+k.at(now), now }
 
-type kindStat struct{ dev, n, slots, ceiling float64 }
+type kindStat struct{ Dev, N, Slots, Ceiling float64 }
 
 // zoneStat is the share of attempts in a zone that fared badly, fading.
 type zoneStat struct {
@@ -190,8 +190,6 @@
 	freed                 bool                // something happened that may have made a worker valid
 	drainAt               time.Duration       // else held requests are looked at again from then on
 	moved                 bool                // this dispatcher's load at a worker since the last message
-	yielded               bool                // a newer process of this dispatcher takes what comes
-	spareFrom             time.Duration       // spare attempts are an older process's until then
 	trusted               int                 // ready workers without a strike
 	out                   []Action
 }
@@ -214,7 +212,7 @@
 	i := slices.IndexFunc(d.zones, func(z *zoneStat) bool { return z.id == id })
 	if i < 0 {
 		i = len(d.zones)
-		d.zones = append(d.zones, &zoneStat{id: id, bad: tally{n: zoneMemory}})
+		d.zones = append(d.zones, &zoneStat{id: id, bad: tally{N: zoneMemory}})
 	}
 	return d.zones[i]
 }
@@ -256,7 +254,7 @@
 
 func (d *Dispatcher) kind(k int) *kindStat {
 	if d.kinds[k] == nil {
-		d.kinds[k] = &kindStat{ceiling: firstCeiling}
+		d.kinds[k] = &kindStat{Ceiling: firstCeiling}
 	}
 	return d.kinds[k]
 }
@@ -273,7 +271,7 @@
 // slowness is a worker's log run time against the mean, its kind's where little is known.
 func (d *Dispatcher) slowness(w *worker) float64 {
 	k := d.kind(w.Kind)
-	return (w.dev + speedPrior*k.dev/(k.n+speedPrior)) / (w.n + speedPrior)
+	return (w.dev + speedPrior*k.Dev/(k.N+speedPrior)) / (w.n + speedPrior)
 }
 
 // longest is the mean run of the class that runs longest, in seconds.
@@ -300,7 +298,7 @@
 			} else if l.State == Gone {
 				continue
 			}
-			w = &worker{Worker: Worker{State: Ready}, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{n: 2}, errs: slices.Repeat([]tally{{n: 3}}, len(d.classes))}
+			w = &worker{Worker: Worker{State: Ready}, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{N: 2}, errs: slices.Repeat([]tally{{N: 3}}, len(d.classes))}
 			w.refusals = make([]refusal, len(d.classes))
 			d.workers[l.ID] = w
 		}
@@ -418,7 +416,7 @@
 			continue
 		}
 		listed++
-		barred := !slices.ContainsFunc(w.refusals, func(f refusal) bool { return f.until <= d.now })
+		barred := !slices.ContainsFunc(w.refusals, func(f refusal) bool { return f.Until <= d.now })
 		if w.State != Ready || w.strikes > 0 || barred {
 			avoided++
 		}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -10,8 +10,13 @@
 // module can't be asked about ends here: an id that is in hand already, since call-backs
 // could not be told apart, and a class that the settings do not have.
 func (l *Loop) admit(c *Command) {
+	if l.yielded { // it was on its way
+		l.Books.holding.Add(-1)
+		c.Client.Pass(false)
+		return
+	}
 	l.Books.Taken.Add(1)
-	if l.ids[c.ID] != nil || l.elsewhere[c.ID] || c.Class < 0 || c.Class >= len(l.settings.Classes) {
+	if l.ids[c.ID] != nil || c.Class < 0 || c.Class >= len(l.settings.Classes) {
 		l.Books.holding.Add(-1)
 		l.Books.answer(c, Unusable)
 		c.Client.Answer(Answer{Verdict: Unusable})
@@ -21,9 +26,6 @@
 	}
 	h := &held{Command: c, request: l.lastID}
 	l.ids[c.ID], l.requests[h.request] = h, h
-	if l.yielded {
-		l.other.Took(c.ID)
-	}
 	l.tell(decide.Request{
 		ID: h.request, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Budget: max(0, time.Until(c.Deadline)),
 		Work: c.Work, Slots: c.Slots, Memory: c.Memory, Repeat: c.Repeat,
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -1,121 +1,208 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"slices"
+	"time"
 
 	"caperrelay/decide"
 )
 
-// While a new process takes over from an older one, both are one dispatcher: an id in the hands
-// of one is in hand, a call-back may come to either, and the module of the newer must know what
-// the older occupies and has learned.
+// A new process takes over from an older one by its loop relieving the older's: commands in hand
+// change hands whole, with their attempts and with what the module knows. What stays with the
+// older are sendings that no instance has confirmed: it passes on what becomes of them.
 
-// Other is the other process. Its methods must not block; alone, they do nothing.
+// Other is the way to the other processes. Its methods must not block; alone, they do nothing.
 type Other interface {
-	News(News) bool  // it matches nothing here; tells whether there is another process to be told
-	Took(id string)  // a command, after this loop has yielded
-	Ended(id string) // and it is in no hands here any more
-	Load([]byte)     // what this one occupies of instances, in the module's terms
+	// Elsewhere takes a call-back that matches nothing here; false: there is nobody to be told.
+	Elsewhere(News) bool
+	// Became tells the newer process what has become of an attempt that was sent from here.
+	Became(Fate)
+	// Left tells it that the client of a command that changed hands has gone away.
+	Left(id string)
 }
 
-// Memory is what a loop's module has learned, with names for its numbers of instances and classes.
-type Memory struct {
-	Module    decide.Memory
-	Instances []string // of Module.Workers
-	Classes   []string // of Module.Classes
+// Fate is what becomes of an attempt that went out from an older process.
+type Fate struct {
+	ID       string // the command's
+	N        int
+	Taken    bool // by the instance, else it has ended:
+	Unusable bool
+	Outcome  decide.Outcome
+	Kept     time.Duration
 }
 
-// Yield has the loop take nothing more: another process does. told is called, from the loop,
-// with what has been learned and which commands are in hand; Other hears of what changes after.
-func (l *Loop) Yield(told func(m Memory, ids []string)) {
+// Handed is all that one loop hands to another.
+type Handed struct {
+	Module   decide.Memory
+	Numbers  map[uint32]string // of instances, as the module knows them
+	Commands []*HandedCommand  `json:"-"` // each a message of its own
+	LastID   uint32
+	Classes  []string
+}
+
+// HandedCommand is a command that changes hands.
+type HandedCommand struct {
+	Command
+	Payload  json.RawMessage
+	Request  uint32
+	Attempts []HandedAttempt
+}
+
+// HandedAttempt is one attempt of it.
+type HandedAttempt struct {
+	Instance             string
+	Deadline             time.Time
+	Over, Taken, Leaving bool
+}
+
+// Yield hands all that is in hand to another process, by way of to, which is called from the
+// loop. From then on this one takes nothing; each command's client is told to pass on.
+func (l *Loop) Yield(to func(Handed)) {
 	l.post(func(l *Loop) {
-		l.yielded = true
-		m := Memory{Module: l.mod.Memory(), Classes: l.names.Classes}
-		for _, w := range m.Module.Workers {
-			m.Instances = append(m.Instances, l.workers[w.ID])
+		for len(l.events) > 0 {
+			l.route()
 		}
-		var ids []string
-		for id := range l.ids {
-			ids = append(ids, id)
+		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, LastID: l.lastID, Classes: l.names.Classes}
+		for _, h := range l.requests {
+			if !h.answered {
+				given.Commands = append(given.Commands, h.handed())
+			}
 		}
-		for id := range l.elsewhere { // of a process yet older
-			ids = append(ids, id)
+		l.yielded = true
+		to(given)
+		for _, h := range l.requests {
+			if !h.answered {
+				l.Books.holding.Add(-1)
+				h.Client.Pass(true)
+			}
 		}
-		l.tell(decide.Yield{Yes: true})
-		told(m, ids)
+		clear(l.ids)
+		clear(l.requests)
+		l.timers = nil
+		l.notes()
 	})
 }
 
-// Relieve takes over from an older process, which keeps the commands with these ids.
-func (l *Loop) Relieve(m Memory, ids []string) {
+func (h *held) handed() *HandedCommand {
+	payload, _ := json.Marshal(h.Payload) // plain data: it cannot fail
+	c := &HandedCommand{Command: *h.Command, Payload: payload, Request: h.request}
+	for _, a := range h.attempts {
+		c.Attempts = append(c.Attempts, HandedAttempt{a.Instance, a.Deadline, a.over, a.taken, a.leaving.Load()})
+	}
+	return c
+}
+
+// Relieve takes all that another process has handed over. Each command must have its payload and
+// its client again.
+func (l *Loop) Relieve(given Handed) {
 	l.post(func(l *Loop) {
-		for _, id := range ids {
-			l.elsewhere[id] = true
+		l.lastID = given.LastID
+		m := given.Module
+		for i := range m.Workers {
+			m.Workers[i].ID = l.number(given.Numbers[m.Workers[i].ID])
 		}
-		l.held.Store(int64(len(l.elsewhere)))
-		known := m.Module
-		known.Workers, known.Classes = nil, make([]decide.ClassMemory, len(l.names.Classes))
-		for i, w := range m.Module.Workers {
-			if i < len(m.Instances) {
-				w.ID = l.number(m.Instances[i])
-				known.Workers = append(known.Workers, w)
+		at := map[int]int{} // classes, here
+		known := make([]decide.ClassMemory, len(l.names.Classes))
+		for i, c := range m.Classes {
+			if n := slices.Index(l.names.Classes, given.Classes[i]); n >= 0 {
+				at[i], known[n] = n, c
 			}
 		}
-		for i, c := range m.Module.Classes {
-			if i < len(m.Classes) {
-				if at := slices.Index(l.names.Classes, m.Classes[i]); at >= 0 {
-					known.Classes[at] = c
-				}
+		m.Classes = known
+		memory := map[uint32]decide.RequestMemory{}
+		for _, r := range m.Requests {
+			memory[r.ID] = r
+		}
+		var kept []decide.RequestMemory
+		for _, c := range given.Commands {
+			r, ok := memory[c.Request]
+			class, ok2 := at[r.Class]
+			if !ok || !ok2 { // of a class that is not here
+				c.Client.Answer(Answer{Verdict: Failed})
+				continue
 			}
+			r.Class, c.Class = class, class
+			for i := range r.Attempts {
+				r.Attempts[i].Worker.ID = l.number(given.Numbers[r.Attempts[i].Worker.ID])
+			}
+			l.resume(c)
+			kept = append(kept, r)
 		}
-		l.tell(decide.Relieve{Memory: known})
+		m.Requests = kept
+		l.tell(decide.Relieve{Memory: m})
 	})
 }
 
-// TookElsewhere says that the older process has taken a command after it yielded.
-func (l *Loop) TookElsewhere(id string) { l.post(func(l *Loop) { l.elsewhere[id] = true }) }
+// resume goes on with a command that another process had in hand.
+func (l *Loop) resume(c *HandedCommand) {
+	l.Books.Taken.Add(1)
+	l.Books.holding.Add(1)
+	h := &held{Command: &c.Command, request: c.Request}
+	l.ids[h.ID], l.requests[h.request] = h, h
+	for n, t := range c.Attempts {
+		a := &Attempt{
+			Command: h.Command, Instance: t.Instance, N: n, Deadline: t.Deadline, request: h.request,
+			over: t.Over, taken: t.Taken, elsewhere: !t.Over && !t.Taken,
+		}
+		if h.attempts = append(h.attempts, a); t.Leaving { // no word of it will come: give-ups are over by then
+			a.leaving.Store(true)
+			l.timers.at(time.Now().Add(leavingMost), a.Confirmed)
+		}
+		if !a.over {
+			h.out++
+			l.timers.at(a.Deadline, func() { l.expire(a) })
+		}
+	}
+}
+
+// leavingMost is how long a give-up may be on its way.
+const leavingMost = time.Second
 
-// EndedElsewhere says that a command is no longer in the older process's hands.
-func (l *Loop) EndedElsewhere(id string) {
+// Became takes what has become of an attempt that went out from an older process.
+func (l *Loop) Became(f Fate) {
 	l.post(func(l *Loop) {
-		delete(l.elsewhere, id)
-		l.passOnEnd(id)
+		h := l.ids[f.ID]
+		if h == nil || f.N < 0 || f.N >= len(h.attempts) || h.attempts[f.N].over {
+			return
+		}
+		a := h.attempts[f.N]
+		switch a.elsewhere, a.kept = false, f.Kept; {
+		case f.Taken:
+			l.taken(a)
+		case f.Unusable:
+			l.unusable(a)
+		default:
+			l.end(a, f.Outcome)
+		}
 	})
 }
 
-// LoadElsewhere is what the older process occupies.
-func (l *Loop) LoadElsewhere(body []byte) {
-	l.post(func(l *Loop) { l.tell(decide.PeerSaid{Peer: decide.Older, Body: body}) })
-}
-
-// Alone says that the older process has gone: what it held is held by nobody.
+// Alone says that the older process has gone, and with it the connections of what it sent.
 func (l *Loop) Alone() {
 	l.post(func(l *Loop) {
-		for id := range l.elsewhere {
-			l.passOnEnd(id)
+		for _, h := range l.requests {
+			for _, a := range h.attempts {
+				if a.elsewhere && !a.over {
+					l.end(a, decide.Reset)
+				}
+			}
 		}
-		clear(l.elsewhere)
-		l.tell(decide.Alone{})
 	})
 }
 
-// Resume says that the newer process has gone: this one takes what comes again.
-func (l *Loop) Resume() {
+// Resume says that the newer process has gone: this one takes what comes again, with what it had
+// learned. What was in hand went with the other.
+func (l *Loop) Resume(list List, given decide.Memory) {
 	l.post(func(l *Loop) {
-		l.yielded = false
-		l.tell(decide.Yield{})
+		mod, err := decide.New(l.settings)
+		if err != nil {
+			l.log.Print(err) // it was made of the same settings before
+			return
+		}
+		l.mod, l.yielded = mod, false
+		given.Requests = nil
+		l.listed(list, l.names, true)
+		l.tell(decide.Relieve{Memory: given})
 	})
 }
-
-// Elsewhere is how many commands were in the older process's hands when it yielded.
-func (l *Loop) Elsewhere() int { return int(l.held.Load()) }
-
-// Room says how many commands may be held from now on.
-func (l *Loop) Room(open int) { l.post(func(l *Loop) { l.tell(decide.Room{Open: open}) }) }
-
-// passOnEnd tells the newer process, if there is one, that a command has ended here.
-func (l *Loop) passOnEnd(id string) {
-	if l.yielded {
-		l.other.Ended(id)
-	}
-}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -125,6 +125,5 @@
 	if h.answered && h.out == 0 {
 		delete(l.ids, h.ID)
 		delete(l.requests, h.request)
-		l.passOnEnd(h.ID)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,14 +27,17 @@
 	Memory   float64
 	Repeat   bool
 	Deadline time.Time // when the service client stops waiting
-	Payload  any       // what the instances' side needs to send it
-	Client   Client
+	Payload  any       `json:"-"` // what the instances' side needs to send it
+	Client   Client    `json:"-"`
 }
 
 // Client is who waits for a command's answer.
 type Client interface {
 	// Answer takes the one final answer. It must not block.
 	Answer(Answer)
+	// Pass says that the answer will be another process's, which needs the way to the client, and
+	// unless it has been handed the command, that too. It must not block.
+	Pass(handed bool)
 }
 
 // Verdict is the kind of a final answer.
@@ -65,10 +68,12 @@
 	MostIdle time.Duration // a connection idle for longer is not to be used; 0: any may be
 
 	// The loop's own.
-	request uint32
-	over    bool
-	kept    time.Duration // as the fleet told with its end
-	leaving atomic.Bool   // given up, and the instance has not confirmed it yet
+	request   uint32
+	over      bool
+	taken     bool          // by the instance
+	elsewhere bool          // sent by an older process, which tells what becomes of it
+	kept      time.Duration // as the fleet told with its end
+	leaving   atomic.Bool   // given up, and the instance has not confirmed it yet
 }
 
 // Confirmed says that the instance knows the attempt as given up, or never will.
@@ -106,10 +111,7 @@
 	ids      map[string]*held // commands in hand by correlation id
 	requests map[uint32]*held // and by the module's
 	lastID   uint32
-	// Of the other process, while there is one.
-	elsewhere map[string]bool // commands in the older one's hands
-	held      atomic.Int64    // how many there were at first
-	yielded   bool            // to a newer one
+	yielded  bool // to a newer process
 
 	workers map[uint32]string // instance ids by the module's
 	numbers map[string]uint32
@@ -140,7 +142,7 @@
 	}
 	l := &Loop{
 		mod: mod, settings: s, names: n, fleet: fleet, table: table, other: other, log: logger, in: make(chan message, inbox),
-		elsewhere: map[string]bool{}, ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
+		ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
 	}
 	l.Books.open(n.Classes)
 	return l, nil
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -16,37 +17,46 @@
 // fleet notes what it is asked for; the loop under test runs by hand, without a goroutine.
 type fleet struct {
 	sent, givenUp []*Attempt
-	ended         []string
+	became        []Fate
+	left          []string
 }
 
-func (f *fleet) Send(a *Attempt)   { f.sent = append(f.sent, a) }
-func (f *fleet) GiveUp(a *Attempt) { f.givenUp = append(f.givenUp, a) }
-func (f *fleet) Probe(string)      {}
-func (f *fleet) Release(string)    {}
-func (f *fleet) Subscribe()        {}
-func (f *fleet) News(News) bool    { return false }
-func (f *fleet) Took(string)       {}
-func (f *fleet) Ended(id string)   { f.ended = append(f.ended, id) }
-func (f *fleet) Load([]byte)       {}
+func (f *fleet) Send(a *Attempt)     { f.sent = append(f.sent, a) }
+func (f *fleet) GiveUp(a *Attempt)   { f.givenUp = append(f.givenUp, a) }
+func (f *fleet) Probe(string)        {}
+func (f *fleet) Release(string)      {}
+func (f *fleet) Subscribe()          {}
+func (f *fleet) Elsewhere(News) bool { return false }
+func (f *fleet) Became(t Fate)       { f.became = append(f.became, t) }
+func (f *fleet) Left(id string)      { f.left = append(f.left, id) }
 
-type client struct{ answers []Answer }
+type client struct {
+	answers []Answer
+	passed  []bool
+}
 
-func (c *client) Answer(a Answer) { c.answers = append(c.answers, a) }
+func (c *client) Answer(a Answer)  { c.answers = append(c.answers, a) }
+func (c *client) Pass(handed bool) { c.passed = append(c.passed, handed) }
 
 // begin returns a loop that has taken one command of a safe class and sent it to s-1.
 func begin(t *testing.T) (*Loop, *fleet, *client) {
 	f, c := &fleet{}, &client{}
+	l := loop(t, f)
+	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
+	l.Take(&Command{ID: "c1", Deadline: time.Now().Add(time.Hour), Client: c})
+	l.batch()
+	require.Len(t, f.sent, 1)
+	return l, f, c
+}
+
+func loop(t *testing.T, f *fleet) *Loop {
 	l, err := New(decide.Settings{
 		Dispatchers: 1, Granularity: time.Millisecond, Limits: decide.Limits{Attempts: 3, Cancel: true},
 		Classes: []decide.Class{{Aim: time.Minute, Deadline: time.Hour, Worth: 1, Kind: decide.Any}},
 		Rules:   decide.Rules{Cold: time.Second, FallWindow: time.Second, MustAskIn: time.Second},
 	}, wire.Names{Classes: []string{"safe"}}, f, f, f, log.New(io.Discard, "", 0))
 	require.NoError(t, err)
-	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
-	l.Take(&Command{ID: "c1", Deadline: time.Now().Add(time.Hour), Client: c})
-	l.batch()
-	require.Len(t, f.sent, 1)
-	return l, f, c
+	return l
 }
 
 // The result of an attempt that was given up is not served, and nothing is booked twice.
@@ -93,6 +103,61 @@
 	}
 }
 
+// What one process hands over another goes on with: each outcome is booked there, once, also that
+// of a sending which no instance had confirmed, whether the older process tells of it or dies.
+func TestHandedOver(t *testing.T) {
+	for name, then := range map[string]func(l *Loop){
+		"attempts_ok": func(l *Loop) {
+			l.Became(Fate{ID: "c1", Taken: true})
+			l.Alone() // then its connection does not matter
+			l.News(News{ID: "c1", From: "s-1", State: Done})
+		},
+		"attempts_errored": func(l *Loop) { l.Became(Fate{ID: "c1", Outcome: decide.Errored}) },
+		"attempts_reset":   func(l *Loop) { l.Alone() },
+	} {
+		older, f, c := begin(t)
+		l, c2 := loop(t, f), &client{}
+		older.Yield(func(given Handed) {
+			text, err := json.Marshal(given)
+			require.NoError(t, err)
+			cmds := given.Commands
+			given = Handed{}
+			require.NoError(t, json.Unmarshal(text, &given))
+			for _, cmd := range cmds {
+				text, err := json.Marshal(cmd)
+				require.NoError(t, err)
+				cmd = &HandedCommand{}
+				require.NoError(t, json.Unmarshal(text, cmd))
+				cmd.Client = c2
+				given.Commands = append(given.Commands, cmd)
+			}
+			l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
+			l.Relieve(given)
+		})
+		older.Take(&Command{ID: "c2", Client: c})
+		older.batch()
+		older.Ended(f.sent[0], decide.Reset, 0)
+		older.Lapse(f.sent[0].Command)
+		older.batch()
+		require.Equal(t, []bool{true, false}, c.passed, "what was on its way goes whole")
+		require.Empty(t, c.answers)
+		require.Zero(t, older.Holding())
+		require.Equal(t, []Fate{{ID: "c1", Outcome: decide.Reset}}, f.became)
+		require.Equal(t, []string{"c1"}, f.left)
+		l.batch()
+		require.EqualValues(t, 1, l.Holding())
+		l.Take(&Command{ID: "c1", Client: c})
+		l.batch()
+		require.Equal(t, []Answer{{Verdict: Unusable}}, c.answers, "the id is in hand")
+		for range 2 {
+			then(l)
+			l.batch()
+		}
+		require.Contains(t, l.Books.String(), name+" 1\n")
+		require.Equal(t, name == "attempts_ok", len(c2.answers) == 1 && c2.answers[0].Verdict == Served)
+	}
+}
+
 // Names that the settings do not have stand apart from those they have.
 func TestUnknownNamesComeAfterAll(t *testing.T) {
 	require.Equal(t, []int{1, 2}, []int{place([]string{"a", "b"}, "b"), place([]string{"a", "b"}, "c")})
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -13,7 +13,10 @@
 // that it went out on had been idle before, 0 for a new one.
 func (l *Loop) Ended(a *Attempt, o decide.Outcome, kept time.Duration) {
 	l.post(func(l *Loop) {
-		if !a.over {
+		switch {
+		case l.yielded:
+			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Outcome: o, Kept: kept})
+		case !a.over:
 			a.kept = kept
 			l.end(a, o)
 		}
@@ -26,27 +29,41 @@
 // Taken says that the instance has an attempt: its 202 came.
 func (l *Loop) Taken(a *Attempt) {
 	l.post(func(l *Loop) {
-		if !a.over {
-			l.tell(decide.Taken{Request: a.request, Attempt: a.N})
+		switch {
+		case l.yielded:
+			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Taken: true})
+		case !a.over:
+			l.taken(a)
 		}
 	})
 }
 
+func (l *Loop) taken(a *Attempt) {
+	a.taken = true
+	l.tell(decide.Taken{Request: a.request, Attempt: a.N})
+}
+
 // Unusable says that an instance can't use a command as it stands: another could not either,
 // so it is answered at once. What a service client sends must not count against an instance's
 // health: for the module the attempt was never made.
 func (l *Loop) Unusable(a *Attempt) {
 	l.post(func(l *Loop) {
-		if a.over {
-			return
+		switch {
+		case l.yielded:
+			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Unusable: true})
+		case !a.over:
+			l.unusable(a)
 		}
-		if h := l.requests[a.request]; !h.answered {
-			l.answer(h, Answer{Verdict: Unusable})
-		}
-		l.end(a, decide.Moot)
 	})
 }
 
+func (l *Loop) unusable(a *Attempt) {
+	if h := l.requests[a.request]; !h.answered {
+		l.answer(h, Answer{Verdict: Unusable})
+	}
+	l.end(a, decide.Moot)
+}
+
 // Probed is the answer to a probe.
 func (l *Loop) Probed(instance string, o decide.Outcome) {
 	l.post(func(l *Loop) { l.tell(decide.Probed{Worker: l.number(instance), Outcome: o}) })
@@ -91,7 +108,7 @@
 func (l *Loop) news(n News) {
 	a := l.outAt(n.ID, n.From)
 	if a == nil {
-		if l.ids[n.ID] != nil || !l.other.News(n) {
+		if l.ids[n.ID] != nil || !l.other.Elsewhere(n) {
 			l.Books.StrayNews.Add(1)
 		}
 		return
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -13,6 +13,9 @@
 	now := time.Now()
 	events := l.events
 	l.events = nil
+	if l.yielded { // the module is the newer process's
+		return
+	}
 	for _, a := range l.mod.Handle(moduleTime(now), events) {
 		switch a := a.(type) {
 		case decide.Send:
@@ -34,10 +37,7 @@
 			l.table.Subscribe()
 		case decide.Log:
 			l.log.Print(l.named(a.Text))
-		case decide.TellPeers: // other dispatchers here cannot be talked to, this one's other process can
-			if l.yielded {
-				l.other.Load(a.Body)
-			}
+		case decide.TellPeers: // dispatchers here have no way to talk to each other
 		}
 	}
 }
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -20,15 +20,33 @@
 // Lapse says that the service client has gone away: nothing more is owed.
 func (l *Loop) Lapse(c *Command) {
 	l.post(func(l *Loop) {
-		if h := l.ids[c.ID]; h != nil && h.Command == c && !h.answered {
-			l.Books.Lapsed.Add(1)
-			l.conclude(h)
-			l.tell(decide.RequestLapsed{Request: h.request})
-			l.forget(h)
+		if l.yielded {
+			l.other.Left(c.ID)
+		} else if h := l.ids[c.ID]; h != nil && h.Command == c {
+			l.lapse(h)
 		}
 	})
 }
 
+// LapseElsewhere is the same, of a command that changes hands and whose client the older process
+// saw leave.
+func (l *Loop) LapseElsewhere(id string) {
+	l.post(func(l *Loop) {
+		if h := l.ids[id]; h != nil {
+			l.lapse(h)
+		}
+	})
+}
+
+func (l *Loop) lapse(h *held) {
+	if !h.answered {
+		l.Books.Lapsed.Add(1)
+		l.conclude(h)
+		l.tell(decide.RequestLapsed{Request: h.request})
+		l.forget(h)
+	}
+}
+
 // List is what the name table tells: the whole table or what has changed of it.
 type List struct {
 	Revision int64
@@ -68,18 +86,20 @@
 
 // Listed takes a list from the name table. Cached: it is from an earlier time.
 func (l *Loop) Listed(list List, n wire.Names, cached bool) {
-	l.post(func(l *Loop) {
-		var ws []decide.Worker
-		for _, m := range list.Members {
-			ws = append(ws, line(m, l.number(m.ID), n))
-		}
-		l.prune(list)
-		if list.Complete || cached {
-			l.tell(decide.ListFull{Workers: ws, Cached: cached})
-		} else {
-			l.tell(decide.ListDelta{Workers: ws})
-		}
-	})
+	l.post(func(l *Loop) { l.listed(list, n, cached) })
+}
+
+func (l *Loop) listed(list List, n wire.Names, cached bool) {
+	var ws []decide.Worker
+	for _, m := range list.Members {
+		ws = append(ws, line(m, l.number(m.ID), n))
+	}
+	l.prune(list)
+	if list.Complete || cached {
+		l.tell(decide.ListFull{Workers: ws, Cached: cached})
+	} else {
+		l.tell(decide.ListDelta{Workers: ws})
+	}
 }
 
 // mostNumbers is how many instances are remembered before those gone are forgotten.
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"caperrelay/internal/dispatch"
@@ -32,6 +34,8 @@
 	server *Server
 	nc     net.Conn
 	br     *bufio.Reader
+	rest   []byte      // of a connection that was passed here: to be read first
+	first  func() bool // and to be done first; false: it is to end
 
 	// Under the server's lock.
 	state    state
@@ -93,7 +97,14 @@
 			c.nc.Close()
 		}
 	}()
-	c.br = bufio.NewReaderSize(c.nc, http1.MaxLine)
+	var from io.Reader = c.nc
+	if len(c.rest) > 0 {
+		from = io.MultiReader(bytes.NewReader(c.rest), c.nc)
+	}
+	c.br = bufio.NewReaderSize(from, http1.MaxLine)
+	if c.first != nil && !c.first() {
+		return
+	}
 	for {
 		q, err := c.next()
 		var m *http1.Malformed
@@ -140,15 +151,17 @@
 // errPassed says that a connection is another process's now.
 var errPassed = errors.New("passed on")
 
-// pass hands the connection, which stands between two requests, to the process that takes over,
-// if there is one. What has come unread goes with it. The server's lock is held.
-func (c *conn) pass() bool {
+// pass hands the connection to the process that takes over, if there is one. What has come
+// unread goes with it. The server's lock is held.
+func (c *conn) pass(p Passed) bool {
 	tcp, ok := c.nc.(*net.TCPConn)
-	if c.server.heir == nil || !ok || c.br.Buffered() > 0 {
+	if c.server.heir == nil || !ok {
 		return false
 	}
+	p.Answered, p.Instance = c.answered, c.instance
+	p.Rest, _ = c.br.Peek(c.br.Buffered())
 	c.passed = true
-	c.server.heir.Pass(tcp, c.answered, c.instance)
+	c.server.heir.Pass(tcp, p)
 	return true
 }
 
@@ -157,7 +170,7 @@
 func (c *conn) await() error {
 	s := c.server
 	s.mu.Lock()
-	if c.pass() {
+	if c.pass(Passed{}) {
 		s.mu.Unlock()
 		return errPassed
 	}
@@ -178,7 +191,7 @@
 	late := errors.Is(err, os.ErrDeadlineExceeded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if late && c.pass() {
+	if late && c.pass(Passed{}) {
 		return errPassed
 	}
 	// A request may cross the end of the connection: one that has come is taken.
@@ -222,7 +235,7 @@
 	case path == newsPath:
 		return c.news(q)
 	}
-	return c.command(q)
+	return c.command(q, time.Time{})
 }
 
 // reply writes an answer; false: the connection is to end.
@@ -260,34 +273,89 @@
 
 // waiter is the service client of one command.
 type waiter struct {
-	nc     net.Conn
-	answer chan dispatch.Answer
+	cmd    *dispatch.Command
+	end    bool      // the connection is to end with the answer
+	answer chan word // holds one
+
+	mu sync.Mutex
+	nc net.Conn // nil: on its way from an older process
+}
+
+// word is what the loop says: the answer, or that another process will give it.
+type word struct {
+	dispatch.Answer
+	passed, handed bool
+}
+
+// Answer wakes the connection's goroutine, which watches for the client's leaving.
+func (w *waiter) Answer(a dispatch.Answer) { w.say(word{Answer: a}) }
+
+// Pass wakes it likewise.
+func (w *waiter) Pass(handed bool) { w.say(word{passed: true, handed: handed}) }
+
+// say wakes first: set after the goroutine has the word the deadline would cut its next read.
+func (w *waiter) say(what word) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.nc != nil {
+		w.nc.SetReadDeadline(past)
+	}
+	w.answer <- what
 }
 
-// Answer wakes the connection's goroutine, which watches for the client's leaving. The
-// deadline comes first: set after the goroutine has the answer it would cut its next read.
-func (w *waiter) Answer(a dispatch.Answer) {
-	w.nc.SetReadDeadline(past)
-	w.answer <- a
+// join gives the waiter its connection, whose reads end with what is said.
+func (w *waiter) join(nc net.Conn) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nc = nc
+	if len(w.answer) > 0 {
+		return nc.SetReadDeadline(past)
+	}
+	return nc.SetReadDeadline(time.Time{})
 }
 
-// command hands a command in and waits for its answer; false: the connection is to end.
-func (c *conn) command(q *http1.Request) bool {
+// command hands a command in and waits for its answer; false: the connection is to end. The
+// deadline is given where another process has read it.
+func (c *conn) command(q *http1.Request, deadline time.Time) bool {
 	cmd, err := c.server.parse(q, time.Now())
 	if err != nil {
 		return c.reply(400, nil, err.Error()+"\n", q.Close)
 	}
-	w := &waiter{nc: c.nc, answer: make(chan dispatch.Answer, 1)}
+	if !deadline.IsZero() {
+		cmd.Deadline = deadline
+	}
+	w := &waiter{cmd: cmd, end: q.Close, answer: make(chan word, 1)}
 	cmd.Client = w
-	if c.nc.SetReadDeadline(time.Time{}) != nil {
+	c.server.core.Take(cmd)
+	return c.wait(w)
+}
+
+// wait waits for a command's answer and writes it; false: the connection is to end.
+func (c *conn) wait(w *waiter) bool {
+	if w.join(c.nc) != nil {
+		c.server.core.Lapse(w.cmd)
 		return false
 	}
-	c.server.core.Take(cmd)
 	if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.server.core.Lapse(cmd)
+		c.server.core.Lapse(w.cmd)
+		return false
+	}
+	a := <-w.answer
+	if !a.passed {
+		return c.relay(a.Answer, w.end)
+	}
+	p := Passed{ID: w.cmd.ID}
+	if !a.handed {
+		p.Request, p.Deadline = w.cmd.Payload.(*http1.Request), w.cmd.Deadline
+	}
+	c.server.mu.Lock()
+	passed := c.pass(p)
+	c.server.mu.Unlock()
+	if passed {
 		return false
 	}
-	return c.relay(<-w.answer, q.Close)
+	// The other process has died with it.
+	return c.relay(dispatch.Answer{Verdict: dispatch.Failed}, true)
 }
 
 // relay writes a command's final answer.
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -14,6 +14,7 @@
 
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/http1"
 	"caperrelay/internal/wire"
 )
 
@@ -61,23 +62,34 @@
 	draining bool
 	crowded  bool // somebody waits for a connection: answers close theirs
 	conns    map[*conn]struct{}
-	heir     Heir // takes over; nil: nobody
-	lent     int  // slots that connections of an older process still take
+	heir     Heir               // takes over; nil: nobody
+	lent     int                // slots that connections of an older process still take
+	expected map[string]*waiter // commands of that process whose client has not come yet
 }
 
 // Heir is the way to the process that takes over.
 type Heir interface {
-	// Pass hands it a connection that stands between two requests.
-	Pass(nc *net.TCPConn, answered, instance bool)
+	// Pass hands it a connection.
+	Pass(nc *net.TCPConn, p Passed)
 	// Left says that one which was not passed has ended.
 	Left()
 }
 
+// Passed is what goes with a connection that is passed.
+type Passed struct {
+	Answered bool           `json:",omitempty"` // something was asked on it before
+	Instance bool           `json:",omitempty"` // by an instance
+	Rest     []byte         `json:",omitempty"` // what was read from it and not used
+	ID       string         `json:",omitempty"` // the command that its client waits for,
+	Request  *http1.Request `json:",omitempty"` // as it was read, unless it was handed over before
+	Deadline time.Time      `json:",omitzero"`  // of that
+}
+
 // New returns a server for at most so many connections.
 func New(core Core, s decide.Settings, n wire.Names, most int, counters func() string, logger *log.Logger) *Server {
 	return &Server{
 		core: core, settings: s, counters: counters, log: logger, classes: numbered(n.Classes), tenants: numbered(n.Tenants),
-		patience: usual, slots: make(chan struct{}, most), conns: map[*conn]struct{}{},
+		patience: usual, slots: make(chan struct{}, most), conns: map[*conn]struct{}{}, expected: map[string]*waiter{},
 	}
 }
 
@@ -194,10 +206,22 @@
 	return s.heir != nil
 }
 
+// Expect returns the client of a command that an older process has handed over and whose
+// connection is on its way.
+func (s *Server) Expect(cmd *dispatch.Command, end bool) dispatch.Client {
+	w := &waiter{cmd: cmd, end: end, answer: make(chan word, 1)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expected[cmd.ID] = w
+	return w
+}
+
 // Adopt serves a connection that an older process has passed. The slot that it took there is its
 // slot here.
-func (s *Server) Adopt(nc net.Conn, answered, instance bool) {
+func (s *Server) Adopt(nc net.Conn, p Passed) {
 	s.mu.Lock()
+	w := s.expected[p.ID]
+	delete(s.expected, p.ID)
 	lent := s.lent > 0
 	if lent {
 		s.lent--
@@ -211,7 +235,16 @@
 			return
 		}
 	}
-	s.run(&conn{server: s, nc: nc, since: time.Now(), answered: answered, instance: instance})
+	c := &conn{server: s, nc: nc, since: time.Now(), answered: p.Answered, instance: p.Instance, rest: p.Rest}
+	switch {
+	case p.Request != nil:
+		c.state, c.first = handling, func() bool { return c.command(p.Request, p.Deadline) }
+	case w != nil:
+		c.state, c.first = handling, func() bool { return c.wait(w) }
+	case p.ID != "": // nobody will answer it
+		c.first = func() bool { return false }
+	}
+	s.run(c)
 }
 
 // Lend leaves an older process so many slots for the connections that it still holds.
@@ -247,6 +280,9 @@
 func (s *Server) ReturnAll() {
 	for s.Returned() {
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.expected)
 }
 
 // Connections is how many connections there are, with those of an older process.
--- a/internal/net/handover/link.go
+++ b/internal/net/handover/link.go
@@ -11,43 +11,18 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"caperrelay/internal/dispatch"
-)
-
-// Kind says what a message is about.
-type Kind string
-
-// The kinds, in the order in which they come first.
-const (
-	State      Kind = "state"      // the older: its listener, and what it goes by
-	Ready      Kind = "ready"      // the newer: it could serve
-	Yielded    Kind = "yielded"    // the older takes nothing more; what it still holds
-	Connection Kind = "connection" // the older: one that stands between two requests
-	Left       Kind = "left"       // the older: one of its connections has ended
-	Taken      Kind = "taken"      // the older: a command that was on its way when it yielded
-	Ended      Kind = "ended"      // the older: a command is in its hands no more
-	Load       Kind = "load"       // the older: what it occupies of instances
-	News       Kind = "news"       // either: a call-back that matches nothing there
 )
 
-// Message is one line. Which of its parts count goes by its kind.
+// Message is one line.
 type Message struct {
-	Kind      Kind
-	Quiesced  bool             `json:",omitempty"` // State: clients are sent away
-	Discovery string           `json:",omitempty"` // State: where the list comes from
-	List      *dispatch.List   `json:",omitempty"` // State: as last told
-	Memory    *dispatch.Memory `json:",omitempty"` // Yielded: what was learned
-	IDs       []string         `json:",omitempty"` // Yielded: commands in hand
-	ID        string           `json:",omitempty"` // Taken, Ended
-	Places    int              `json:",omitempty"` // Yielded: connections still held
-	Answered  bool             `json:",omitempty"` // Connection: something was asked on it before
-	Instance  bool             `json:",omitempty"` // Connection: by an instance
-	Load      []byte           `json:",omitempty"` // Load: in the module's terms
-	News      *dispatch.News   `json:",omitempty"`
-	File      bool             `json:",omitempty"` // an open socket goes with it
+	Kind string
+	Body json.RawMessage `json:",omitempty"`
+	File bool            `json:",omitempty"` // an open socket goes with it
 }
 
+// Read reads what a message is about.
+func (m Message) Read(body any) error { return json.Unmarshal(m.Body, body) }
+
 const (
 	maxLine       = 4 << 20
 	maxQueue      = 8192                   // messages that wait to be written
@@ -67,7 +42,7 @@
 
 // outgoing is a message to be written; the socket that goes with it is closed here after that.
 type outgoing struct {
-	Message
+	text   []byte
 	socket Socket
 }
 
@@ -84,21 +59,24 @@
 }
 
 // Tell sends a message. It never waits: whoever lets so much pile up is taken for dead.
-func (l *Link) Tell(m Message) { l.Pass(m, nil) }
+func (l *Link) Tell(kind string, body any) { l.Pass(kind, body, nil) }
 
 // Pass sends a message and a socket, which is the other process's from now on.
-func (l *Link) Pass(m Message, s Socket) {
-	m.File = s != nil
+func (l *Link) Pass(kind string, body any, s Socket) {
+	text, err := json.Marshal(body)
+	if err == nil {
+		text, err = json.Marshal(Message{Kind: kind, Body: text, File: s != nil})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.ended {
+	if err == nil && !l.ended {
 		select {
-		case l.queue <- outgoing{m, s}:
+		case l.queue <- outgoing{append(text, '\n'), s}:
 			return
 		default:
-			l.nc.Close()
 		}
 	}
+	l.nc.Close() // its reader finds out
 	if s != nil {
 		s.Close()
 	}
@@ -128,26 +106,21 @@
 
 // send writes one message. What cannot be written ends the link, and its reader finds out.
 func (l *Link) send(o outgoing) {
-	text, err := json.Marshal(o.Message)
-	if err != nil {
-		l.nc.Close()
-		return
-	}
-	text = append(text, '\n')
 	l.nc.SetWriteDeadline(time.Now().Add(writePatience))
 	if o.socket != nil {
 		raw, err := o.socket.SyscallConn()
 		if err == nil {
-			err = raw.Control(func(fd uintptr) {
-				_, _, err = l.nc.WriteMsgUnix(text[:1], syscall.UnixRights(int(fd)), nil)
+			err2 := raw.Control(func(fd uintptr) {
+				_, _, err = l.nc.WriteMsgUnix(o.text[:1], syscall.UnixRights(int(fd)), nil)
 			})
+			err = errors.Join(err, err2)
 		}
-		if text = text[1:]; err != nil {
+		if o.text = o.text[1:]; err != nil {
 			l.nc.Close()
 			return
 		}
 	}
-	if _, err := l.nc.Write(text); err != nil {
+	if _, err := l.nc.Write(o.text); err != nil {
 		l.nc.Close()
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"caperrelay/decide"
 	"caperrelay/internal/config"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/clients"
@@ -80,13 +81,14 @@
 	listener     *net.TCPListener
 	table        nametable.Table
 	discovery    string
-	older, newer *handover.Link   // the other processes, nil: none
-	before       handover.Message // the older one's state
+	older, newer *handover.Link // the other processes, nil: none
+	before       standing       // the older one's
+	given        decide.Memory  // to the newer one
 	door         *handover.Door
 }
 
 // bounds is what the parts may use while this process is alone.
-type bounds struct{ open, listener, pool int }
+type bounds struct{ listener, pool int }
 
 // New makes the parts of a dispatcher.
 func New(c *config.Config, logger *log.Logger) (*Program, error) {
@@ -106,7 +108,6 @@
 	if open := p.bounds.listener - p.bounds.listener/6; s.Limits.Open <= 0 || s.Limits.Open > open {
 		s.Limits.Open = open
 	}
-	p.bounds.open = s.Limits.Open
 	var err error
 	if p.loop, err = dispatch.New(s, c.Names, p.pool, p.watcher, others{p}, logger); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"os"
@@ -11,7 +12,9 @@
 	"time"
 
 	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/clients"
 	"caperrelay/internal/net/handover"
+	"caperrelay/internal/net/http1"
 )
 
 // Relief is how one process takes over from another that serves the same address. The newer
@@ -22,6 +25,32 @@
 	freshPatience  = 3500 * time.Millisecond // with discovery, before the older's list must do
 )
 
+// What the processes tell each other, by kind of message.
+const (
+	told       = "standing"   // the older: a standing, and its listener
+	ready      = "ready"      // the newer: it could serve
+	command    = "command"    // the older: a dispatch.HandedCommand
+	yielded    = "yielded"    // the older: a handed, after which it takes nothing more
+	connection = "connection" // the older: a clients.Passed and its socket
+	closed     = "closed"     // the older: one of its connections has ended
+	left       = "left"       // the older: the id of a command whose client has left
+	became     = "became"     // the older: a dispatch.Fate
+	news       = "news"       // either: a dispatch.News that matches nothing there
+)
+
+// standing is what the older process goes by.
+type standing struct {
+	List      *dispatch.List
+	Discovery string
+	Quiesced  bool // clients are sent away
+}
+
+// handed is all that it hands over, but for commands.
+type handed struct {
+	dispatch.Handed
+	Places int // connections that it has yet
+}
+
 // soReusePort is not in the syscall package on all systems.
 const soReusePort = 0xf
 
@@ -32,12 +61,20 @@
 	if err != nil {
 		return nil
 	}
-	state := make(chan handover.Message, 1)
+	state := make(chan standing, 1)
 	p.mu.Lock()
 	p.older = link
 	p.mu.Unlock()
 	go func() {
-		link.Run(func(m handover.Message, f *os.File) { p.fromOlder(ctx, m, f, state) })
+		r := relief{Program: p, state: state}
+		link.Run(func(m handover.Message, f *os.File) {
+			if err := r.take(ctx, m, f); err != nil {
+				p.log.Printf("%s from the older process: %v", m.Kind, err)
+			}
+			if f != nil {
+				f.Close()
+			}
+		})
 		p.olderGone()
 	}()
 	select {
@@ -60,14 +97,13 @@
 // path is where the door is of whoever serves the address.
 func (p *Program) path() string { return handover.Path(p.config.Dir, p.config.Listen) }
 
-// resize has this process use what it may, for memory, connections to instances and commands: all
-// of the machine is there for both together.
+// resize has this process use what it may: the machine is there for all of them together.
 func (p *Program) resize() {
 	p.mu.Lock()
 	relieving, yielded := p.older != nil, p.server.Yielded()
 	alone := !relieving && p.newer == nil
 	p.mu.Unlock()
-	memory, pool, open := 1.0, p.bounds.pool, p.bounds.open
+	memory, pool := 1.0, p.bounds.pool
 	if !alone {
 		memory = 0.5
 	}
@@ -75,11 +111,9 @@
 		pool /= 4
 	} else if relieving {
 		pool -= pool / 4
-		open -= min(p.loop.Elsewhere(), open/2)
 	}
 	debug.SetMemoryLimit(int64(memory * memoryShare * float64(p.config.Limits.MemoryMB) * (1 << 20)))
 	p.pool.Bound(pool)
-	p.loop.Room(open)
 }
 
 // listen opens the listener, unless it was handed over. Another process may listen at the address
@@ -120,7 +154,7 @@
 	case older == nil || phase == Relieving && now.Sub(since) >= answerPatience:
 		p.serve(ctx)
 	case phase == Starting && late && p.enter(Relieving, Starting):
-		older.Tell(handover.Message{Kind: handover.Ready})
+		older.Tell(ready, nil)
 	}
 }
 
@@ -180,15 +214,16 @@
 		return
 	}
 	p.resize()
-	link.Pass(handover.Message{Kind: handover.State, List: &list, Discovery: discovery, Quiesced: quiesced}, kept{p.listener})
+	link.Pass(told, standing{List: &list, Discovery: discovery, Quiesced: quiesced}, kept{p.listener})
 	link.Run(func(m handover.Message, f *os.File) {
 		switch m.Kind {
-		case handover.Ready:
+		case ready:
 			p.yield(link)
-		case handover.News:
-			if m.News != nil {
-				m.News.Via = dispatch.NewerProcess
-				p.loop.News(*m.News)
+		case news:
+			var n dispatch.News
+			if m.Read(&n) == nil {
+				n.Via = dispatch.NewerProcess
+				p.loop.News(n)
 			}
 		}
 		if f != nil {
@@ -203,14 +238,19 @@
 
 func (kept) Close() error { return nil }
 
-// yield leaves all that comes to the newer process.
+// yield leaves all that is in hand and all that comes to the newer process.
 func (p *Program) yield(link *handover.Link) {
-	p.loop.Yield(func(m dispatch.Memory, ids []string) {
-		link.Tell(handover.Message{Kind: handover.Yielded, Memory: &m, IDs: ids, Places: p.server.Connections()})
+	p.loop.Yield(func(given dispatch.Handed) {
+		for _, c := range given.Commands {
+			link.Tell(command, c)
+		}
+		link.Tell(yielded, handed{given, p.server.Connections()})
 		p.server.Yield(heir{link})
 		p.listener.SetDeadline(time.Unix(1, 0)) // the socket is shared, this is not
+		p.mu.Lock()
+		p.given = given.Module
+		p.mu.Unlock()
 		p.enter(Yielded, Serving, Quiescing, Quiesced)
-		go p.resize()
 	})
 	p.mu.Lock()
 	p.door.Close()
@@ -220,20 +260,18 @@
 // heir passes connections to the newer process.
 type heir struct{ *handover.Link }
 
-func (h heir) Pass(nc *net.TCPConn, answered, instance bool) {
-	h.Link.Pass(handover.Message{Kind: handover.Connection, Answered: answered, Instance: instance}, nc)
-}
-
-func (h heir) Left() { h.Tell(handover.Message{Kind: handover.Left}) }
+func (h heir) Pass(nc *net.TCPConn, p clients.Passed) { h.Link.Pass(connection, p, nc) }
+func (h heir) Left()                                  { h.Tell(closed, nil) }
 
 // newerGone takes everything up again, unless this process is ending.
 func (p *Program) newerGone(ctx context.Context) {
 	p.mu.Lock()
 	p.newer = nil
+	list, given := p.table.List(), p.given
 	p.mu.Unlock()
 	if p.server.Yielded() {
 		p.server.Keep()
-		p.loop.Resume()
+		p.loop.Resume(list, given)
 	}
 	p.resize()
 	if p.enter(Serving, Yielded) {
@@ -244,48 +282,77 @@
 	}
 }
 
-// fromOlder takes what the older process tells.
-func (p *Program) fromOlder(ctx context.Context, m handover.Message, f *os.File, state chan<- handover.Message) {
-	defer func() {
-		if f != nil {
-			f.Close()
-		}
-	}()
+// relief takes what the older process tells.
+type relief struct {
+	*Program
+	state    chan<- standing
+	commands []*dispatch.HandedCommand
+}
+
+func (r *relief) take(ctx context.Context, m handover.Message, f *os.File) error {
 	switch m.Kind {
-	case handover.State:
-		if err := p.inherit(f); err != nil {
-			p.log.Printf("the listener handed over: %v", err)
-			return
+	case told:
+		var s standing
+		if err := errors.Join(m.Read(&s), r.inherit(f)); err != nil {
+			return err
 		}
 		select {
-		case state <- m:
+		case r.state <- s:
 		default:
 		}
-	case handover.Yielded:
-		if m.Memory != nil {
-			p.loop.Relieve(*m.Memory, m.IDs)
+	case command:
+		c, q := &dispatch.HandedCommand{}, &http1.Request{}
+		if err := m.Read(c); err != nil {
+			return err
 		}
-		p.server.Lend(m.Places)
-		p.resize()
-		p.serve(ctx)
-	case handover.Connection:
-		if nc, err := net.FileConn(f); err == nil {
-			p.server.Adopt(nc, m.Answered, m.Instance)
+		if err := json.Unmarshal(c.Payload, q); err != nil {
+			return err
 		}
-	case handover.Left:
-		p.server.Returned()
-	case handover.Taken:
-		p.loop.TookElsewhere(m.ID)
-	case handover.Ended:
-		p.loop.EndedElsewhere(m.ID)
-	case handover.Load:
-		p.loop.LoadElsewhere(m.Load)
-	case handover.News:
-		if m.News != nil {
-			m.News.Via = dispatch.OlderProcess
-			p.loop.News(*m.News)
+		c.Command.Payload, c.Client = q, r.server.Expect(&c.Command, q.Close)
+		r.commands = append(r.commands, c)
+	case yielded:
+		var h handed
+		if err := m.Read(&h); err != nil {
+			return err
 		}
+		h.Commands, r.commands = r.commands, nil
+		r.server.Lend(h.Places)
+		r.loop.Relieve(h.Handed)
+		r.resize()
+		r.serve(ctx)
+	case connection:
+		var p clients.Passed
+		if err := m.Read(&p); err != nil {
+			return err
+		}
+		nc, err := net.FileConn(f)
+		if err != nil {
+			return err
+		}
+		r.server.Adopt(nc, p)
+	case closed:
+		r.server.Returned()
+	case left:
+		var id string
+		if err := m.Read(&id); err != nil {
+			return err
+		}
+		r.loop.LapseElsewhere(id)
+	case became:
+		var fate dispatch.Fate
+		if err := m.Read(&fate); err != nil {
+			return err
+		}
+		r.loop.Became(fate)
+	case news:
+		var n dispatch.News
+		if err := m.Read(&n); err != nil {
+			return err
+		}
+		n.Via = dispatch.OlderProcess
+		r.loop.News(n)
 	}
+	return nil
 }
 
 // olderGone is the end of the older process: all is this one's.
@@ -316,28 +383,27 @@
 // others is the way from the loop to the other processes.
 type others struct{ *Program }
 
-func (o others) tell(m handover.Message, older, newer bool) (told bool) {
+func (o others) tell(kind string, body any, older, newer bool) (told bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if older && o.older != nil {
-		o.older.Tell(m)
+		o.older.Tell(kind, body)
 		told = true
 	}
 	if newer && o.newer != nil {
-		o.newer.Tell(m)
+		o.newer.Tell(kind, body)
 		told = true
 	}
 	return told
 }
 
-// News goes on to the processes that it did not come from.
-func (o others) News(n dispatch.News) bool {
-	return o.tell(handover.Message{Kind: handover.News, News: &n}, n.Via != dispatch.OlderProcess, n.Via != dispatch.NewerProcess)
+// Elsewhere passes news on to the processes that it did not come from.
+func (o others) Elsewhere(n dispatch.News) bool {
+	return o.tell(news, n, n.Via != dispatch.OlderProcess, n.Via != dispatch.NewerProcess)
 }
 
-func (o others) Took(id string)  { o.tell(handover.Message{Kind: handover.Taken, ID: id}, false, true) }
-func (o others) Ended(id string) { o.tell(handover.Message{Kind: handover.Ended, ID: id}, false, true) }
-func (o others) Load(b []byte)   { o.tell(handover.Message{Kind: handover.Load, Load: b}, false, true) }
+func (o others) Became(f dispatch.Fate) { o.tell(became, f, false, true) }
+func (o others) Left(id string)         { o.tell(left, id, false, true) }
 
 // inherit takes the listener of the older process.
 func (p *Program) inherit(f *os.File) error {
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -24,13 +25,15 @@
 		took <- id(q)
 		return answer(c, 202)
 	})
-	held, kept, mute, ours := w.dial(), w.dial(), w.dial(), w.dial()
+	held, kept, mute, half, ours := w.dial(), w.dial(), w.dial(), w.dial(), w.dial()
 	w.command(held, "c1", "once", "30000m")
 	require.Equal(t, "c1", <-took)
 	fmt.Fprint(kept, "GET /_health HTTP/1.1\r\n\r\n")
 	require.Equal(t, 200, w.read(kept).Status)
 	w.post(ours, "/_jobs/news", nil, `{"id":"c0","from":"s-1","state":"running","share":0.4}`)
 	require.Equal(t, 204, w.read(ours).Status)
+	const pieces = "POST /api HTTP/1.1\r\nX-Correlation-Id: c2\r\nX-Service-Class: safe\r\n\r\n"
+	io.WriteString(half, pieces[:50])
 	<-w.watches
 
 	older := w.beside()
@@ -43,6 +46,8 @@
 	require.Equal(t, "OK\n", w.call("health"))
 	require.Equal(t, older.program.Address(), w.program.Address())
 
+	io.WriteString(half, pieces[50:]) // read by the older one, which may take nothing more
+	require.Equal(t, "1", w.figure("in_progress"))
 	older.signals <- syscall.SIGTERM
 	again := w.dial()
 	w.command(again, "c1", "safe", "30000m")
@@ -52,7 +57,10 @@
 	p := w.read(held)
 	require.Equal(t, []any{"r", false}, []any{string(p.Body), p.Close})
 	require.NoError(t, <-older.ended)
-	for i, c := range []net.Conn{held, kept, mute, w.dial()} { // all are the new one's
+	require.Equal(t, "c2", <-took)
+	require.Equal(t, 204, w.news("c2", "s-1", "done", "s"))
+	require.Equal(t, "s", string(w.read(half).Body))
+	for i, c := range []net.Conn{held, kept, mute, half, w.dial()} { // all are the new one's
 		name := fmt.Sprint("d", i)
 		w.command(c, name, "safe", "30000m")
 		require.Equal(t, name, <-took)
@@ -62,6 +70,32 @@
 	require.Equal(t, Serving, w.program.Phase())
 }
 
+// What no instance has confirmed when the older process yields: it passes on what comes of it.
+func TestUnconfirmedSendingsWhileTakingOver(t *testing.T) {
+	let := make(chan bool)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		return <-let && answer(c, 202)
+	})
+	<-w.watches
+	fate := func(goes bool, id string) (older *world, p *http1.Response) {
+		c := w.dial()
+		w.command(c, id, "once", "30000m")
+		w.await(func() bool { return w.figure("upstream_tries") == "1" })
+		older = w.beside()
+		tellTable(<-w.watches, 7, true, member(w.instance.Addr().String(), "in_service"))
+		w.await(func() bool { return w.program.Phase() == Serving })
+		let <- goes
+		if goes {
+			require.Equal(t, 204, w.news(id, "s-1", "done", "r"))
+		}
+		return older, w.read(c)
+	}
+	_, p := fate(true, "c1")
+	require.Equal(t, 200, p.Status)
+	_, p = fate(false, "c2")
+	require.Equal(t, 502, p.Status, "its connection broke: it may have run")
+}
+
 // A new process that dies before the older one was told to end leaves that in service.
 func TestOlderServesAgain(t *testing.T) {
 	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
@@ -70,16 +104,16 @@
 	})
 	link, err := handover.Call(w.program.path())
 	require.NoError(t, err)
-	read := make(chan handover.Kind, 9)
+	read := make(chan string, 9)
 	go link.Run(func(m handover.Message, f *os.File) {
 		read <- m.Kind
 		if f != nil {
 			f.Close()
 		}
 	})
-	require.Equal(t, handover.State, <-read)
-	link.Tell(handover.Message{Kind: handover.Ready})
-	require.Equal(t, handover.Yielded, <-read)
+	require.Equal(t, told, <-read)
+	link.Tell(ready, nil)
+	require.Equal(t, yielded, <-read)
 	waits := w.dial() // in the queue of a listener that nobody serves now
 	w.command(waits, "c1", "safe", "30000m")
 	link.Close()
