--- a/decide/api.go
+++ b/decide/api.go
@@ -278,6 +278,11 @@
 		Outcome Outcome
 		Report  *Report
 	}
+	// Cordon: people leave a worker out, or put it back.
+	Cordon struct {
+		Worker uint32
+		Out    bool
+	}
 	// Relieve: this process takes over from one that has what is here in its memory. Nothing may
 	// have arrived yet.
 	Relieve struct{ Memory Memory }
@@ -302,6 +307,7 @@
 func (Probed) event()        {}
 func (PeerSaid) event()      {}
 func (Relieve) event()       {}
+func (Cordon) event()        {}
 
 // Action is something the dispatcher wants done.
 type Action interface{ action() }
@@ -368,7 +374,7 @@
 	d := &Dispatcher{
 		s: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Dispatcher))),
 		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, tenants: make([]demand, len(s.Tenants)),
-		requests: map[uint32]*request{}, keys: map[uint64]demand{},
+		requests: map[uint32]*request{}, keys: map[uint64]demand{}, cordons: map[uint32]time.Duration{},
 		peers: map[int]*peer{}, sums: map[uint32]*loadSum{},
 		queues: make([][]*request, 2*len(s.Classes)), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
 		budget: AttemptBudget{Spare: extraSpare, PerRequest: extraShare, Span: max(s.Classes[0].Deadline, time.Second)},
@@ -428,6 +434,8 @@
 			d.probed(e)
 		case PeerSaid:
 			d.heard(e)
+		case Cordon:
+			d.cordon(e.Worker, e.Out)
 		case Relieve:
 			d.remember(e.Memory)
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,7 +55,8 @@
 	sweepTicks    = 4       // granularity steps between sweeps
 	minSweep      = 5 * time.Millisecond
 
-	keyMemory = 4 * time.Second // over which a key's requests are counted
+	owedWithin = 4 * time.Second // a worker put back by hand has had a turn: people watch for it
+	keyMemory  = 4 * time.Second // over which a key's requests are counted
 )
 
 // derive makes the policies that are not given: for requests with a key the workers that keep what it
@@ -100,6 +101,43 @@
 	}
 }
 
+// cordon leaves a worker out by hand, whatever the list says, or puts it back. By then it may have been started
+// anew: nothing is known of it, it counts as cold, and it is owed a first job so that it is seen to be used.
+func (d *Dispatcher) cordon(id uint32, out bool) {
+	since, was := d.cordons[id]
+	w := d.workers[id]
+	if out && !was {
+		d.cordons[id] = d.now
+	} else if !out {
+		delete(d.cordons, id)
+	}
+	if !out && was && w != nil {
+		l, listed, unlisted := w.Worker, w.listed, w.unlisted
+		if l.Started < since {
+			l.Started = d.now
+		}
+		w.State = Gone // for what is out there
+		w = d.begin(l)
+		w.State, w.listed, w.unlisted, w.owed = l.State, listed, unlisted, true
+		d.owed = append(d.owed, w)
+	} else if w != nil {
+		w.cordoned = out
+	}
+	d.recount()
+	d.stale, d.freed, d.ordered = true, true, 0
+}
+
+// firstJob is the worker put back by hand whose first job a request may be: one that can be repeated.
+func (d *Dispatcher) firstJob(r *request) *worker {
+	d.owed = slices.DeleteFunc(d.owed, func(w *worker) bool { return !w.owed || d.workers[w.ID] != w })
+	for _, w := range d.owed {
+		if r.c.Effect == Safe && len(r.attempts) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
+			return w
+		}
+	}
+	return nil
+}
+
 // listFailed asks for the list again after a while.
 func (d *Dispatcher) listFailed() {
 	d.note(&d.listLost, true, "worker list lost", "")
@@ -141,7 +179,7 @@
 		d.stale = false
 		d.fleet = slices.AppendSeq(d.fleet[:0], maps.Values(d.workers))
 		d.fleet = slices.DeleteFunc(d.fleet, func(w *worker) bool {
-			return w.State != Ready || w.unlisted && (w.strikes > 0 || w.lived == 0) && !d.outage()
+			return !w.ready() || w.unlisted && (w.strikes > 0 || w.lived == 0) && !d.outage()
 		})
 		slices.SortFunc(d.fleet, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
@@ -326,6 +364,9 @@
 	d.shun()
 	// While connecting takes long, a move costs more than a queue, but to an open connection.
 	d.openOnly = r.out > 0 && d.setup() > d.grace(r, nil)
+	if w := d.firstJob(r); w != nil {
+		return w
+	}
 	for i, b := range r.c.blocks {
 		if w := d.walk(b, r); w != nil {
 			return w
@@ -404,7 +445,7 @@
 // valid applies a block's invalidate rule after its precondition.
 func (d *Dispatcher) valid(r *request, w *worker, inv Invalidate) bool {
 	refused := d.now < w.refusals[r.Class].Until && !d.outage()
-	if w.State != Ready || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
+	if !w.ready() || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
 		return false
 	}
 	// Unreachable, but for one trial at a time, of a job that can be repeated and has not been
@@ -512,7 +553,7 @@
 
 // forbidden is the gate of the rules on sending: every attempt passes it.
 func (d *Dispatcher) forbidden(r *request, w *worker) bool {
-	if d.closed(r) || w.State != Ready { // rule 3: nothing new once told that it drains or is gone
+	if d.closed(r) || !w.ready() { // rule 3: nothing new once told that it drains or is gone, or left out by hand
 		return true
 	}
 	for _, a := range r.attempts { // rule 2: an earlier attempt that may have run binds the next
@@ -548,10 +589,13 @@
 	gap := max(d.coldGap(w, d.longest()), d.step())
 	if w.coldNext == 0 {
 		n := uint64(max(1, d.s.Dispatchers))
-		turn := (hash(uint64(w.ID), uint64(w.Started)) + uint64(d.s.Dispatcher)) % n
-		w.coldNext = w.Started + time.Duration(float64(gap)*(float64(turn)+0.5)/float64(n))
+		turn, first := (hash(uint64(w.ID), uint64(w.Started))+uint64(d.s.Dispatcher))%n, gap
+		if w.owed {
+			first = min(gap, owedWithin)
+		}
+		w.coldNext = w.Started + time.Duration(float64(first)*(float64(turn)+0.5)/float64(n))
 	}
-	if late := d.now - w.coldNext - d.s.Rules.FallWindow; late > 0 {
+	if late := d.now - w.coldNext - d.s.Rules.FallWindow; late > 0 && !w.owed {
 		w.coldNext += gap * (late/gap + 1)
 	}
 	return d.now >= w.coldNext
@@ -572,7 +616,7 @@
 	r.out++
 	w.own += r.Slots
 	w.mem += r.Memory
-	d.moved = true
+	d.moved, w.owed = true, false
 	if w.strikes > 0 {
 		w.retryAt = d.now + d.backoff(d.pace(), w.strikes)
 	}
@@ -776,7 +820,7 @@
 
 // judge sets a worker's strikes and keeps the count of those that are trusted.
 func (d *Dispatcher) judge(w *worker, strikes int) {
-	if listed := d.workers[w.ID] == w && w.State == Ready; listed && (w.strikes > 0) != (strikes > 0) {
+	if listed := d.workers[w.ID] == w && w.ready(); listed && (w.strikes > 0) != (strikes > 0) {
 		if d.trusted++; strikes > 0 {
 			d.trusted -= 2
 		}
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -32,6 +32,7 @@
 	Ceiling, Slots, Ghost          float64
 	Dev, N                         float64
 	Strikes, Probes                int
+	Owed                           bool
 	RetryAt, Lived, ColdNext, Lead time.Duration
 	Late                           tally
 	Errs                           []tally // of each class
@@ -75,7 +76,7 @@
 		l := WorkerMemory{
 			Worker: w.Worker, Ceiling: w.ceiling, Slots: w.slots, Ghost: w.ghost, Dev: w.dev, N: w.n,
 			Strikes: w.strikes, Probes: w.probes, RetryAt: w.retryAt, Lived: w.lived, ColdNext: w.coldNext, Lead: w.lead,
-			Late: w.late, Errs: w.errs, Refusals: w.refusals,
+			Late: w.late, Owed: w.owed, Errs: w.errs, Refusals: w.refusals,
 		}
 		m.Workers = append(m.Workers, l)
 	}
@@ -134,14 +135,12 @@
 				w.State = Draining
 			}
 			w.strikes = l.Strikes
+			if w.owed = l.Owed; w.owed {
+				d.owed = append(d.owed, w)
+			}
 		}
 	}
-	d.trusted = 0
-	for _, w := range d.workers {
-		if w.State == Ready && w.strikes == 0 {
-			d.trusted++
-		}
-	}
+	d.recount()
 	for i, l := range m.Classes[:min(len(m.Classes), len(d.classes))] {
 		c := d.classes[i]
 		c.run, c.logRun, c.jobs, c.offered, c.served, c.budget, c.errs = l.Run, l.LogRun, l.Jobs, l.Offered, l.Served, l.Budget, l.Errs
--- a/decide/memory_test.go
+++ b/decide/memory_test.go
@@ -28,6 +28,9 @@
 		}
 	}
 	w.wakes = nil
+	for id, out := range w.out { // the program tells of these first
+		w.handle(Cordon{Worker: id, Out: out})
+	}
 	w.handle(ListFull{Workers: lines, Cached: true})
 	w.handle(Relieve{Memory: m})
 }
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -72,6 +72,7 @@
 	cold  map[uint32][]time.Duration
 	// drained has when the process last listed as draining started, and one more.
 	drained map[uint32]time.Duration
+	out     map[uint32]bool // left out by hand
 	taken   []time.Duration // arrivals
 	extra   []*try          // attempts beyond a request's first
 }
@@ -83,7 +84,7 @@
 	}
 	return &world{t: t, s: s, d: d, rng: rand.New(rand.NewPCG(s.Seed, 1)), now: time.Hour,
 		list: map[uint32]Worker{}, jobs: map[uint32]*job{}, cold: map[uint32][]time.Duration{},
-		drained: map[uint32]time.Duration{}}
+		drained: map[uint32]time.Duration{}, out: map[uint32]bool{}}
 }
 
 func (w *world) handle(events ...Event) []Action {
@@ -129,6 +130,9 @@
 	if to.State == Draining || w.drained[a.Worker] == to.Started+1 || to.State == Gone && !w.s.Rules.GoneIsAdvice {
 		w.t.Fatalf("rule 3: request %d sent to worker %d in state %d", a.Request, a.Worker, to.State)
 	}
+	if w.out[a.Worker] {
+		w.t.Fatalf("request %d sent to worker %d, which is left out by hand", a.Request, a.Worker)
+	}
 	if len(j.tries) >= w.s.Limits.Attempts {
 		w.t.Fatalf("request %d: more attempts than allowed", a.Request)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -54,6 +54,8 @@
 	peers    *loadSum // load that the peers tell of
 	listed   int      // number of the last list that named it
 	unlisted bool     // the last list left it out or called it gone
+	cordoned bool     // left out by hand
+	owed     bool     // put back by hand and not used since
 	rank     float64  // place in the blocks
 	// Connections as foreseen here: attempts out, connections open, when one was last freed.
 	open, conns int
@@ -179,18 +181,20 @@
 	confirms              bool             // workers tell at once that they have an attempt
 	mostIdle              time.Duration    // a kept connection broke after twice that, at idleAt
 	idleAt                time.Duration
-	ages                  [8]tally            // sends that failed, by how long their connection was idle
-	wakeAt                time.Duration       // when the timer was asked for
-	late, stall           time.Duration       // by how much this batch came too late, and the longest such
-	budget                AttemptBudget       // the rule's or, without one, our own
-	taken, extras         []time.Duration     // requests and further attempts inside the budget's window
-	sums                  map[uint32]*loadSum // of what the peers tell, by worker
-	lists, learned        int                 // worker lists taken; jobs learned from since the last sort
-	most                  int                 // workers listed at a time, so far
-	freed                 bool                // something happened that may have made a worker valid
-	drainAt               time.Duration       // else held requests are looked at again from then on
-	moved                 bool                // this dispatcher's load at a worker since the last message
-	trusted               int                 // ready workers without a strike
+	ages                  [8]tally                 // sends that failed, by how long their connection was idle
+	wakeAt                time.Duration            // when the timer was asked for
+	late, stall           time.Duration            // by how much this batch came too late, and the longest such
+	budget                AttemptBudget            // the rule's or, without one, our own
+	taken, extras         []time.Duration          // requests and further attempts inside the budget's window
+	sums                  map[uint32]*loadSum      // of what the peers tell, by worker
+	lists, learned        int                      // worker lists taken; jobs learned from since the last sort
+	most                  int                      // workers listed at a time, so far
+	freed                 bool                     // something happened that may have made a worker valid
+	drainAt               time.Duration            // else held requests are looked at again from then on
+	moved                 bool                     // this dispatcher's load at a worker since the last message
+	cordons               map[uint32]time.Duration // left out by hand, and since when
+	owed                  []*worker                // put back by hand and owed a first job
+	trusted               int                      // ready workers without a strike
 	out                   []Action
 }
 
@@ -298,16 +302,13 @@
 			} else if l.State == Gone {
 				continue
 			}
-			w = &worker{Worker: Worker{State: Ready}, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{N: 2}, errs: slices.Repeat([]tally{{N: 3}}, len(d.classes))}
-			w.refusals = make([]refusal, len(d.classes))
-			d.workers[l.ID] = w
+			w = d.begin(l)
 		}
 		said, held, started := l.State, w.State, max(w.Started, l.Started)
 		w.Worker, w.listed = l, d.lists
 		w.Started, w.State = started, held
 		d.believe(w, said)
 	}
-	d.trusted = 0
 	var unlisted []*worker
 	for _, w := range d.workers {
 		if whole && w.listed != d.lists {
@@ -316,10 +317,8 @@
 		if w.unlisted {
 			unlisted = append(unlisted, w)
 		}
-		if w.State == Ready && w.strikes == 0 {
-			d.trusted++
-		}
 	}
+	d.recount()
 	listed := len(d.workers) - len(unlisted)
 	if d.most = max(d.most, listed); len(unlisted) > d.most { // bounded: those named last stay
 		slices.SortFunc(unlisted, func(a, b *worker) int {
@@ -331,6 +330,31 @@
 	}
 }
 
+// begin begins to know a worker's process: nothing is known of it.
+func (d *Dispatcher) begin(l Worker) *worker {
+	_, out := d.cordons[l.ID]
+	l.State = Ready
+	w := &worker{
+		Worker: l, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{N: 2}, cordoned: out,
+		errs: slices.Repeat([]tally{{N: 3}}, len(d.classes)), refusals: make([]refusal, len(d.classes)),
+	}
+	d.workers[l.ID] = w
+	return w
+}
+
+// ready tells whether a worker may be used, as far as the list and people say.
+func (w *worker) ready() bool { return w.State == Ready && !w.cordoned }
+
+// recount counts the workers that are trusted.
+func (d *Dispatcher) recount() {
+	d.trusted = 0
+	for _, w := range d.workers {
+		if w.ready() && w.strikes == 0 {
+			d.trusted++
+		}
+	}
+}
+
 // drop forgets a worker; what still refers to it sees that it is gone.
 func (d *Dispatcher) drop(w *worker) {
 	w.State = Gone
@@ -417,7 +441,7 @@
 		}
 		listed++
 		barred := !slices.ContainsFunc(w.refusals, func(f refusal) bool { return f.Until <= d.now })
-		if w.State != Ready || w.strikes > 0 || barred {
+		if !w.ready() || w.strikes > 0 || barred {
 			avoided++
 		}
 	}
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -123,6 +123,11 @@
 	}
 }
 
+// Cordon says that people leave an instance out, or put it back.
+func (l *Loop) Cordon(id string, out bool) {
+	l.post(func(l *Loop) { l.tell(decide.Cordon{Worker: l.number(id), Out: out}) })
+}
+
 // ListLost says that the watch on the name table has failed.
 func (l *Loop) ListLost() { l.post(func(l *Loop) { l.tell(decide.ListFailed{}) }) }
 
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -43,6 +43,7 @@
 
 	mu        sync.Mutex
 	instances map[string]*instance
+	cordoned  map[string]bool                 // left out by hand
 	out       map[*dispatch.Attempt]*exchange // sent and not yet taken by the instance
 	conns     int
 }
@@ -56,7 +57,7 @@
 
 // NewPool returns a pool that knows no instance yet.
 func NewPool(l Limits) *Pool {
-	return &Pool{limits: l, instances: map[string]*instance{}, out: map[*dispatch.Attempt]*exchange{}}
+	return &Pool{limits: l, instances: map[string]*instance{}, cordoned: map[string]bool{}, out: map[*dispatch.Attempt]*exchange{}}
 }
 
 // ReportTo says who takes reports. It must come before anything is sent.
@@ -93,6 +94,27 @@
 	}
 }
 
+// Cordon has an instance get nothing new from now on, whatever the name table says, or again.
+func (p *Pool) Cordon(id string, out bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !out {
+		delete(p.cordoned, id)
+		return
+	}
+	p.cordoned[id] = true
+	if in := p.instances[id]; in != nil {
+		p.drop(in)
+	}
+}
+
+// Knows tells whether the name table has ever told of an instance, or it is left out.
+func (p *Pool) Knows(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.instances[id] != nil || p.cordoned[id]
+}
+
 // drop closes an instance's idle connections.
 func (p *Pool) drop(in *instance) {
 	for _, c := range in.idle {
@@ -291,5 +313,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	in := p.instances[id]
-	return in != nil && in.state == decide.Ready
+	return in != nil && in.state == decide.Ready && !p.cordoned[id]
 }
--- a/internal/net/operators/operators.go
+++ b/internal/net/operators/operators.go
@@ -28,10 +28,12 @@
 
 // Desk does what operators ask for. Its methods must not wait for any peer.
 type Desk interface {
-	Health() error   // nil once the program can serve
-	Figures() string // one a line
-	Quiesce() error  // sends service clients away
-	Resume() error   // takes them again
+	Health() error            // nil once the program can serve
+	Figures() string          // one a line
+	Cordon(id string) error   // leaves an instance out
+	Uncordon(id string) error // uses it again
+	Quiesce() error           // sends service clients away
+	Resume() error            // takes them again
 }
 
 // Server serves the operators' listener.
@@ -134,15 +136,18 @@
 	}
 	call, rest := words[0], words[1:]
 	do := map[string]func() error{"health": s.desk.Health, "quiesce": s.desk.Quiesce, "resume": s.desk.Resume}[call]
+	about := map[string]func(string) error{"cordon": s.desk.Cordon, "uncordon": s.desk.Uncordon}[call]
 	switch {
 	case call == "counters" && len(rest) == 0:
 		return s.desk.Figures() + "END\n"
 	case do != nil && len(rest) == 0:
 		return verdict(do())
-	case do != nil || call == "counters":
+	case about != nil && len(rest) == 1:
+		return verdict(about(rest[0]))
+	case do != nil || about != nil || call == "counters":
 		return "ERR wrong number of words\n"
 	}
-	return "ERR no such call: health, counters, quiesce, resume\n"
+	return "ERR no such call: health, counters, cordon ID, uncordon ID, quiesce, resume\n"
 }
 
 func verdict(err error) string {
--- a/internal/net/operators/operators_test.go
+++ b/internal/net/operators/operators_test.go
@@ -15,10 +15,12 @@
 // desk is healthy and can do nothing else.
 type desk struct{}
 
-func (desk) Health() error   { return nil }
-func (desk) Figures() string { return "proxy.loads=0\n" }
-func (desk) Quiesce() error  { return errors.New("not\nnow") }
-func (desk) Resume() error   { return nil }
+func (desk) Health() error          { return nil }
+func (desk) Figures() string        { return "proxy.loads=0\n" }
+func (desk) Quiesce() error         { return errors.New("not\nnow") }
+func (desk) Resume() error          { return nil }
+func (desk) Uncordon(string) error  { return nil }
+func (desk) Cordon(id string) error { return errors.New(id + " is not known") }
 
 func serve(t *testing.T) func() net.Conn {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,8 +51,9 @@
 	dial := serve(t)
 	for text, want := range map[string]string{
 		"health\n": "OK\n", "health\r\n": "OK\n", "counters\n": "proxy.loads=0\nEND\n", "quiesce\n": "ERR not now\n",
-		"resume\nhealth\n": "OK\n", "health now\n": "ERR wrong number of words\n", "\n": "ERR an empty call\n",
-		"reboot\n":                          "ERR no such call: health, counters, quiesce, resume\n",
+		"resume\nhealth\n": "OK\n", "cordon s-1\n": "ERR s-1 is not known\n",
+		"uncordon s-1\n": "OK\n", "cordon\n": "ERR wrong number of words\n", "health now\n": "ERR wrong number of words\n", "\n": "ERR an empty call\n",
+		"reboot\n":                          "ERR no such call: health, counters, cordon ID, uncordon ID, quiesce, resume\n",
 		strings.Repeat("x", 9000) + "\n":    "ERR the line is too long\n",
 		"health" + strings.Repeat(" ", 500): "ERR the line is too long\n",
 	} {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -72,6 +72,7 @@
 	watcher *nametable.Watcher
 	server  *clients.Server
 	bounds  bounds
+	cordons cordons
 	fresh   chan struct{} // closed once discovery has told of the list
 
 	mu           sync.Mutex
@@ -94,7 +95,7 @@
 func New(c *config.Config, logger *log.Logger) (*Program, error) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetGCPercent(collectAt)
-	p := &Program{config: c, log: logger, fresh: make(chan struct{}), discovery: c.Discovery, since: time.Now()}
+	p := &Program{config: c, log: logger, fresh: make(chan struct{}), cordons: cordons{out: map[string]bool{}}, discovery: c.Discovery, since: time.Now()}
 	sockets := c.Limits.Sockets - reservedSockets
 	p.bounds.pool = sockets * 2 / 5
 	p.pool = instances.NewPool(instances.Limits{
@@ -161,6 +162,8 @@
 	defer cancel()
 	if list := p.meet(ctx); list != nil {
 		known = *list
+	} else {
+		p.recall(p.stored())
 	}
 	if err := p.listen(); err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -35,6 +37,7 @@
 	closed     = "closed"     // the older: one of its connections has ended
 	left       = "left"       // the older: the id of a command whose client has left
 	became     = "became"     // the older: a dispatch.Fate
+	cordoned   = "cordoned"   // either: a cordoning
 	news       = "news"       // either: a dispatch.News that matches nothing there
 )
 
@@ -43,6 +46,7 @@
 	List      *dispatch.List
 	Discovery string
 	Quiesced  bool // clients are sent away
+	Cordons   []string
 }
 
 // handed is all that it hands over, but for commands.
@@ -66,7 +70,7 @@
 	p.older = link
 	p.mu.Unlock()
 	go func() {
-		r := relief{Program: p, state: state}
+		r := relief{Program: p, link: link, state: state}
 		link.Run(func(m handover.Message, f *os.File) {
 			if err := r.take(ctx, m, f); err != nil {
 				p.log.Printf("%s from the older process: %v", m.Kind, err)
@@ -214,11 +218,18 @@
 		return
 	}
 	p.resize()
-	link.Pass(told, standing{List: &list, Discovery: discovery, Quiesced: quiesced}, kept{p.listener})
+	p.cordons.mu.Lock() // whoever is left out later is told of later
+	link.Pass(told, standing{&list, discovery, quiesced, slices.Sorted(maps.Keys(p.cordons.out))}, kept{p.listener})
+	p.cordons.mu.Unlock()
 	link.Run(func(m handover.Message, f *os.File) {
 		switch m.Kind {
 		case ready:
 			p.yield(link)
+		case cordoned:
+			var c cordoning
+			if m.Read(&c) == nil {
+				p.cordon(c, link)
+			}
 		case news:
 			var n dispatch.News
 			if m.Read(&n) == nil {
@@ -285,6 +296,7 @@
 // relief takes what the older process tells.
 type relief struct {
 	*Program
+	link     *handover.Link
 	state    chan<- standing
 	commands []*dispatch.HandedCommand
 }
@@ -296,6 +308,7 @@
 		if err := errors.Join(m.Read(&s), r.inherit(f)); err != nil {
 			return err
 		}
+		r.recall(s.Cordons)
 		select {
 		case r.state <- s:
 		default:
@@ -344,6 +357,12 @@
 			return err
 		}
 		r.loop.Became(fate)
+	case cordoned:
+		var c cordoning
+		if err := m.Read(&c); err != nil {
+			return err
+		}
+		return r.cordon(c, r.link)
 	case news:
 		var n dispatch.News
 		if err := m.Read(&n); err != nil {
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -96,6 +96,49 @@
 	require.Equal(t, 502, p.Status, "its connection broke: it may have run")
 }
 
+// An instance left out by hand was used as the list said. It gets nothing from the yes on, through
+// changes of the list and processes, until it is put back.
+func TestLeftOutByHand(t *testing.T) {
+	took := make(chan string, 9)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		took <- id(q)
+		w.news(id(q), "s-1", "done", "r")
+		return answer(c, 202)
+	})
+	require.Equal(t, "ERR s-9 is not known\n", w.call("cordon s-9"))
+	for range 2 {
+		require.Equal(t, "OK\n", w.call("cordon s-1"))
+	}
+	refused := func(name string) {
+		c := w.dial()
+		w.command(c, name, "safe", "500m")
+		require.Equal(t, 503, w.read(c).Status)
+		require.Equal(t, "0", w.figure("upstream_tries"))
+	}
+	refused("c1")
+	w.await(func() bool { return w.figure("skipped_encoders") == "1" })
+	line := member(w.instance.Addr().String(), "in_service")
+	tellTable(<-w.watches, 8, false, strings.Replace(line, `"up_since_ms":0`, `"up_since_ms":1000`, 1))
+	refused("c2")
+	older := w.beside()
+	tellTable(<-w.watches, 9, true, line)
+	w.await(func() bool { return w.program.Phase() == Serving })
+	refused("c3")
+	older.signals <- syscall.SIGTERM
+	require.NoError(t, <-older.ended)
+	w.signals <- syscall.SIGTERM // and through a death: the file is there
+	require.NoError(t, <-w.ended)
+	w.run()
+	w.await(func() bool { return w.program.Phase() == Serving })
+	refused("c4")
+	require.Equal(t, "OK\n", w.call("uncordon s-1"))
+	c := w.dial()
+	w.command(c, "c5", "safe", "30000m")
+	require.Equal(t, 200, w.read(c).Status)
+	require.Equal(t, "c5", <-took)
+	require.Empty(t, took)
+}
+
 // A new process that dies before the older one was told to end leaves that in service.
 func TestOlderServesAgain(t *testing.T) {
 	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
