Take settings from the file at SIGHUP, all or nothing

Checked: class and tenant numbers sat in clients, dispatch and decide by position; they are the loop's own now and never given anew.

--- a/decide/api.go
+++ b/decide/api.go
@@ -4,6 +4,7 @@
 package decide
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -102,10 +103,14 @@
 	Window    time.Duration // how long repeats of a Keyed request are dropped
 	Kind      int           // the kind of worker it needs, or Any
 	Stream    bool
+	Left      bool // the settings have it no more; requests under way may be of it
 }
 
 // Tenant is a customer with an agreed rate across all dispatchers.
-type Tenant struct{ QuotaPerSecond float64 }
+type Tenant struct {
+	QuotaPerSecond float64
+	Left           bool // the settings have it no more
+}
 
 // Limits is what the site allows.
 type Limits struct {
@@ -365,34 +370,65 @@
 
 // New returns a dispatcher that has just started and holds nothing.
 func New(s Settings) (*Dispatcher, error) {
-	if s.Policies == nil {
+	d := &Dispatcher{
+		rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Dispatcher))), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
+		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, cordons: map[uint32]time.Duration{},
+		requests: map[uint32]*request{}, keys: map[uint64]demand{}, peers: map[int]*peer{}, sums: map[uint32]*loadSum{},
+	}
+	if err := d.Retune(s); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Retune has the dispatcher go by other settings from now on, with all that it knows; an error says
+// that it cannot, and goes by the old ones. Classes and tenants must keep their numbers: those that
+// are no more stay, marked so. Requests in hand keep the class that they came with.
+func (d *Dispatcher) Retune(s Settings) error {
+	if s.Policies == nil && len(s.Classes) > 0 {
 		s.Policies = derive(s)
 	}
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("decide: %w", err)
+		return fmt.Errorf("decide: %w", err)
 	}
-	d := &Dispatcher{
-		s: s, rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Dispatcher))),
-		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, tenants: make([]demand, len(s.Tenants)),
-		requests: map[uint32]*request{}, keys: map[uint64]demand{}, cordons: map[uint32]time.Duration{},
-		peers: map[int]*peer{}, sums: map[uint32]*loadSum{},
-		queues: make([][]*request, 2*len(s.Classes)), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
-		budget: AttemptBudget{Spare: extraSpare, PerRequest: extraShare, Span: max(s.Classes[0].Deadline, time.Second)},
+	if len(s.Classes) < len(d.classes) || len(s.Tenants) < len(d.tenants) {
+		return errors.New("decide: a class or tenant has lost its number")
 	}
+	d.s = s
+	d.budget = AttemptBudget{Spare: extraSpare, PerRequest: extraShare, Span: max(s.Classes[0].Deadline, time.Second)}
 	if s.Rules.Budget != nil {
 		d.budget = *s.Rules.Budget
 	}
+	d.tenants = append(d.tenants, make([]demand, len(s.Tenants)-len(d.tenants))...)
 	for i, p := range s.Policies {
-		c := &class{Class: s.Classes[i], followup: p.Followup, errs: tally{N: errMemory}}
+		c := &class{errs: tally{N: errMemory}}
+		if i < len(d.classes) {
+			if c = d.classes[i]; c.Class != s.Classes[i] {
+				c = &class{}
+				*c = *d.classes[i]
+			}
+			d.classes[i] = c
+		} else {
+			d.classes = append(d.classes, c)
+			d.order = append(d.order, 2*i, 2*i+1)
+			d.queues = append(d.queues, nil, nil)
+		}
+		if c.Class, c.followup, c.blocks = s.Classes[i], p.Followup, nil; c.Left {
+			c.offered, c.served = 0, 0
+		}
 		for _, b := range p.Blocks {
 			c.blocks = append(c.blocks, &block{Block: b})
 		}
 		all := []Label{{Zone: Any, Kind: c.Kind}}
 		c.deflt = &block{Block: Block{Workers: all, Strategy: Platform, Invalidate: Invalidate{Rule: Overload}}}
-		d.classes = append(d.classes, c)
-		d.order = append(d.order, 2*i, 2*i+1)
 	}
-	return d, nil
+	for _, w := range d.workers {
+		for range len(d.classes) - len(w.errs) {
+			w.errs, w.refusals = append(w.errs, tally{N: 3}), append(w.refusals, refusal{})
+		}
+	}
+	d.stale, d.freed, d.ordered = true, true, 0
+	return nil
 }
 
 // Handle takes what has happened by now and returns what to do, in order.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -209,7 +209,7 @@
 	total, worst := 0.0, d.classes[0]
 	for _, c := range d.classes {
 		total += c.offered
-		if c.served*worst.offered < worst.served*c.offered {
+		if worst.Left || c.served*worst.offered < worst.served*c.offered {
 			worst = c
 		}
 	}
@@ -268,18 +268,22 @@
 // overShare tells whether a request is beyond its tenant's share, by chance as often as the
 // tenant's traffic here is. More traffic of all tenants is this dispatcher's own larger part.
 func (d *Dispatcher) overShare(tenant int) bool {
-	if tenant >= len(d.tenants) {
+	if tenant >= len(d.tenants) || d.s.Tenants[tenant].Left {
 		return false
 	}
 	d.tenants[tenant].bump(d.now)
-	var usage []float64
-	for i, t := range d.tenants {
+	used := func(i int) float64 {
 		part := d.s.Tenants[i].QuotaPerSecond / float64(d.s.Dispatchers) * keyMemory.Seconds()
-		usage = append(usage, t.at(d.now)/max(part, 1e-9))
+		return d.tenants[i].at(d.now) / max(part, 1e-9)
+	}
+	var usage []float64
+	for i := range d.tenants {
+		if !d.s.Tenants[i].Left {
+			usage = append(usage, used(i))
+		}
 	}
-	mine := usage[tenant]
 	slices.Sort(usage)
-	return d.rng.Float64()*mine > max(1, shareSlack*usage[len(usage)/2])
+	return d.rng.Float64()*used(tenant) > max(1, shareSlack*usage[len(usage)/2])
 }
 
 // crowded takes whether a request was not started soon. While many are not, wherever, only a part of the
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
-	"reflect"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"caperrelay/decide"
@@ -42,6 +44,7 @@
 	Names     wire.Names
 
 	getenv func(string) string
+	text   []byte // of the file that counts
 }
 
 // Limits is what the machine allows.
@@ -87,33 +90,92 @@
 	if err != nil {
 		return nil, err
 	}
-	c.getenv = getenv
+	c.getenv, c.text = getenv, text
 	return c, nil
 }
 
 // Reload reads the file anew, while the program runs. Its discovery wins over the variable,
-// which still tells the address of the start.
+// which still tells the address of the start. A file that lacks a key which the one that counts
+// has is taken for unfinished.
 func (c *Config) Reload() (*Config, error) {
-	return Load(func(name string) string {
+	next, err := Load(func(name string) string {
 		if name == "PROXY_DISCOVERY" {
 			return ""
 		}
 		return c.getenv(name)
 	})
+	if err != nil {
+		return nil, err
+	}
+	var has, had map[string]any
+	if err := errors.Join(json.Unmarshal(next.text, &has), json.Unmarshal(c.text, &had)); err != nil {
+		return nil, err
+	}
+	for _, key := range []string{"known", "admin_addr"} { // may be left out
+		delete(had, key)
+	}
+	return next, lacks(has, had, "")
+}
+
+// Running says that another configuration counts from now on.
+func (c *Config) Running(next *Config) { c.text = next.text }
+
+// lacks names a key that one value has and the other has not. Elements of an array must have the
+// keys that all elements had.
+func lacks(has, had any, at string) error {
+	switch had := had.(type) {
+	case map[string]any:
+		has, ok := has.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(had)) {
+			name := strings.TrimPrefix(at+"."+key, ".")
+			if value, found := has[key]; !ok || !found {
+				return fmt.Errorf("%s: missing", name)
+			} else if err := lacks(value, had[key], name); err != nil {
+				return err
+			}
+		}
+	case []any:
+		has, ok := has.([]any)
+		if !ok {
+			return fmt.Errorf("%s: no list", at)
+		}
+		for i, value := range has {
+			if err := lacks(value, common(had), fmt.Sprintf("%s[%d]", at, i)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// common is an object with the keys that all of a list's elements have, nil if those are no objects.
+func common(list []any) any {
+	var keys map[string]any
+	for _, element := range list {
+		object, ok := element.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if keys == nil {
+			keys = maps.Clone(object)
+		}
+		maps.DeleteFunc(keys, func(key string, _ any) bool { _, found := object[key]; return !found })
+	}
+	if keys == nil {
+		return nil
+	}
+	return keys
 }
 
 // AtRestart names the keys in which another configuration differs and that count from the
 // next start on only.
 func (c *Config) AtRestart(next *Config) (keys []string) {
-	mine, its := c.Settings, next.Settings
-	mine.Seed, its.Seed = 0, 0 // new with each start
 	for _, k := range []struct {
 		key  string
 		same bool
 	}{
 		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
 		{"admin_addr", c.Admin == next.Admin}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(mine, its) && reflect.DeepEqual(c.Names, next.Names)},
 	} {
 		if !k.same {
 			keys = append(keys, k.key)
@@ -122,6 +184,29 @@
 	return keys
 }
 
+// checkSettings refuses what no dispatcher can go by.
+func checkSettings(s decide.Settings, n wire.Names) error {
+	if s.Limits.Attempts < 1 {
+		return fmt.Errorf("settings.Permissions.AttemptsCap: %d is no number of attempts", s.Limits.Attempts)
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("settings.RequestClasses: missing")
+	}
+	for i, c := range s.Classes {
+		key := fmt.Sprintf("settings.RequestClasses[%d]", i)
+		if name := n.Classes[i]; name == "" || slices.Index(n.Classes, name) != i {
+			return fmt.Errorf("%s.Name: %q is missing or taken", key, name)
+		}
+		if c.Deadline <= 0 {
+			return fmt.Errorf("%s.DeadlineUs: %d is no time", key, c.Deadline.Microseconds())
+		}
+		if c.Aim < 0 {
+			return fmt.Errorf("%s.AimUs: %d is no time", key, c.Aim.Microseconds())
+		}
+	}
+	return nil
+}
+
 func (f *file) check(getenv func(string) string) (*Config, error) {
 	c := &Config{
 		Name: cmp.Or(getenv("PROXY_NAME"), f.Name), Dir: cmp.Or(getenv("TMPDIR"), os.TempDir()),
@@ -159,6 +244,9 @@
 	if c.Settings, c.Names, err = wire.ParseSettings(f.Settings); err != nil {
 		return nil, err // it names settings itself
 	}
+	if err := checkSettings(c.Settings, c.Names); err != nil {
+		return nil, err
+	}
 	// Without these every connection would fail at once, or be closed as soon as it is idle.
 	limits := &c.Settings.Limits
 	limits.ConnectTimeout = cmp.Or(limits.ConnectTimeout, defaultConnect)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,7 @@
 const whole = `{"name":"n3","listen":"10.0.0.4:8000","discovery":"10.2.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},
 "known":{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"h:1","phase":"in_service"}]},
-"settings":{"Balancers":2,"Permissions":{"AttemptsCap":3},"RequestClasses":[{"Name":"preview","Effect":"free"}],"Tenants":[{"Name":"acme"}]}}`
+"settings":{"Balancers":2,"Permissions":{"AttemptsCap":3},"RequestClasses":[{"Name":"preview","Effect":"free","DeadlineUs":5000000}],"Tenants":[{"Name":"acme"}]}}`
 
 func load(t *testing.T, text string, env map[string]string) (*Config, error) {
 	file := t.TempDir() + "/config.json"
@@ -71,7 +71,24 @@
 	require.NoError(t, err)
 	require.Equal(t, []any{"10.2.0.1:8500", "127.0.0.9:1"}, []any{next.Discovery, next.Listen})
 	require.Equal(t, []string{"limits"}, c.AtRestart(next))
-	write("{")
+	for from, to := range map[string]string{
+		whole: "", `}]}}`: `}]}`, `"Tenants":[{"Name":"acme"}]`: `"Tenants":[]`, // the last is whole
+		`"discovery":"10.2.0.1:8500",`: ``, `"seed":"8c1f30d27a5be964",`: ``, `"Balancers":2,`: ``, `"cores":1.0,`: ``,
+		`"Name":"preview",`: ``, `,"DeadlineUs":5000000`: ``, `5000000`: `-1`, `"AttemptsCap":3`: `"AttemptsCap":0`,
+		`"AttemptsCap":`: `"AttemptsCap":-`, `{"AttemptsCap":3}`: `{}`, `:3}`: `:"3"}`, `{"Name":"acme"}`: `{}`,
+		`[{"Name":"preview","Effect":"free","DeadlineUs":5000000}]`: `[]`, `"Effect":"free"`: `"Effect":"none"`,
+	} {
+		text := strings.Replace(whole, from, to, 1)
+		write(text)
+		_, err = c.Reload()
+		sound := text == whole || to == `"Tenants":[]`
+		require.Equal(t, sound, err == nil, "%s for %s: %v", to, from, err)
+	}
+	write(strings.Replace(whole, `"Tenants":[{"Name":"acme"}]`, `"Tenants":[{"Name":"acme","QuotaPerS":5}]`, 1))
+	next, err = c.Reload()
+	require.NoError(t, err)
+	c.Running(next)
+	write(whole)
 	_, err = c.Reload()
-	require.ErrorContains(t, err, "PROXY_CONFIG")
+	require.ErrorContains(t, err, "settings.Tenants[0].QuotaPerS: missing", "the file that counts is held against it")
 }
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -16,18 +16,20 @@
 		return
 	}
 	l.Books.Taken.Add(1)
-	if l.ids[c.ID] != nil || c.Class < 0 || c.Class >= len(l.settings.Classes) {
+	class := place(l.names.Classes, c.Class)
+	unknown := class == len(l.names.Classes) || l.settings.Classes[class].Left
+	if l.ids[c.ID] != nil || unknown {
 		l.Books.holding.Add(-1)
-		l.Books.answer(c, Unusable)
+		l.Books.answer(class, Unusable)
 		c.Client.Answer(Answer{Verdict: Unusable})
 		return
 	}
 	for l.lastID++; l.lastID == 0 || l.requests[l.lastID] != nil; l.lastID++ {
 	}
-	h := &held{Command: c, request: l.lastID}
+	h := &held{Command: c, class: class, request: l.lastID}
 	l.ids[c.ID], l.requests[h.request] = h, h
 	l.tell(decide.Request{
-		ID: h.request, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Budget: max(0, time.Until(c.Deadline)),
+		ID: h.request, Class: class, Tenant: place(l.names.Tenants, c.Tenant), Key: c.Key, Budget: max(0, time.Until(c.Deadline)),
 		Work: c.Work, Slots: c.Slots, Memory: c.Memory, Repeat: c.Repeat,
 	})
 }
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"caperrelay/decide"
+	"caperrelay/internal/wire"
 )
 
 // A new process takes over from an older one by its loop relieving the older's: commands in hand
@@ -38,7 +39,8 @@
 	Numbers  map[uint32]string // of instances, as the module knows them
 	Commands []*HandedCommand  `json:"-"` // each a message of its own
 	LastID   uint32
-	Classes  []string
+	Names    wire.Names
+	Classes  []decide.Class // by their numbers
 }
 
 // HandedCommand is a command that changes hands.
@@ -63,7 +65,7 @@
 		for len(l.events) > 0 {
 			l.route()
 		}
-		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, LastID: l.lastID, Classes: l.names.Classes}
+		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, LastID: l.lastID, Names: l.names, Classes: l.settings.Classes}
 		for _, h := range l.requests {
 			if !h.answered {
 				given.Commands = append(given.Commands, h.handed())
@@ -102,14 +104,15 @@
 		for i := range m.Workers {
 			m.Workers[i].ID = l.number(given.Numbers[m.Workers[i].ID])
 		}
-		at := map[int]int{} // classes, here
+		at := l.learn(given)
 		known := make([]decide.ClassMemory, len(l.names.Classes))
 		for i, c := range m.Classes {
-			if n := slices.Index(l.names.Classes, given.Classes[i]); n >= 0 {
-				at[i], known[n] = n, c
-			}
+			known[at[i]] = c
+		}
+		m.Classes, m.Tenants = known, nil // those are learned within seconds
+		if !slices.Equal(l.names.Zones, given.Names.Zones) || !slices.Equal(l.names.Kinds, given.Names.Kinds) {
+			m.Zones, m.Kinds = nil, nil
 		}
-		m.Classes = known
 		memory := map[uint32]decide.RequestMemory{}
 		for _, r := range m.Requests {
 			memory[r.ID] = r
@@ -117,16 +120,15 @@
 		var kept []decide.RequestMemory
 		for _, c := range given.Commands {
 			r, ok := memory[c.Request]
-			class, ok2 := at[r.Class]
-			if !ok || !ok2 { // of a class that is not here
+			if !ok { // its end came in between
 				c.Client.Answer(Answer{Verdict: Failed})
 				continue
 			}
-			r.Class, c.Class = class, class
+			r.Class = at[r.Class]
 			for i := range r.Attempts {
 				r.Attempts[i].Worker.ID = l.number(given.Numbers[r.Attempts[i].Worker.ID])
 			}
-			l.resume(c)
+			l.resume(c, r.Class)
 			kept = append(kept, r)
 		}
 		m.Requests = kept
@@ -135,10 +137,10 @@
 }
 
 // resume goes on with a command that another process had in hand.
-func (l *Loop) resume(c *HandedCommand) {
+func (l *Loop) resume(c *HandedCommand, class int) {
 	l.Books.Taken.Add(1)
 	l.Books.holding.Add(1)
-	h := &held{Command: &c.Command, request: c.Request}
+	h := &held{Command: &c.Command, class: class, request: c.Request}
 	l.ids[h.ID], l.requests[h.request] = h, h
 	for n, t := range c.Attempts {
 		a := &Attempt{
@@ -202,7 +204,7 @@
 		}
 		l.mod, l.yielded = mod, false
 		given.Requests = nil
-		l.listed(list, l.names, true)
+		l.listed(list, true)
 		l.tell(decide.Relieve{Memory: given})
 	})
 }
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -39,12 +39,12 @@
 	}
 }
 
-func (b *Books) answer(c *Command, v Verdict) {
+func (b *Books) answer(class int, v Verdict) {
 	b.answers[v].Add(1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.Class >= 0 && c.Class < len(b.classes) {
-		b.classes[c.Class].answers[v].Add(1)
+	if class < len(b.classes) {
+		b.classes[class].answers[v].Add(1)
 	}
 }
 
@@ -108,7 +108,7 @@
 
 // answer books a command's one final answer and hands it to the service client.
 func (l *Loop) answer(h *held, a Answer) {
-	l.Books.answer(h.Command, a.Verdict)
+	l.Books.answer(h.class, a.Verdict)
 	l.conclude(h)
 	h.Client.Answer(a)
 	l.forget(h)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,8 +19,8 @@
 // Command is one request of a service client.
 type Command struct {
 	ID       string // correlation id, unique among the commands in hand
-	Class    int
-	Tenant   int
+	Class    string
+	Tenant   string
 	Key      uint64        // 0: none
 	Work     time.Duration // expected, 0: not told
 	Slots    float64
@@ -122,6 +122,7 @@
 // held is a command in hand: until it is answered and its attempts have ended.
 type held struct {
 	*Command
+	class    int
 	request  uint32
 	attempts []*Attempt
 	out      int
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -42,8 +42,8 @@
 func begin(t *testing.T) (*Loop, *fleet, *client) {
 	f, c := &fleet{}, &client{}
 	l := loop(t, f)
-	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
-	l.Take(&Command{ID: "c1", Deadline: time.Now().Add(time.Hour), Client: c})
+	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, true)
+	l.Take(&Command{ID: "c1", Class: "safe", Deadline: time.Now().Add(time.Hour), Client: c})
 	l.batch()
 	require.Len(t, f.sent, 1)
 	return l, f, c
@@ -131,10 +131,10 @@
 				cmd.Client = c2
 				given.Commands = append(given.Commands, cmd)
 			}
-			l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, wire.Names{}, true)
+			l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, true)
 			l.Relieve(given)
 		})
-		older.Take(&Command{ID: "c2", Client: c})
+		older.Take(&Command{ID: "c2", Class: "safe", Client: c})
 		older.batch()
 		older.Ended(f.sent[0], decide.Reset, 0)
 		older.Lapse(f.sent[0].Command)
@@ -146,7 +146,7 @@
 		require.Equal(t, []string{"c1"}, f.left)
 		l.batch()
 		require.EqualValues(t, 1, l.Holding())
-		l.Take(&Command{ID: "c1", Client: c})
+		l.Take(&Command{ID: "c1", Class: "safe", Client: c})
 		l.batch()
 		require.Equal(t, []Answer{{Verdict: Unusable}}, c.answers, "the id is in hand")
 		for range 2 {
@@ -158,6 +158,47 @@
 	}
 }
 
+// Classes and tenants go by their names: another order, one that vanishes and comes back or a new
+// one renumbers nothing that is in hand, and each name keeps its counts.
+func TestRetuneKeepsNames(t *testing.T) {
+	l, f, c := begin(t)
+	names := func(n ...string) {
+		s := l.settings
+		s.Classes, s.Tenants = nil, nil
+		for range n {
+			s.Classes = append(s.Classes, decide.Class{Aim: time.Minute, Deadline: time.Hour, Worth: 1, Kind: decide.Any})
+		}
+		require.NoError(t, l.retune(l.fit(s, wire.Names{Classes: n})))
+	}
+	take := func(id, class string) *client {
+		c := &client{}
+		l.Take(&Command{ID: id, Class: class, Deadline: time.Now().Add(time.Hour), Client: c})
+		l.batch()
+		return c
+	}
+	names("new", "other")
+	require.Equal(t, []Answer{{Verdict: Unusable}}, take("c2", "safe").answers, "it has vanished")
+	l.News(News{ID: "c1", From: "s-1", State: Done})
+	l.batch()
+	require.Equal(t, Served, c.answers[0].Verdict, "what was in hand goes on")
+	require.Contains(t, l.Books.Figures(), "proxy.passed.safe=1\n")
+	take("c3", "new")
+	l.News(News{ID: "c3", From: "s-1", State: Done})
+	l.batch()
+	names("other", "safe")
+	take("c4", "safe")
+	l.News(News{ID: "c4", From: "s-1", State: Done})
+	l.batch()
+	require.Len(t, f.sent, 3)
+	for _, figure := range []string{"passed.safe=2", "bad_gateway.safe=1", "passed.new=1", "passed.other=0"} {
+		require.Contains(t, l.Books.Figures(), "proxy."+figure+"\n")
+	}
+	s := l.settings
+	s.Limits.Attempts = 0
+	require.Error(t, l.retune(l.fit(s, l.names)))
+	require.Equal(t, 3, l.settings.Limits.Attempts, "nothing of it counts")
+}
+
 // Names that the settings do not have stand apart from those they have.
 func TestUnknownNamesComeAfterAll(t *testing.T) {
 	require.Equal(t, []int{1, 2}, []int{place([]string{"a", "b"}, "b"), place([]string{"a", "b"}, "c")})
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -85,14 +85,14 @@
 }
 
 // Listed takes a list from the name table. Cached: it is from an earlier time.
-func (l *Loop) Listed(list List, n wire.Names, cached bool) {
-	l.post(func(l *Loop) { l.listed(list, n, cached) })
+func (l *Loop) Listed(list List, cached bool) {
+	l.post(func(l *Loop) { l.listed(list, cached) })
 }
 
-func (l *Loop) listed(list List, n wire.Names, cached bool) {
+func (l *Loop) listed(list List, cached bool) {
 	var ws []decide.Worker
 	for _, m := range list.Members {
-		ws = append(ws, line(m, l.number(m.ID), n))
+		ws = append(ws, line(m, l.number(m.ID), l.names))
 	}
 	l.prune(list)
 	if list.Complete || cached {
--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -41,7 +41,10 @@
 			return nil, errors.New(name + ": more than one")
 		}
 	}
-	c := &dispatch.Command{ID: h.Get("X-Correlation-Id"), Payload: q, Repeat: h.Get("X-Repeat") == "1"}
+	c := &dispatch.Command{
+		ID: h.Get("X-Correlation-Id"), Class: h.Get("X-Service-Class"), Tenant: h.Get("X-Account"),
+		Payload: q, Repeat: h.Get("X-Repeat") == "1",
+	}
 	// The id goes into lines and targets that are written on.
 	if !http1.Visible(c.ID) || len(c.ID) > maxID || strings.ContainsAny(c.ID, "/?#%") {
 		return nil, errors.New("X-Correlation-Id: missing or malformed")
@@ -49,14 +52,11 @@
 	if strings.Contains(q.Target, "#") { // no part of a target that is sent
 		return nil, errors.New("target: malformed")
 	}
-	var ok bool
-	if c.Class, ok = s.classes[h.Get("X-Service-Class")]; !ok {
+	class, ok := (*s.classes.Load())[c.Class]
+	if !ok {
 		return nil, errors.New("X-Service-Class: missing or unknown")
 	}
-	if c.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
-		c.Tenant = len(s.tenants) // of no known tenant: it has no share
-	}
-	left := s.settings.Classes[c.Class].Deadline
+	left := class.Deadline
 	if h.Given("X-Time-Left") {
 		var err error
 		if left, err = span(h.Get("X-Time-Left")); err != nil {
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,9 +51,7 @@
 // Server serves the listener.
 type Server struct {
 	core     Core
-	classes  map[string]int
-	tenants  map[string]int
-	settings decide.Settings
+	classes  atomic.Pointer[map[string]decide.Class]
 	counters func() string
 	log      *log.Logger
 	patience patience
@@ -87,18 +86,21 @@
 
 // New returns a server for at most so many connections.
 func New(core Core, s decide.Settings, n wire.Names, most int, counters func() string, logger *log.Logger) *Server {
-	return &Server{
-		core: core, settings: s, counters: counters, log: logger, classes: numbered(n.Classes), tenants: numbered(n.Tenants),
-		patience: usual, slots: make(chan struct{}, most), conns: map[*conn]struct{}{}, expected: map[string]*waiter{},
+	server := &Server{
+		core: core, counters: counters, log: logger, patience: usual, slots: make(chan struct{}, most),
+		conns: map[*conn]struct{}{}, expected: map[string]*waiter{},
 	}
+	server.Retune(s, n)
+	return server
 }
 
-func numbered(names []string) map[string]int {
-	m := map[string]int{}
-	for i, n := range names {
-		m[n] = i
+// Retune has commands read by other settings from now on.
+func (s *Server) Retune(settings decide.Settings, n wire.Names) {
+	classes := map[string]decide.Class{}
+	for i, name := range n.Classes {
+		classes[name] = settings.Classes[i]
 	}
-	return m
+	s.classes.Store(&classes)
 }
 
 // Serve accepts connections until the listener is closed or its deadline has passed.
--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -143,7 +143,7 @@
 		p.rest(c)
 		// Well before the instance's machine may close it: a command written to a connection
 		// just closed there would end as a reset.
-		retire.Reset(p.limits.Idle * 3 / 5)
+		retire.Reset(p.bounds().Idle * 3 / 5)
 		var ok bool
 		select {
 		case x, ok = <-c.work:
@@ -185,7 +185,7 @@
 }
 
 func (c *conn) dial(x *exchange) error {
-	up := time.Now().Add(c.pool.limits.Connect)
+	up := time.Now().Add(c.pool.bounds().Connect)
 	if x.deadline.Before(up) {
 		up = x.deadline
 	}
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -217,6 +217,19 @@
 	go p.run(&conn{pool: p, in: in, work: make(chan *exchange, 1)}, x)
 }
 
+// Retune has connections come up and be kept by other limits from now on.
+func (p *Pool) Retune(connect, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Connect, p.limits.Idle = connect, idle
+}
+
+func (p *Pool) bounds() Limits {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits
+}
+
 // Bound says how many connections there may be from now on. Idle ones beyond that are closed.
 func (p *Pool) Bound(connections int) {
 	p.mu.Lock()
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -93,6 +93,7 @@
 	ended    chan error
 
 	configure func(discovery string) // writes the configuration anew
+	settings  string                 // for it
 	variables map[string]string
 }
 
@@ -132,7 +133,7 @@
 	file := t.TempDir() + "/config.json"
 	w.configure = func(discovery string) {
 		text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin_addr":"127.0.0.1:0","discovery":%q,"seed":"1f","known":{"revision":7,"complete":true,"members":[%s]},"settings":%s}`,
-			"127.0.0.1:0", discovery, member(cmp.Or(address, w.instance.Addr().String()), "in_service"), settings)
+			"127.0.0.1:0", discovery, member(cmp.Or(address, w.instance.Addr().String()), "in_service"), cmp.Or(w.settings, settings))
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	}
 	w.configure(w.table.Addr().String())
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -102,13 +102,8 @@
 		Connections: p.bounds.pool, Connect: c.Settings.Limits.ConnectTimeout, Idle: c.Settings.Limits.ConnIdle,
 	})
 	p.watcher = nametable.NewWatcher(c.Discovery, c.Known.Revision)
-	// Each command held keeps a connection. Some must stay free, or no call-back could come
-	// in and nothing held would ever end: the module refuses what goes beyond.
 	p.bounds.listener = sockets - p.bounds.pool
-	s := c.Settings
-	if open := p.bounds.listener - p.bounds.listener/6; s.Limits.Open <= 0 || s.Limits.Open > open {
-		s.Limits.Open = open
-	}
+	s := p.bound(c.Settings)
 	var err error
 	if p.loop, err = dispatch.New(s, c.Names, p.pool, p.watcher, others{p}, logger); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -224,19 +219,35 @@
 	}
 }
 
+// bound has settings hold as many commands as there is room for. Each keeps a connection, and some
+// must stay free, or no call-back could come in and nothing held would ever end: the module refuses
+// what goes beyond.
+func (p *Program) bound(s decide.Settings) decide.Settings {
+	if open := p.bounds.listener - p.bounds.listener/6; s.Limits.Open <= 0 || s.Limits.Open > open {
+		s.Limits.Open = open
+	}
+	return s
+}
+
 // reload takes the configuration file as it is now. A faulty one changes nothing.
 func (p *Program) reload() {
 	next, err := p.config.Reload()
+	if err == nil {
+		err = p.loop.Retune(p.bound(next.Settings), next.Names) // the module has the last word
+	}
 	if err != nil {
 		p.loop.Books.LoadErrors.Add(1)
 		p.log.Printf("configuration not reloaded: %v", err)
 		return
 	}
+	p.server.Retune(next.Settings, next.Names)
+	p.pool.Retune(next.Settings.Limits.ConnectTimeout, next.Settings.Limits.ConnIdle)
 	if keys := p.config.AtRestart(next); len(keys) > 0 {
 		p.log.Printf("configuration: %s count from the next start on", strings.Join(keys, ", "))
 	}
 	p.loop.Books.Loads.Add(1)
-	p.log.Printf("configuration reloaded, discovery at %s", next.Discovery)
+	p.log.Printf("configuration reloaded, discovery at %s, classes %s", next.Discovery, strings.Join(next.Names.Classes, ", "))
+	p.config.Running(next)
 	p.mu.Lock()
 	moved := next.Discovery != p.discovery
 	p.discovery = next.Discovery
@@ -270,7 +281,7 @@
 	p.table.Take(l)
 	p.mu.Unlock()
 	p.pool.Listed(l)
-	p.loop.Listed(l, p.config.Names, cached)
+	p.loop.Listed(l, cached)
 }
 
 // Lost takes the end of a watch.
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -199,6 +199,40 @@
 	require.Equal(t, "/catalog/members?stream=1&index=3", <-w.targets)
 }
 
+// Settings in the file counted from the next start on. At SIGHUP a class appears and one vanishes
+// while a job of it runs, and nothing of a broken file counts.
+func TestReloadTakesSettings(t *testing.T) {
+	took := make(chan string, 9)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		took <- id(q)
+		return answer(c, 202)
+	})
+	reload := func(text, figure, value string) {
+		w.settings = text
+		w.configure(w.table.Addr().String())
+		w.signals <- syscall.SIGHUP
+		w.await(func() bool { return w.figure(figure) == value })
+	}
+	held, c := w.dial(), w.dial()
+	w.command(held, "c1", "safe", "30000m")
+	require.Equal(t, "c1", <-took)
+	reload(strings.Replace(settings, `"DeadlineUs":40000000`, `"DeadlineUs":0`, 1), "load_errors", "1")
+	reload(settings[:len(settings)/2], "load_errors", "2")
+	w.command(c, "c2", "strict", "30000m")
+	require.Equal(t, 400, w.read(c).Status)
+	strict := strings.Replace(settings, `{"Name":"safe","Effect":"free"`, `{"Name":"strict","Effect":"single_shot"`, 1)
+	reload(strict, "loads", "1")
+	require.Equal(t, 204, w.news("c1", "s-1", "done", "r"))
+	require.Equal(t, "r", string(w.read(held).Body))
+	w.command(c, "c3", "safe", "30000m")
+	require.Equal(t, 400, w.read(c).Status)
+	w.command(c, "c4", "strict", "30000m")
+	require.Equal(t, "c4", <-took)
+	require.Equal(t, 204, w.news("c4", "s-1", "lost", ""))
+	require.Equal(t, 502, w.read(c).Status, "it must not run twice")
+	require.Equal(t, []string{"1", "1", "2"}, []string{w.figure("passed.safe"), w.figure("bad_gateway.strict"), w.figure("load_errors")})
+}
+
 // SIGTERM loses nothing: what is held is answered, new connections and call-backs still
 // come, and the program ends by itself.
 func TestTerminationAnswersWhatIsHeld(t *testing.T) {
