Send what must not run twice on new connections once kept ones fall silent

A probe of each exchange: all of them on connections used before (idle 0.1 to 2 s, one to 64 uses), none on new ones, no 202, their encoders alive on others. Ruled out: idle age (as short as 0.01 s), hung encoders, clients that leave (gone within 0.12 s).

--- a/decide/api.go
+++ b/decide/api.go
@@ -324,6 +324,7 @@
 		Request, Worker uint32
 		Timeout         time.Duration // 0: until the client gives up
 		MostIdle        time.Duration // a connection idle for longer is not to be used; 0: any may be
+		Fresh           bool          // only a new connection is to be used
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
@@ -372,7 +373,7 @@
 func New(s Settings) (*Dispatcher, error) {
 	d := &Dispatcher{
 		rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Dispatcher))), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
-		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, cordons: map[uint32]time.Duration{},
+		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, cordons: map[uint32]bool{},
 		requests: map[uint32]*request{}, keys: map[uint64]demand{}, peers: map[int]*peer{}, sums: map[uint32]*loadSum{},
 	}
 	if err := d.Retune(s); err != nil {
--- a/decide/conn_test.go
+++ b/decide/conn_test.go
@@ -43,7 +43,7 @@
 				w.d.now += idle
 				w.d.out = nil
 				a := &attempt{w: wk, sent: w.d.now, note: w.d.now}
-				w.d.connect(r, a)
+				w.d.connect(r, a, false)
 				if i%2 == 1 {
 					if released = len(w.d.out) > 0; released {
 						outcome = OK
@@ -92,3 +92,53 @@
 		t.Errorf("an hour later: %v", got)
 	}
 }
+
+// A kept connection that carries nothing lost a job that must not run twice, again and again. Once
+// one is known (its worker lives, and confirms what comes on others), such jobs go out on new ones.
+func TestUnsafeJobsAvoidSilentConnections(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Limits.ConnIdle = 16 * time.Second
+	w := fleet(t, s, 1)
+	send := func(class int) (*job, bool) {
+		w.d.workers[1].ceiling = 9
+		j := w.arrive(class, 10*time.Second)
+		for _, a := range w.handle(Wake{}, j.Request) {
+			if s, ok := a.(Send); ok && s.Request == j.ID {
+				return j, s.Fresh
+			}
+		}
+		t.Fatalf("class %d was not sent: strikes %d", class, w.d.workers[1].strikes)
+		return nil, false
+	}
+	one, _ := send(2)
+	two, _ := send(2)
+	w.handle(Taken{one.ID, 0}, w.end(one, 0, OK, nil), Taken{two.ID, 0}, w.end(two, 0, OK, nil)) // two are kept
+	first, _ := send(2)
+	w.handle(Taken{first.ID, 0}, JobStarted{first.ID, 0})
+	lost, _ := send(2) // its connection carries nothing, and it is taken to queue
+	w.now += 500 * ms
+	w.handle(Wake{})
+	if w.d.silent > 0 {
+		t.Error("its worker may be silent, not the connection")
+	}
+	alive := func() { // the worker tells of another job
+		w.now += 10 * ms
+		for range 9 {
+			w.handle(Wake{}, JobProgress{first.ID, 0, 0.5})
+		}
+	}
+	alive()
+	if _, fresh := send(2); !fresh {
+		t.Error("an unsafe job on a kept connection")
+	}
+	alive()
+	if _, fresh := send(0); fresh {
+		t.Error("a repeatable job needs no new one")
+	}
+	w.handle(w.end(lost, 0, TimedOut, nil))
+	w.now += s.Limits.ConnIdle
+	alive()
+	if w.now < w.d.silent {
+		t.Error("connections are never trusted again")
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,19 +104,13 @@
 // cordon leaves a worker out by hand, whatever the list says, or puts it back. By then it may have been started
 // anew: nothing is known of it, it counts as cold, and it is owed a first job so that it is seen to be used.
 func (d *Dispatcher) cordon(id uint32, out bool) {
-	since, was := d.cordons[id]
-	w := d.workers[id]
-	if out && !was {
-		d.cordons[id] = d.now
-	} else if !out {
+	w, was := d.workers[id], d.cordons[id]
+	if d.cordons[id] = out; !out {
 		delete(d.cordons, id)
 	}
-	if !out && was && w != nil {
+	if w != nil && was && !out {
 		l, listed, unlisted := w.Worker, w.listed, w.unlisted
-		if l.Started < since {
-			l.Started = d.now
-		}
-		w.State = Gone // for what is out there
+		l.Started, w.State = d.now, Gone // for what is out there
 		w = d.begin(l)
 		w.State, w.listed, w.unlisted, w.owed = l.State, listed, unlisted, true
 		d.owed = append(d.owed, w)
@@ -611,8 +605,9 @@
 		return false
 	}
 	a := &attempt{w: w, sent: d.now, note: d.now}
-	d.connect(r, a)
-	d.do(Send{Request: r.ID, Worker: w.ID, MostIdle: d.idleLimit(r.c.Effect)})
+	fresh := r.c.Effect == Unsafe && d.now < d.silent // on a silent connection it would be lost
+	d.connect(r, a, fresh)
+	d.do(Send{Request: r.ID, Worker: w.ID, MostIdle: d.idleLimit(r.c.Effect), Fresh: fresh})
 	if len(r.attempts) > 0 {
 		d.extras = append(d.extras, d.now)
 	}
@@ -632,7 +627,7 @@
 
 // connect foresees which connection an attempt will go out on. Idle ones may be dropped unseen: one idle for
 // an age at which sends fail is closed first, but now and then a repeatable job shows if they still do.
-func (d *Dispatcher) connect(r *request, a *attempt) {
+func (d *Dispatcher) connect(r *request, a *attempt, fresh bool) {
 	w := a.w
 	a.idle = d.now - w.freed
 	if idle := w.conns > w.open; idle && d.s.Limits.ConnIdle > 0 && a.idle >= d.s.Limits.ConnIdle {
@@ -642,8 +637,8 @@
 		w.conns = w.open
 	}
 	w.open++
-	if a.fresh = w.open > w.conns; a.fresh {
-		w.conns, a.idle = w.open, 0
+	if a.fresh = fresh || w.open > w.conns; a.fresh {
+		w.conns, a.idle = max(w.conns, w.open), 0
 	}
 }
 
@@ -1076,6 +1071,9 @@
 		// Confirmations come at once or never: then the connection has gone silent, whatever else its worker
 		// does. What can be repeated goes elsewhere; this says nothing of the worker.
 		unconfirmed := d.confirms && !a.taken && !a.started && d.now-a.sent-d.late > r.c.Aim/confirmPart+d.setup()
+		if unconfirmed && !a.fresh && a.w.lived > a.sent {
+			d.silent = d.now + d.s.Limits.ConnIdle // others of its time may be silent too
+		}
 		if unconfirmed && !a.lost && r.c.Effect == Safe && d.s.Limits.Cancel && !d.spent(r) {
 			a.lost = true
 			d.do(Cancel{Request: r.ID, Attempt: i})
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -21,6 +21,7 @@
 	Admitted, Tokens float64
 	Fresh            tally
 	MostIdle, IdleAt time.Duration
+	Silent           time.Duration
 	Ages             [8]tally
 	Setups           [4]time.Duration
 	Served, Confirms bool
@@ -69,7 +70,7 @@
 func (d *Dispatcher) Memory() Memory {
 	m := Memory{
 		Kinds: map[int]kindStat{}, Zones: map[int]tally{}, Keys: map[uint64]demand{}, Tenants: d.tenants, Taken: d.taken, Extras: d.extras,
-		Admitted: d.admitted, Tokens: d.tokens, Fresh: d.fresh, MostIdle: d.mostIdle, IdleAt: d.idleAt, Ages: d.ages,
+		Admitted: d.admitted, Tokens: d.tokens, Fresh: d.fresh, MostIdle: d.mostIdle, IdleAt: d.idleAt, Silent: d.silent, Ages: d.ages,
 		Setups: d.setups, Served: d.served, Confirms: d.confirms,
 	}
 	for _, w := range d.workers {
@@ -115,7 +116,7 @@
 // remember takes over what another process of this dispatcher knew.
 func (d *Dispatcher) remember(m Memory) {
 	d.taken, d.extras, d.admitted, d.tokens, d.fresh = m.Taken, m.Extras, m.Admitted, m.Tokens, m.Fresh
-	d.mostIdle, d.idleAt, d.ages, d.setups, d.served, d.confirms = m.MostIdle, m.IdleAt, m.Ages, m.Setups, m.Served, m.Confirms
+	d.silent, d.mostIdle, d.idleAt, d.ages, d.setups, d.served, d.confirms = m.Silent, m.MostIdle, m.IdleAt, m.Ages, m.Setups, m.Served, m.Confirms
 	for _, l := range m.Workers {
 		if d.workers[l.ID] == nil && l.State == Draining { // a later list may name it again
 			if d.upsert([]Worker{l.Worker}, false); d.workers[l.ID] != nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -179,22 +179,23 @@
 	setups                [4]time.Duration // what the last new connections added to a job's start
 	openOnly              bool             // in the pick at hand: only workers with an idle connection
 	confirms              bool             // workers tell at once that they have an attempt
+	silent                time.Duration    // kept connections may carry nothing until then
 	mostIdle              time.Duration    // a kept connection broke after twice that, at idleAt
 	idleAt                time.Duration
-	ages                  [8]tally                 // sends that failed, by how long their connection was idle
-	wakeAt                time.Duration            // when the timer was asked for
-	late, stall           time.Duration            // by how much this batch came too late, and the longest such
-	budget                AttemptBudget            // the rule's or, without one, our own
-	taken, extras         []time.Duration          // requests and further attempts inside the budget's window
-	sums                  map[uint32]*loadSum      // of what the peers tell, by worker
-	lists, learned        int                      // worker lists taken; jobs learned from since the last sort
-	most                  int                      // workers listed at a time, so far
-	freed                 bool                     // something happened that may have made a worker valid
-	drainAt               time.Duration            // else held requests are looked at again from then on
-	moved                 bool                     // this dispatcher's load at a worker since the last message
-	cordons               map[uint32]time.Duration // left out by hand, and since when
-	owed                  []*worker                // put back by hand and owed a first job
-	trusted               int                      // ready workers without a strike
+	ages                  [8]tally            // sends that failed, by how long their connection was idle
+	wakeAt                time.Duration       // when the timer was asked for
+	late, stall           time.Duration       // by how much this batch came too late, and the longest such
+	budget                AttemptBudget       // the rule's or, without one, our own
+	taken, extras         []time.Duration     // requests and further attempts inside the budget's window
+	sums                  map[uint32]*loadSum // of what the peers tell, by worker
+	lists, learned        int                 // worker lists taken; jobs learned from since the last sort
+	most                  int                 // workers listed at a time, so far
+	freed                 bool                // something happened that may have made a worker valid
+	drainAt               time.Duration       // else held requests are looked at again from then on
+	moved                 bool                // this dispatcher's load at a worker since the last message
+	cordons               map[uint32]bool     // left out by hand
+	owed                  []*worker           // put back by hand and owed a first job
+	trusted               int                 // ready workers without a strike
 	out                   []Action
 }
 
@@ -332,10 +333,9 @@
 
 // begin begins to know a worker's process: nothing is known of it.
 func (d *Dispatcher) begin(l Worker) *worker {
-	_, out := d.cordons[l.ID]
 	l.State = Ready
 	w := &worker{
-		Worker: l, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{N: 2}, cordoned: out,
+		Worker: l, ceiling: firstCeiling, zone: d.zone(l.Zone), peers: d.shared(l.ID), late: tally{N: 2}, cordoned: d.cordons[l.ID],
 		errs: slices.Repeat([]tally{{N: 3}}, len(d.classes)), refusals: make([]refusal, len(d.classes)),
 	}
 	d.workers[l.ID] = w
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,6 +66,7 @@
 	N        int // the command's attempts count from 0
 	Deadline time.Time
 	MostIdle time.Duration // a connection idle for longer is not to be used; 0: any may be
+	Fresh    bool          // only a new one is to be used
 
 	// The loop's own.
 	request   uint32
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -14,7 +14,7 @@
 	}
 	a := &Attempt{
 		Command: h.Command, Instance: l.workers[s.Worker], N: len(h.attempts), Deadline: h.Deadline,
-		MostIdle: s.MostIdle, request: s.Request,
+		MostIdle: s.MostIdle, Fresh: s.Fresh, request: s.Request,
 	}
 	if s.Timeout > 0 {
 		if t := now.Add(s.Timeout); t.Before(a.Deadline) {
--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -73,6 +73,7 @@
 	body           []byte
 	deadline       time.Time
 	mostIdle       time.Duration // of the connection; 0: any
+	fresh          bool          // only a new connection will do
 	gated          bool          // new work: only for an instance that is ready
 	sent           func()        // called once it is written whole, if at all; may be nil
 	done           func(end)     // called once, from the connection's goroutine
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -135,7 +135,7 @@
 // Send starts an attempt.
 func (p *Pool) Send(a *dispatch.Attempt) {
 	q := a.Command.Payload.(*http1.Request)
-	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, deadline: a.Deadline, mostIdle: a.MostIdle, gated: true}
+	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, deadline: a.Deadline, mostIdle: a.MostIdle, fresh: a.Fresh, gated: true}
 	x.sent = func() { p.reports.Written(a) }
 	x.done = func(e end) {
 		p.mu.Lock()
@@ -203,7 +203,11 @@
 		close(in.idle[0].work)
 		in.idle = in.idle[1:]
 	}
-	if n := len(in.idle); n > 0 && (x.mostIdle == 0 || now.Sub(in.idle[n-1].since) <= x.mostIdle) {
+	if x.fresh && len(in.idle) > 0 { // it takes the place of the oldest, which may be silent
+		close(in.idle[0].work)
+		in.idle = in.idle[1:]
+	}
+	if n := len(in.idle); n > 0 && !x.fresh && (x.mostIdle == 0 || now.Sub(in.idle[n-1].since) <= x.mostIdle) {
 		c := in.idle[n-1]
 		in.idle = in.idle[:n-1]
 		c.work <- x // holds one; an idle connection has none
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// A command that needs a new connection has one, and none is kept more than before.
+func TestFreshConnectionTakesThePlaceOfAnother(t *testing.T) {
+	p, r, seen := pool(t, 9, "s-1")
+	p.Probe("s-1")
+	require.Equal(t, decide.OK, <-r.probed)
+	require.Eventually(t, func() bool { return p.Idle() == 1 }, 20*time.Second, time.Millisecond)
+	a := attempt("s-1")
+	a.Fresh, a.Command.Payload.(*http1.Request).Target = true, "/take"
+	p.Send(a)
+	<-r.taken
+	require.NotEqual(t, (<-seen).Header.Get("From"), (<-seen).Header.Get("From"))
+	require.Eventually(t, func() bool { return p.Idle() == 1 && !p.Busy() }, 20*time.Second, time.Millisecond)
+}
+
 // A 202 is told, so that the module can tell an instance at work from a silent connection.
 func TestTakenIsTold(t *testing.T) {
 	p, r, _ := pool(t, 9, "s-1")
