Hand over commands one by one, and nothing where the link fails

Read again: a link that fails while it is written to lost what was held, since the loop had yielded by then; one line for all could pass its bound of 4 MiB; numbers of two processes could meet where the newer served without waiting; with three processes what the first told the second did not reach the third.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -24,12 +24,17 @@
 		c.Client.Answer(Answer{Verdict: Unusable})
 		return
 	}
-	for l.lastID++; l.lastID == 0 || l.requests[l.lastID] != nil; l.lastID++ {
-	}
-	h := &held{Command: c, class: class, request: l.lastID}
+	h := &held{Command: c, class: class, request: l.newID()}
 	l.ids[c.ID], l.requests[h.request] = h, h
 	l.tell(decide.Request{
 		ID: h.request, Class: class, Tenant: place(l.names.Tenants, c.Tenant), Key: c.Key, Budget: max(0, time.Until(c.Deadline)),
 		Work: c.Work, Slots: c.Slots, Memory: c.Memory, Repeat: c.Repeat,
 	})
 }
+
+// newID is a number for a command that no other in hand has.
+func (l *Loop) newID() uint32 {
+	for l.lastID++; l.lastID == 0 || l.requests[l.lastID] != nil; l.lastID++ {
+	}
+	return l.lastID
+}
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -38,7 +38,6 @@
 	Module   decide.Memory
 	Numbers  map[uint32]string // of instances, as the module knows them
 	Commands []*HandedCommand  `json:"-"` // each a message of its own
-	LastID   uint32
 	Names    wire.Names
 	Classes  []decide.Class // by their numbers
 }
@@ -47,7 +46,7 @@
 type HandedCommand struct {
 	Command
 	Payload  json.RawMessage
-	Request  uint32
+	Memory   decide.RequestMemory // the module's, which Handed.Module leaves out
 	Attempts []HandedAttempt
 }
 
@@ -59,20 +58,24 @@
 }
 
 // Yield hands all that is in hand to another process, by way of to, which is called from the
-// loop. From then on this one takes nothing; each command's client is told to pass on.
-func (l *Loop) Yield(to func(Handed)) {
+// loop. From then on this one takes nothing; each command's client is told to pass on. Where to
+// fails everything stays.
+func (l *Loop) Yield(to func(Handed) bool) {
 	l.post(func(l *Loop) {
 		for len(l.events) > 0 {
 			l.route()
 		}
-		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, LastID: l.lastID, Names: l.names, Classes: l.settings.Classes}
-		for _, h := range l.requests {
-			if !h.answered {
-				given.Commands = append(given.Commands, h.handed())
+		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, Names: l.names, Classes: l.settings.Classes}
+		for _, r := range given.Module.Requests {
+			if h := l.requests[r.ID]; h != nil && !h.answered {
+				given.Commands = append(given.Commands, h.handed(r))
 			}
 		}
+		given.Module.Requests = nil
+		if !to(given) {
+			return
+		}
 		l.yielded = true
-		to(given)
 		for _, h := range l.requests {
 			if !h.answered {
 				l.Books.holding.Add(-1)
@@ -86,9 +89,9 @@
 	})
 }
 
-func (h *held) handed() *HandedCommand {
+func (h *held) handed(r decide.RequestMemory) *HandedCommand {
 	payload, _ := json.Marshal(h.Payload) // plain data: it cannot fail
-	c := &HandedCommand{Command: *h.Command, Payload: payload, Request: h.request}
+	c := &HandedCommand{Command: *h.Command, Payload: payload, Memory: r}
 	for _, a := range h.attempts {
 		c.Attempts = append(c.Attempts, HandedAttempt{a.Instance, a.Deadline, a.over, a.taken, a.leaving.Load()})
 	}
@@ -99,7 +102,6 @@
 // its client again.
 func (l *Loop) Relieve(given Handed) {
 	l.post(func(l *Loop) {
-		l.lastID = given.LastID
 		m := given.Module
 		for i := range m.Workers {
 			m.Workers[i].ID = l.number(given.Numbers[m.Workers[i].ID])
@@ -113,34 +115,28 @@
 		if !slices.Equal(l.names.Zones, given.Names.Zones) || !slices.Equal(l.names.Kinds, given.Names.Kinds) {
 			m.Zones, m.Kinds = nil, nil
 		}
-		memory := map[uint32]decide.RequestMemory{}
-		for _, r := range m.Requests {
-			memory[r.ID] = r
-		}
-		var kept []decide.RequestMemory
 		for _, c := range given.Commands {
-			r, ok := memory[c.Request]
-			if !ok { // its end came in between
+			if l.ids[c.ID] != nil { // taken here too, while both were in service
 				c.Client.Answer(Answer{Verdict: Failed})
 				continue
 			}
-			r.Class = at[r.Class]
+			r := c.Memory
+			r.ID, r.Class = l.newID(), at[r.Class]
 			for i := range r.Attempts {
 				r.Attempts[i].Worker.ID = l.number(given.Numbers[r.Attempts[i].Worker.ID])
 			}
-			l.resume(c, r.Class)
-			kept = append(kept, r)
+			l.resume(c, r.ID, r.Class)
+			m.Requests = append(m.Requests, r)
 		}
-		m.Requests = kept
 		l.tell(decide.Relieve{Memory: m})
 	})
 }
 
 // resume goes on with a command that another process had in hand.
-func (l *Loop) resume(c *HandedCommand, class int) {
+func (l *Loop) resume(c *HandedCommand, request uint32, class int) {
 	l.Books.Taken.Add(1)
 	l.Books.holding.Add(1)
-	h := &held{Command: &c.Command, class: class, request: c.Request}
+	h := &held{Command: &c.Command, class: class, request: request}
 	l.ids[h.ID], l.requests[h.request] = h, h
 	for n, t := range c.Attempts {
 		a := &Attempt{
@@ -164,6 +160,10 @@
 // Became takes what has become of an attempt that went out from an older process.
 func (l *Loop) Became(f Fate) {
 	l.post(func(l *Loop) {
+		if l.yielded { // meanwhile, to a third process
+			l.other.Became(f)
+			return
+		}
 		h := l.ids[f.ID]
 		if h == nil || f.N < 0 || f.N >= len(h.attempts) || h.attempts[f.N].over {
 			return
@@ -203,7 +203,6 @@
 			return
 		}
 		l.mod, l.yielded = mod, false
-		given.Requests = nil
 		l.listed(list, true)
 		l.tell(decide.Relieve{Memory: given})
 	})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -117,7 +117,7 @@
 	} {
 		older, f, c := begin(t)
 		l, c2 := loop(t, f), &client{}
-		older.Yield(func(given Handed) {
+		older.Yield(func(given Handed) bool {
 			text, err := json.Marshal(given)
 			require.NoError(t, err)
 			cmds := given.Commands
@@ -133,6 +133,7 @@
 			}
 			l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, true)
 			l.Relieve(given)
+			return true
 		})
 		older.Take(&Command{ID: "c2", Class: "safe", Client: c})
 		older.batch()
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -32,7 +32,9 @@
 // saw leave.
 func (l *Loop) LapseElsewhere(id string) {
 	l.post(func(l *Loop) {
-		if h := l.ids[id]; h != nil {
+		if l.yielded { // meanwhile, to a third process
+			l.other.Left(id)
+		} else if h := l.ids[id]; h != nil {
 			l.lapse(h)
 		}
 	})
--- a/internal/net/handover/link.go
+++ b/internal/net/handover/link.go
@@ -58,11 +58,12 @@
 	return l
 }
 
-// Tell sends a message. It never waits: whoever lets so much pile up is taken for dead.
-func (l *Link) Tell(kind string, body any) { l.Pass(kind, body, nil) }
+// Tell sends a message; false: the link has ended. It never waits: whoever lets so much pile up
+// is taken for dead.
+func (l *Link) Tell(kind string, body any) bool { return l.Pass(kind, body, nil) }
 
 // Pass sends a message and a socket, which is the other process's from now on.
-func (l *Link) Pass(kind string, body any, s Socket) {
+func (l *Link) Pass(kind string, body any, s Socket) bool {
 	text, err := json.Marshal(body)
 	if err == nil {
 		text, err = json.Marshal(Message{Kind: kind, Body: text, File: s != nil})
@@ -72,7 +73,7 @@
 	if err == nil && !l.ended {
 		select {
 		case l.queue <- outgoing{append(text, '\n'), s}:
-			return
+			return true
 		default:
 		}
 	}
@@ -80,6 +81,7 @@
 	if s != nil {
 		s.Close()
 	}
+	return false
 }
 
 // Close ends the link once what was told is written.
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -251,21 +251,24 @@
 
 // yield leaves all that is in hand and all that comes to the newer process.
 func (p *Program) yield(link *handover.Link) {
-	p.loop.Yield(func(given dispatch.Handed) {
+	p.loop.Yield(func(given dispatch.Handed) bool {
 		for _, c := range given.Commands {
-			link.Tell(command, c)
+			if !link.Tell(command, c) {
+				return false
+			}
+		}
+		if !link.Tell(yielded, handed{given, p.server.Connections()}) {
+			return false
 		}
-		link.Tell(yielded, handed{given, p.server.Connections()})
 		p.server.Yield(heir{link})
 		p.listener.SetDeadline(time.Unix(1, 0)) // the socket is shared, this is not
 		p.mu.Lock()
 		p.given = given.Module
+		p.door.Close() // the next calls at the newer one's
 		p.mu.Unlock()
-		p.enter(Yielded, Serving, Quiescing, Quiesced)
+		p.enter(Yielded, Serving, Quiescing, Quiesced) // unless it has been told to end
+		return true
 	})
-	p.mu.Lock()
-	p.door.Close()
-	p.mu.Unlock()
 }
 
 // heir passes connections to the newer process.
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -70,30 +70,41 @@
 	require.Equal(t, Serving, w.program.Phase())
 }
 
-// What no instance has confirmed when the older process yields: it passes on what comes of it.
+// What no instance has confirmed when the older process yields: it passes on what comes of it, and
+// so does the next, should a third have taken over by then.
 func TestUnconfirmedSendingsWhileTakingOver(t *testing.T) {
-	let := make(chan bool)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		return <-let && answer(c, 202)
-	})
-	<-w.watches
-	fate := func(goes bool, id string) (older *world, p *http1.Response) {
+	for goes, status := range map[bool]int{true: 200, false: 502} { // broken: it may have run
+		let := make(chan bool)
+		w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return <-let && answer(c, 202) })
+		<-w.watches
 		c := w.dial()
-		w.command(c, id, "once", "30000m")
+		w.command(c, "c1", "once", "30000m")
 		w.await(func() bool { return w.figure("upstream_tries") == "1" })
-		older = w.beside()
-		tellTable(<-w.watches, 7, true, member(w.instance.Addr().String(), "in_service"))
-		w.await(func() bool { return w.program.Phase() == Serving })
+		for range 2 {
+			w.beside()
+			tellTable(<-w.watches, 7, true, member(w.instance.Addr().String(), "in_service"))
+			w.await(func() bool { return w.program.Phase() == Serving })
+		}
 		let <- goes
 		if goes {
-			require.Equal(t, 204, w.news(id, "s-1", "done", "r"))
+			require.Equal(t, 204, w.news("c1", "s-1", "done", "r"))
 		}
-		return older, w.read(c)
+		require.Equal(t, status, w.read(c).Status)
 	}
-	_, p := fate(true, "c1")
-	require.Equal(t, 200, p.Status)
-	_, p = fate(false, "c2")
-	require.Equal(t, 502, p.Status, "its connection broke: it may have run")
+}
+
+// Where no door can be, a second program shares the address all the same.
+func TestNoDoor(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	w.variables["TMPDIR"], w.variables["PROXY_LISTEN"] = "/nowhere", w.program.Address()
+	older := w.beside()
+	w.await(func() bool { return w.program.Phase() == Serving })
+	require.Equal(t, older.program.Address(), w.program.Address())
+	older.signals <- syscall.SIGTERM
+	require.NoError(t, <-older.ended)
+	c := w.dial()
+	fmt.Fprint(c, "GET /_health HTTP/1.1\r\n\r\n")
+	require.Equal(t, 200, w.read(c).Status)
 }
 
 // An instance left out by hand was used as the list said. It gets nothing from the yes on, through
@@ -145,6 +156,7 @@
 		w.news(id(q), "s-1", "done", "r")
 		return answer(c, 202)
 	})
+	<-w.watches
 	link, err := handover.Call(w.program.path())
 	require.NoError(t, err)
 	read := make(chan string, 9)
