Let many dispatchers warm a cold encoder up, spread over keepers, and not give publishes up

The encoder that keeps the hottest key was sent 424 jobs, of which 3 started promptly, while encoders of the fastest kind did 8 s of work.

Change: turns follow the budget as it grows, at a size that the tenants' agreed rates tell, in units of the shortest jobs; they are used before other encoders; long jobs wait until the window's budget holds them. Dispatchers begin at different keepers, as far as they are more than an encoder runs jobs. What may not be repeated stays queued while it can still end in time.

Zone loss is not reported late by discovery alone: 0.72 of the first window already missed before it.

Tests play eighty modules against one fleet in virtual time; each fails without its change.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -69,10 +69,11 @@
 		w.list[1] = Worker{ID: 1, State: Ready, Started: started}
 		w.handle(ListDelta{Workers: []Worker{w.list[1]}})
 		wk := w.d.workers[1]
-		w.d.coldTurn(wk)
+		r := &request{Request: Request{Slots: 1}, c: w.d.classes[0]}
+		w.d.coldTurn(wk, r)
 		w.d.now = started + after
-		rate += s.Rules.FallWindow.Seconds() / w.d.coldGap(wk, w.d.longest()).Seconds()
-		if w.d.coldTurn(wk) {
+		rate += s.Rules.FallWindow.Seconds() / (w.d.coldAt(wk, w.d.now, w.d.pace().Seconds()) - w.d.now).Seconds()
+		if w.d.coldTurn(wk, r) {
 			open++
 		}
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -126,7 +126,7 @@
 func (d *Dispatcher) firstJob(r *request) *worker {
 	d.owed = slices.DeleteFunc(d.owed, func(w *worker) bool { return !w.owed && !d.untried(w) || d.workers[w.ID] != w })
 	for _, w := range d.owed {
-		if r.c.Effect == Safe && len(r.attempts) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
+		if r.c.Effect == Safe && len(r.attempts) == 0 && w.own == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
 			return w
 		}
 	}
@@ -398,6 +398,8 @@
 	case b.ByKey:
 		start, _ = slices.BinarySearch(b.ring, hash(r.Key, 0))
 		reach = d.keepers(r)
+		crowd := 1 + (d.s.Dispatchers-1)/int(d.size(b.members[0])) // all at one would overrun it
+		start += int(hash(r.Key, uint64(d.s.Dispatcher)+1) % uint64(min(reach, crowd)))
 	case b.Strategy == Platform:
 		key := r.Key
 		if key == 0 {
@@ -424,11 +426,8 @@
 // fill. What a job needs is fetched where it lacks, which takes longer than a wait and pushes out what others need.
 func (d *Dispatcher) keepers(r *request) int {
 	rate := d.keys[r.Key].N / keyMemory.Seconds() * float64(d.s.Dispatchers)
-	wider, held := 0, 0
-	for _, q := range d.queues {
-		held += len(q)
-	}
-	if held <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
+	wider := 0
+	if len(slices.Concat(d.queues...)) <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
 		wider = int(widen * float64(d.now-r.arrived) / float64(max(r.c.Aim, 1)))
 	}
 	return 1 + wider + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).Ceiling))
@@ -567,7 +566,7 @@
 			return true
 		}
 	}
-	return d.warmth(w) < 1 && !d.coldTurn(w) && d.lease(r, w) == 0 // rule 4: this dispatcher's share of the budget
+	return d.warmth(w) < 1 && !d.coldTurn(w, r) && d.lease(r, w) == 0 // rule 4: this dispatcher's share of the budget
 }
 
 // affordable tells whether the budget allows one more attempt beyond a first (move, retry or copy), in any
@@ -577,30 +576,32 @@
 	return float64(len(d.extras)+1) <= d.budget.Spare+d.budget.PerRequest*float64(len(d.taken))
 }
 
-// coldGap is how long a cold worker is left alone by this dispatcher for a job of so many
-// slot seconds: its share of the budget, earned at the worker's size by its present warmth.
-func (d *Dispatcher) coldGap(w *worker, work float64) time.Duration {
-	size := max(1, w.slots, d.kind(w.Kind).Slots)
-	rate := coldShare * d.s.Rules.FallMultiple * d.warmth(w) * size * d.part()
-	return time.Duration(work / rate * float64(time.Second))
+// coldAt is when this dispatcher's share of a cold worker's budget, from a time on, has come to so many slot
+// seconds: it grows at the worker's size by its warmth.
+func (d *Dispatcher) coldAt(w *worker, from time.Duration, work float64) time.Duration {
+	rate, least := coldShare*d.s.Rules.FallMultiple*d.size(w)*d.part(), d.s.Rules.ColdFrom
+	grows := (1 - least) / d.s.Rules.Cold.Seconds()
+	now := least + grows*(from-w.Started).Seconds()
+	return from + max(d.step(), time.Duration((math.Sqrt(now*now+2*grows*work/rate)-now)/grows*float64(time.Second)))
 }
 
-// coldTurn tells whether a cold worker may have a job from here. Each dispatcher has turns of its own from
-// the start that the list tells, lest all send when they hear of it. Unused they lapse, lest they burst.
-func (d *Dispatcher) coldTurn(w *worker) bool {
+// coldTurn tells whether a cold worker may have a job from here: in turns from the start that the list tells, lest all
+// send when they hear of it. Unused they lapse, lest they burst. A job that fills the budget alone has none yet.
+func (d *Dispatcher) coldTurn(w *worker, r *request) bool {
 	place, n := d.turns()
-	gap := max(d.coldGap(w, d.longest()), d.step())
+	unit, window := d.pace().Seconds(), d.s.Rules.FallWindow // of the shortest jobs
 	if w.coldNext == 0 {
-		turn, first := (hash(uint64(w.ID), uint64(w.Started))+uint64(place))%uint64(n), gap
+		turn := float64((hash(uint64(w.ID), uint64(w.Started))+uint64(place))%uint64(n)) + 0.5
+		w.coldNext = d.coldAt(w, w.Started, unit*turn/float64(n))
 		if w.owed {
-			first = min(gap, owedWithin)
+			w.coldNext = min(w.coldNext, w.Started+time.Duration(float64(owedWithin)*turn/float64(n)))
 		}
-		w.coldNext = w.Started + time.Duration(float64(first)*(float64(turn)+0.5)/float64(n))
 	}
-	if late := d.now - w.coldNext - d.s.Rules.FallWindow; late > 0 && !w.owed {
-		w.coldNext += gap * (late/gap + 1)
+	for d.now-w.coldNext > window && !w.owed {
+		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
-	return d.now >= w.coldNext && place >= 0
+	whole := coldShare * d.s.Rules.FallMultiple * d.warmth(w) * d.size(w) * window.Seconds()
+	return d.now >= w.coldNext && place >= 0 && r.Slots*r.c.mean() <= max(whole, 2*unit)
 }
 
 // send starts an attempt if the gate lets it.
@@ -625,7 +626,7 @@
 		w.retryAt = d.now + d.backoff(d.pace(), w.strikes)
 	}
 	if d.warmth(w) < 1 && lease == 0 {
-		w.coldNext = d.now + d.coldGap(w, r.Slots*r.c.mean())
+		w.coldNext = d.coldAt(w, max(w.coldNext, d.now-d.s.Rules.FallWindow), r.Slots*r.c.mean())
 	}
 	return true
 }
@@ -697,11 +698,10 @@
 	if r.done || r.streaming {
 		return
 	}
-	harmless := !r.any(func(a *attempt) bool {
+	if !r.any(func(a *attempt) bool { // harmless
 		again := r.c.Effect == Safe || r.c.Effect == Keyed && r.c.Scope == ScopeAll && d.now-a.sent < r.c.Window
 		return !a.neverRan && !again
-	})
-	if harmless {
+	}) {
 		after := time.Duration(0)
 		if d.s.Limits.RetryAfter && (r.errs > 1 || len(r.attempts) == 0) { // else another try may fare better
 			after = min(d.s.Limits.MaxRetryAfter, d.backoff(r.c.Aim, 1))
@@ -1039,7 +1039,7 @@
 		}
 		d.watch(r)
 		waits := jam && !r.any(func(a *attempt) bool { return !a.over && !a.queued })
-		if !r.held && waits && d.now >= r.limit && r.c.LateWorth == 0 {
+		if !r.held && waits && d.now >= r.limit+r.lasts() && r.c.LateWorth == 0 {
 			// Queued and too late to be worth anything: guards against queues that only make late
 			// answers. What cannot be called off would run all the same, and again for the next try.
 			d.answer(r)
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,195 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// throng plays many dispatchers against one fleet of workers, in virtual time: each worker runs so many jobs
+// at once, the rest in a queue, in order.
+type throng struct {
+	worlds []*world
+	rng    *rand.Rand
+	now    time.Duration
+	slots  int
+	run    func(class int, worker uint32) time.Duration
+	busy   map[uint32][]*throngJob // at work, then queued
+	sends  []*throngJob
+}
+
+type throngJob struct {
+	w                 *world
+	j                 *job
+	n                 int
+	worker            uint32
+	sent, began, ends time.Duration
+}
+
+// newThrong makes n dispatchers with the settings of the large fleet's site, which all know the workers.
+func newThrong(t *testing.T, n int, workers []Worker) *throng {
+	c := &throng{rng: rand.New(rand.NewPCG(1, 1)), now: time.Hour, slots: 4, busy: map[uint32][]*throngJob{}}
+	c.run = func(class int, _ uint32) time.Duration { return []time.Duration{400 * ms, 2400 * ms}[class] }
+	for i := range n {
+		s := site(uint64(i), true, false, false)
+		s.Dispatcher, s.Dispatchers, s.Progress = i, n, 0
+		s.Classes = []Class{
+			{Aim: 500 * ms, Stretch: 2.5, Deadline: 5 * time.Second, Worth: 1, Effect: Safe, Kind: Any},
+			{Aim: 2 * time.Second, Stretch: 2, Deadline: 25 * time.Second, Worth: 5, Effect: Unsafe, Kind: Any},
+		}
+		s.Tenants = []Tenant{{QuotaPerSecond: 3.5 * float64(len(workers))}}
+		s.Rules.Cold, s.Rules.ColdFrom = 24*time.Second, 0.14
+		w := newWorld(t, s)
+		w.now = c.now
+		for _, l := range workers {
+			w.list[l.ID] = l
+		}
+		w.handle(ListFull{Workers: workers})
+		c.worlds = append(c.worlds, w)
+	}
+	return c
+}
+
+// take adds what the last events had a dispatcher send, and drops what it called off in a queue.
+func (c *throng) take(w *world, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			j := w.jobs[a.Request]
+			k := &throngJob{w: w, j: j, n: len(j.tries) - 1, worker: a.Worker, sent: c.now}
+			c.sends = append(c.sends, k)
+			c.busy[a.Worker] = append(c.busy[a.Worker], k)
+		case Cancel:
+			j := w.jobs[a.Request]
+			id := j.tries[a.Attempt].w.ID
+			c.busy[id] = slices.DeleteFunc(c.busy[id], func(k *throngJob) bool {
+				return k.w == w && k.j == j && k.n == a.Attempt
+			})
+			w.now = c.now
+			c.take(w, w.handle(w.end(j, a.Attempt, Cancelled, nil)))
+		}
+	}
+}
+
+// play has requests come at a rate to all together, each of a class and key as drawn.
+func (c *throng) play(long time.Duration, rate float64, draw func() (class int, key uint64)) {
+	for end, step := c.now+long, 5*ms; c.now < end; {
+		c.now += step
+		ids := []uint32{}
+		for id := range c.busy {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		for _, id := range ids {
+			for _, k := range slices.Clone(c.busy[id]) {
+				if k.ends > 0 && c.now >= k.ends {
+					c.busy[id] = slices.DeleteFunc(c.busy[id], func(x *throngJob) bool { return x == k })
+					k.w.now = c.now
+					c.take(k.w, k.w.handle(k.w.end(k.j, k.n, OK, nil)))
+				}
+			}
+			for i, k := range c.busy[id] {
+				if i < c.slots && k.ends == 0 {
+					k.began, k.ends = c.now, c.now+c.run(k.j.Class, id)
+					k.w.now = c.now
+					c.take(k.w, k.w.handle(JobStarted{Request: k.j.ID, Attempt: k.n}))
+				}
+			}
+		}
+		for _, w := range c.worlds {
+			if w.now = c.now; len(w.wakes) > 0 && w.wakes[0] <= c.now {
+				w.wakes = w.wakes[1:]
+				c.take(w, w.handle(Wake{}))
+			}
+		}
+		for n := rate * step.Seconds(); c.rng.Float64() < n; n-- {
+			w := c.worlds[c.rng.IntN(len(c.worlds))]
+			class, key := draw()
+			w.now = c.now
+			j := w.arrive(class, w.s.Classes[class].Deadline)
+			j.Key = key
+			c.take(w, w.handle(j.Request))
+		}
+	}
+}
+
+// TestManyWarmAColdWorkerUp: each dispatcher's first turn at a cold worker lay by its own long jobs and the one
+// slot it had seen there, beyond the whole time to warm up with eighty of them: nobody sent, and the worker
+// never got warm. All together use a good part of the budget, and no window's is passed.
+func TestManyWarmAColdWorkerUp(t *testing.T) {
+	workers := []Worker{}
+	for id := range uint32(20) {
+		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
+	}
+	c := newThrong(t, 80, workers)
+	preview := func() (int, uint64) { return 0, 0 }
+	c.play(10*time.Second, 80, preview)
+	cold := Worker{ID: 5000, State: Ready, Started: c.now}
+	for _, w := range c.worlds {
+		w.now, w.list[cold.ID] = c.now, cold
+		w.handle(ListDelta{Workers: []Worker{cold}})
+	}
+	c.sends = nil
+	c.play(12*time.Second, 80, preview)
+	at := []time.Duration{}
+	for _, k := range c.sends {
+		if k.worker == cold.ID {
+			at = append(at, k.sent-cold.Started)
+		}
+	}
+	s := c.worlds[0].s
+	capacity := func(age time.Duration) float64 { // slot seconds a second, at its least
+		return float64(c.slots) * (s.Rules.ColdFrom + (1-s.Rules.ColdFrom)*age.Seconds()/s.Rules.Cold.Seconds())
+	}
+	if whole := 12 * capacity(6*time.Second); float64(len(at))*0.4 < whole/4 {
+		t.Errorf("%d jobs in 12 s: a cold worker could do %.0f s of work meanwhile", len(at), whole)
+	}
+	for i, from := range at {
+		work := 0.0
+		for _, a := range at[i:] {
+			if a < from+s.Rules.FallWindow {
+				work += 0.4
+			}
+		}
+		if most := s.Rules.FallMultiple * capacity(from); work > most {
+			t.Errorf("%.1f s of work in a window %v after the start, budget %.1f", work, from, most)
+		}
+	}
+}
+
+// TestManyDoNotMeetAtOneKeeper: each dispatcher sent its first job of a key to the one keeper that all agree on,
+// and waited there, while three in four workers were idle.
+func TestManyDoNotMeetAtOneKeeper(t *testing.T) {
+	workers := []Worker{}
+	for id := range uint32(20) {
+		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
+	}
+	c := newThrong(t, 80, workers)
+	c.play(10*time.Second, 60, func() (int, uint64) { return 0, 1 + uint64(c.rng.ExpFloat64()*2) })
+	waited := 0
+	for _, k := range c.sends {
+		if k.began == 0 || k.began-k.sent > 100*ms {
+			waited++
+		}
+	}
+	if waited*4 > len(c.sends) {
+		t.Errorf("%d of %d jobs waited at their keepers, at 0.3 of what the workers can do", waited, len(c.sends))
+	}
+}
+
+// TestQueuedJobMayStillBeInTime: a job that was queued at its aim was given up, though its own length gave it
+// twice that: what may not be repeated was lost for good, and what it had waited for in vain.
+func TestQueuedJobMayStillBeInTime(t *testing.T) {
+	s := newThrong(t, 1, nil).worlds[0].s
+	w := fleet(t, s, 1)
+	j := w.arrive(1, 25*time.Second)
+	w.handle(j.Request)
+	for w.now < time.Hour+3*time.Second { // its aim is 2 s, with its length 6 s
+		w.now += 20 * ms
+		w.handle(Wake{})
+	}
+	if j.answered {
+		t.Error("given up though it may still end in time")
+	}
+}
--- a/decide/lease.go
+++ b/decide/lease.go
@@ -75,15 +75,16 @@
 	return 0
 }
 
-// untried tells whether a cold worker has yet to be used from here. Where the budget is leased each dispatcher
-// gives it one job as soon as it may: else, with room elsewhere, turns and leases would lapse unused.
+// untried tells whether a cold worker is to be used from here before others, whenever it may be: else, with room
+// elsewhere, turns would lapse unused and it would not get warm. Where the budget is leased that is one job, which a
+// lease may be asked for, else one at a time.
 func (d *Dispatcher) untried(w *worker) bool {
-	return d.s.Leasing.On && w.lived == 0 && d.warmth(w) < 1
+	return d.warmth(w) < 1 && (!d.s.Leasing.On || w.lived == 0)
 }
 
 // spend takes the lease, if any, that a request goes to a worker by; else its turn is taken.
 func (d *Dispatcher) spend(r *request, w *worker) (id uint64) {
-	if d.warmth(w) >= 1 || d.coldTurn(w) {
+	if d.warmth(w) >= 1 || d.coldTurn(w, r) {
 		return 0
 	}
 	id = d.lease(r, w)
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -372,6 +372,7 @@
 func TestCalledOffWhenCrowded(t *testing.T) {
 	for i, crowded := range []bool{false, true, true} {
 		s := site(1, true, false, false)
+		s.Classes[2].Stretch = 1
 		s.Limits.Cancel = i < 2 // what cannot be called off is waited for: once it ran for nothing, and its client came back
 		w := fleet(t, s, 3)
 		_, j := w.place(2)
--- a/decide/state.go
+++ b/decide/state.go
@@ -437,6 +437,28 @@
 	return from + (1-from)*float64(age)/float64(d.s.Rules.Cold)
 }
 
+// lasts is how long after its aim a request's job may still start and end in time. It counts only for what
+// has its one attempt out: what can go out again, or has not yet, gives its place up sooner.
+func (r *request) lasts() time.Duration {
+	if r.c.Effect != Unsafe {
+		return 0
+	}
+	return time.Duration(max(0, r.c.Stretch-1) * float64(r.c.typical()))
+}
+
+// size is what a worker runs at once: as learned, or as large as the fleet must be for what the tenants have agreed.
+// A dispatcher of many sees too little of any worker to learn it.
+func (d *Dispatcher) size(w *worker) float64 {
+	agreed, run, jobs := 0.0, 0.0, 0.0
+	for i := range d.s.Tenants {
+		agreed += d.s.Tenants[i].QuotaPerSecond
+	}
+	for _, c := range d.classes {
+		run, jobs = run+c.jobs*c.typical().Seconds(), jobs+c.jobs
+	}
+	return max(1, w.slots, d.kind(w.Kind).Slots, agreed*run/max(jobs, 1)/float64(max(1, d.most)))
+}
+
 // setup is what a new connection adds to the start of a job: the least of the last few, since
 // queues add to some only. Guards against taking slow connecting for queueing everywhere.
 func (d *Dispatcher) setup() time.Duration { return slices.Min(d.setups[:]) }
