Spread list calls by the fleet's size, choose a crowd's keepers by rank, count shares beyond chance

Causes: listFailed asked again within 0.6 to 1.9 s whatever the fleet; discovery, one service for all, spent its time on calls that had waited too long. overShare took a tenant's one request in a short while for more than a dispatcher's 80th of its share (12/s: 0.6 in 4 s), and beyond share nothing has room under a ceiling of one. walk took keepers in the ring's order, whatever the encoder's speed or late starts.

Change: the wait for the list doubles with each 32-fold of dispatchers, and once more with failures; a tenant's count must pass its share by more than chance brings; where more dispatchers share a keeper than it runs jobs, the best ranked of the keepers is taken.

Ruled out: that discovery answers no one (12 kept watches were told all along); errors on the sockets (no refused connect).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -137,7 +138,7 @@
 func (d *Dispatcher) listFailed() {
 	d.note(&d.listLost, true, "worker list lost", "")
 	d.failures++
-	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 2))
+	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 3)+bits.Len(uint(d.s.Dispatchers)/partySize))
 }
 
 // list takes lines of the worker list.
@@ -269,7 +270,8 @@
 	d.tenants[tenant].bump(d.now)
 	used := func(i int) float64 {
 		part := d.s.Tenants[i].QuotaPerSecond / float64(d.s.Dispatchers) * keyMemory.Seconds()
-		return d.tenants[i].at(d.now) / max(part, 1e-9)
+		n := d.tenants[i].at(d.now)
+		return (n - math.Sqrt(n)) / max(part, 1e-9) // beyond what chance alone brings
 	}
 	var usage []float64
 	for i := range d.tenants {
@@ -388,38 +390,35 @@
 // walk returns the block's first valid worker in the order of its strategy.
 func (d *Dispatcher) walk(b *block, r *request) *worker {
 	n := len(b.members)
-	if n == 0 {
+	if n == 0 || b.ByKey && r.Key == 0 {
 		return nil
 	}
-	start, step, reach := 0, 1, n
+	start, step, reach, crowd := 0, 1, n, 1
+	var best *worker
 	switch {
-	case b.ByKey && r.Key == 0:
-		return nil
 	case b.ByKey:
 		start, _ = slices.BinarySearch(b.ring, hash(r.Key, 0))
 		reach = d.keepers(r)
-		crowd := 1 + (d.s.Dispatchers-1)/int(d.size(b.members[0])) // all at one would overrun it
-		start += int(hash(r.Key, uint64(d.s.Dispatcher)+1) % uint64(min(reach, crowd)))
+		crowd = min(reach, 1+(d.s.Dispatchers-1)/int(d.size(b.members[0]))) // more would overrun one
 	case b.Strategy == Platform:
-		key := r.Key
-		if key == 0 {
-			key = uint64(r.Class) + 1
-		}
-		h := hash(key, 0)
+		h := hash(cmp.Or(r.Key, uint64(r.Class)+1), 0)
 		start, step = int(h%uint64(n)), coprime(int(h>>32%uint64(n)), n)
 	case b.Strategy == Random:
 		return d.random(b, func(w *worker) bool { return d.valid(r, w, b.Invalidate) })
 	}
 	for i := 0; i < n && reach > 0; i++ {
 		w := b.members[(start+i*step)%n]
-		if d.valid(r, w, b.Invalidate) {
-			return w
+		if d.valid(r, w, b.Invalidate) && (best == nil || w.rank < best.rank) {
+			best = w
+		}
+		if crowd--; crowd <= 0 && best != nil {
+			break
 		}
 		if 2*w.strikes <= maxStrikes && !w.zone.shunned { // no more than full
 			reach--
 		}
 	}
-	return nil
+	return best
 }
 
 // keepers is how many workers along the ring a request may go to: one, and more the more of a worker its key's jobs
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -193,3 +193,66 @@
 		t.Error("given up though it may still end in time")
 	}
 }
+
+// TestManyAskForTheListInTurn: discovery works through calls in turn and fails those that waited too long. All
+// dispatchers that lost their watch together asked again within two seconds or so, which is more than it can
+// answer: every call waited too long, for good.
+func TestManyAskForTheListInTurn(t *testing.T) {
+	const each, patience = 100 * ms, 2 * time.Second
+	c := newThrong(t, 80, nil)
+	type call struct {
+		w     *world
+		since time.Duration
+	}
+	var queue []call
+	back := map[*world]bool{}
+	act := func(w *world, events ...Event) {
+		w.now = c.now
+		for _, a := range w.handle(events...) {
+			if _, ok := a.(Subscribe); ok {
+				queue = append(queue, call{w, c.now})
+			}
+		}
+	}
+	for _, w := range c.worlds {
+		act(w, ListFailed{})
+	}
+	next := c.now
+	for end := c.now + 20*time.Second; c.now < end; c.now += 10 * ms {
+		for _, w := range c.worlds {
+			if len(w.wakes) > 0 && w.wakes[0] <= c.now {
+				w.wakes = w.wakes[1:]
+				act(w, Wake{})
+			}
+		}
+		for len(queue) > 0 && c.now >= next {
+			q := queue[0]
+			queue = queue[1:]
+			if next = max(next, q.since) + each; c.now-q.since > patience {
+				act(q.w, ListFailed{}) // its time was spent on it all the same
+			} else {
+				back[q.w] = true
+				act(q.w, ListDelta{})
+			}
+		}
+	}
+	if len(back) < 80 {
+		t.Errorf("%d of 80 dispatchers hear from discovery again after 20 s", len(back))
+	}
+}
+
+// TestOneRequestIsNoShare: a dispatcher of many sees a tenant once in many seconds, which was more than its part of
+// the tenant's share over the short time that was counted, and then nothing had room for it.
+func TestOneRequestIsNoShare(t *testing.T) {
+	c := newThrong(t, 80, []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}})
+	for i, w := range c.worlds {
+		w.d.s.Tenants = []Tenant{{QuotaPerSecond: 80}, {QuotaPerSecond: 12}, {QuotaPerSecond: 12}}
+		w.d.tenants = make([]demand, 3)
+		j := w.arrive(1, 25*time.Second)
+		j.Tenant, j.Key = 1, 5
+		w.handle(j.Request)
+		if len(j.tries) == 0 {
+			t.Errorf("dispatcher %d held a tenant's first request", i)
+		}
+	}
+}
