Give long jobs turns at warming encoders once two fit, and size encoders by those ready

Causes: firstJob gave turns at cold encoders to what may be repeated only; coldTurn asked room for two long jobs at their mean, which slow encoders stretch, at a size divided by all listed, those draining beside their successors too (78 for 60).

Change: any job takes a turn that is due, once two of its typical length fit the window's budget; the size goes by the most encoders ready at a time.

Ruled out: a turn for long jobs when only one fits: such jobs took 6 s while the encoder was that cold, late all the same, and two in a window would break the rule.

A test with eighty modules fails without it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -127,7 +127,8 @@
 func (d *Dispatcher) firstJob(r *request) *worker {
 	d.owed = slices.DeleteFunc(d.owed, func(w *worker) bool { return !w.owed && !d.untried(w) || d.workers[w.ID] != w })
 	for _, w := range d.owed {
-		if r.c.Effect == Safe && len(r.attempts) == 0 && w.own == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
+		first := r.c.Effect == Safe && w.own == 0 || !w.owed && !d.s.Leasing.On
+		if first && len(r.attempts) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
 			return w
 		}
 	}
@@ -600,7 +601,7 @@
 		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
 	whole := coldShare * d.s.Rules.FallMultiple * d.warmth(w) * d.size(w) * window.Seconds()
-	return d.now >= w.coldNext && place >= 0 && r.Slots*r.c.mean() <= max(whole, 2*unit)
+	return d.now >= w.coldNext && place >= 0 && r.Slots*r.c.typical().Seconds() <= max(whole, 2*unit)
 }
 
 // send starts an attempt if the gate lets it.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -256,3 +256,37 @@
 		}
 	}
 }
+
+// TestLongJobsReachWarmingWorkers: a worker that warms up was given short jobs only until it could almost do all it
+// ever can, and the long ones, most of the worth, queued at those that had not been replaced.
+func TestLongJobsReachWarmingWorkers(t *testing.T) {
+	workers := []Worker{}
+	for id := range uint32(8) {
+		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
+	}
+	c := newThrong(t, 80, workers)
+	mixed := func() (int, uint64) { return int(c.rng.Uint32() % 4 / 3), 0 }
+	c.play(10*time.Second, 20, mixed)
+	cold := []Worker{}
+	for id := range uint32(6) {
+		cold = append(cold, Worker{ID: 5000 + id, State: Ready, Started: c.now})
+	}
+	for _, w := range c.worlds {
+		w.now = c.now
+		for i, l := range cold {
+			w.list[l.ID], w.list[workers[i].ID] = l, Worker{ID: workers[i].ID, State: Gone}
+			w.handle(ListDelta{Workers: []Worker{l, {ID: workers[i].ID, State: Draining}}})
+		}
+	}
+	c.sends = nil
+	c.play(16*time.Second, 20, mixed)
+	long := map[bool]int{}
+	for _, k := range c.sends {
+		if age := k.sent - cold[0].Started; age > 9*time.Second && k.j.Class == 1 {
+			long[k.worker >= 5000]++
+		}
+	}
+	if 2*long[true] < long[false] {
+		t.Errorf("%d long jobs at six workers that are half warm, %d at the other two", long[true], long[false])
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -194,7 +194,7 @@
 	taken, extras         []time.Duration     // requests and further attempts inside the budget's window
 	sums                  map[uint32]*loadSum // of what the peers tell, by worker
 	lists, learned        int                 // worker lists taken; jobs learned from since the last sort
-	most                  int                 // workers listed at a time, so far
+	most, mostReady       int                 // workers listed at a time, so far, and of those ready
 	freed                 bool                // something happened that may have made a worker valid
 	drainAt               time.Duration       // else held requests are looked at again from then on
 	moved                 bool                // this dispatcher's load at a worker since the last message
@@ -362,12 +362,16 @@
 
 // recount counts the workers that are trusted.
 func (d *Dispatcher) recount() {
+	ready := 0
 	d.trusted = 0
 	for _, w := range d.workers {
-		if w.ready() && w.strikes == 0 {
-			d.trusted++
+		if w.ready() {
+			if ready++; w.strikes == 0 {
+				d.trusted++
+			}
 		}
 	}
+	d.mostReady = max(d.mostReady, ready)
 }
 
 // drop forgets a worker; what still refers to it sees that it is gone.
@@ -456,7 +460,7 @@
 	for _, c := range d.classes {
 		run, jobs = run+c.jobs*c.typical().Seconds(), jobs+c.jobs
 	}
-	return max(1, w.slots, d.kind(w.Kind).Slots, agreed*run/max(jobs, 1)/float64(max(1, d.most)))
+	return max(1, w.slots, d.kind(w.Kind).Slots, agreed*run/max(jobs, 1)/float64(max(1, d.mostReady)))
 }
 
 // setup is what a new connection adds to the start of a job: the least of the last few, since
