Try another zone after an attempt that broke off where its zone shows no life since

Cause: keepers of the own zone come first, and shun needs eight broken attempts of one dispatcher, which meets that many in 6 s.

Change: a request does not go again to a zone where it broke off, unless a worker there has shown life since; its other attempts reach the zone that is left.

Ruled out: learning faster in shun, which takes one encoder's crash for its zone's.

A test fails without it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -72,10 +72,9 @@
 	var ps []Policy
 	for _, c := range s.Classes {
 		all := Block{Workers: []Label{{Zone: Any, Kind: c.Kind}}, Strategy: BestFirst, Invalidate: rule}
-		keyed, near := all, all
-		keyed.ByKey, near.Workers = true, []Label{{Zone: s.Zone, Kind: c.Kind}}
-		own := near
-		own.ByKey = true
+		own, keyed, near := all, all, all
+		own.ByKey, keyed.ByKey = true, true
+		own.Workers, near.Workers = []Label{{Zone: s.Zone, Kind: c.Kind}}, []Label{{Zone: s.Zone, Kind: c.Kind}}
 		ps = append(ps, Policy{Blocks: []Block{own, keyed, near, all}, Followup: Default})
 	}
 	return ps
@@ -436,9 +435,8 @@
 // lastResort ends the default tag's hold with its pick of a random healthy worker, full as it may be. It
 // acts only while nothing else waits: then ceilings may be wrong, else it would only add to a queue.
 func (d *Dispatcher) lastResort(r *request) *worker {
-	held := len(slices.Concat(d.queues...))
 	told := d.s.ReportsFree && !d.s.TellsStart // room is not guessed
-	if told || r.c.followup == Fail || len(r.attempts) > 0 || held > 1 || d.waiting > 0 {
+	if told || r.c.followup == Fail || len(r.attempts) > 0 || len(slices.Concat(d.queues...)) > 1 || d.waiting > 0 {
 		return nil
 	}
 	return d.random(r.c.deflt, func(w *worker) bool { return w.strikes == 0 && !d.forbidden(r, w) })
@@ -457,7 +455,9 @@
 	if w.strikes > 0 && !trial {
 		return false
 	}
-	if d.forbidden(r, w) || r.any(func(a *attempt) bool { return a.w == w && (!a.over || a.erred) }) {
+	if d.forbidden(r, w) || r.any(func(a *attempt) bool { // nor in a zone where it broke off, without life since
+		return a.w == w && (!a.over || a.erred) || a.broke > w.zone.lived && a.w.zone == w.zone && len(d.zones) > 1
+	}) {
 		return false
 	}
 	if w.strikes > 0 {
@@ -619,8 +619,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	w.own += r.Slots
-	w.mem += r.Memory
+	w.own, w.mem = w.own+r.Slots, w.mem+r.Memory
 	d.moved, w.owed = true, false
 	if w.strikes > 0 {
 		w.retryAt = d.now + d.backoff(d.pace(), w.strikes)
@@ -867,7 +866,7 @@
 // alive takes a sign of life.
 func (d *Dispatcher) alive(w *worker) {
 	d.moved = d.moved || w.ghost > 0
-	w.ghost, w.lived, d.served = 0, d.now, true
+	w.ghost, w.lived, w.zone.lived, d.served = 0, d.now, d.now, true
 	w.retryAt = d.now
 	d.freed = true
 	if w.strikes > 0 {
@@ -923,6 +922,7 @@
 		d.erred(w, r.Class, true)
 	case ConnectFailed, Reset:
 		if !kept {
+			a.broke = d.now
 			d.strike(w)
 		}
 	case Moot: // never sent: it does not count
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -310,3 +310,21 @@
 		t.Errorf("%d of some 900 jobs given up, while three in five workers had room", c.lost)
 	}
 }
+
+// TestBrokenOffGoesToAnotherZone: with a whole zone lost, a request spent all its attempts there, one refused
+// connection after the other, before its dispatcher had met enough of them to shun the zone.
+func TestBrokenOffGoesToAnotherZone(t *testing.T) {
+	workers := []Worker{}
+	for id := range uint32(20) {
+		workers = append(workers, Worker{ID: id*77 + 1, Zone: int(id % 2), State: Ready})
+	}
+	w := newThrong(t, 1, workers).worlds[0]
+	w.keyed(8)
+	j := w.arrive(0, 5*time.Second)
+	j.Key, w.d.keys[7] = 7, demand{N: 100, Last: w.now} // with several keepers in either zone
+	w.handle(j.Request)
+	w.handle(w.end(j, 0, ConnectFailed, nil))
+	if len(j.tries) != 2 || j.tries[0].w.Zone != 0 || j.tries[1].w.Zone != 1 {
+		t.Fatalf("after a broken connection in zone 0, without life there, it went to %+v", j.tries[len(j.tries)-1].w)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,6 +78,7 @@
 	begun           time.Duration
 	over, neverRan  bool
 	erred           bool
+	broke           time.Duration // could not connect, or lost it
 	started, queued bool
 	taken, lost     bool          // the worker has it; its connection carries nothing
 	fared           bool          // counted for its zone
@@ -134,7 +135,8 @@
 type zoneStat struct {
 	id      int
 	bad     tally
-	shunned bool // in the pick at hand
+	lived   time.Duration // last sign of life of any worker there
+	shunned bool          // in the pick at hand
 }
 
 type peer struct {
