Let moved jobs take cold encoders' turns, and an encoder's own speed tell after two jobs

Encoders in trouble run jobs two to nine times as long; a dispatcher sees one or two jobs there meanwhile.

Causes: firstJob let only first attempts take a turn. slowness weighed an encoder's own jobs against eight of its kind.

Change: what moves may take a turn too (one put back by hand still gets a first attempt); two jobs weigh as much as the kind.

Tried and taken back: putting encoders that erred last in the order.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	maxStrikes    = 6       // doublings of the readmission backoff
 	coldShare     = 0.5     // part of the cold budget that is used at all
 	speedMemory   = 64.0    // jobs that a worker's speed is judged on
-	speedPrior    = 8.0     // jobs of its kind that a worker's own speed must outweigh
+	speedPrior    = 2.0     // jobs of its kind that a worker's own speed must outweigh
 	extraShare    = 0.5     // further attempts for a request, where no rule says how many,
 	extraSpare    = 5.0     // and so many on top, in the time that a client waits
 	fairMemory    = 512.0   // requests over which a class's share served is judged
@@ -122,12 +122,12 @@
 	d.stale, d.freed, d.ordered = true, true, 0
 }
 
-// firstJob is the worker put back by hand, or cold and not tried, whose first job a request may be: one that can be repeated.
+// firstJob is a worker to be used before others: put back by hand, for one job that can be repeated, or cold.
 func (d *Dispatcher) firstJob(r *request) *worker {
 	d.owed = slices.DeleteFunc(d.owed, func(w *worker) bool { return !w.owed && !d.untried(w) || d.workers[w.ID] != w })
 	for _, w := range d.owed {
-		first := r.c.Effect == Safe && w.own == 0 || !w.owed && !d.s.Leasing.On
-		if first && len(r.attempts) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
+		first := r.c.Effect == Safe && w.own == 0 && len(r.attempts) == 0
+		if (first || !w.owed && !d.s.Leasing.On) && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
 			return w
 		}
 	}
@@ -149,10 +149,9 @@
 	d.stale, d.freed = true, true
 }
 
-// believe takes what a line of the list, or its absence from a whole one, says of a worker. Draining
-// stays for its process, whatever an older list says. Gone ends it, unless that is advice: then one
-// that has served leaves the blocks with its first strike. Guards against lists that are old, empty
-// or short of live workers; may cost each dispatcher one attempt at a worker truly gone.
+// believe takes what a line of the list, or its absence from a whole one, says of a worker. Draining stays for its
+// process, whatever an older list says. Gone ends it, unless that is advice: then one that has served leaves with its
+// first strike. Guards against lists that are old or short of live workers, for one attempt at one truly gone.
 func (d *Dispatcher) believe(w *worker, said WorkerState) {
 	w.unlisted = said == Gone
 	switch {
@@ -796,8 +795,7 @@
 // allTell is whether all dispatchers hear of each other's load.
 func (d *Dispatcher) allTell() bool { return d.tells() && d.parties() == 1 }
 
-// lower cuts a worker's ceiling to what it runs for this dispatcher, or below one slot
-// if that is nothing: one job is still let through, but the way up is longer.
+// lower cuts a worker's ceiling to what it runs for this dispatcher; if that is nothing, below one slot, to earn back.
 func (d *Dispatcher) lower(w *worker) {
 	if d.allTell() {
 		k := d.kind(w.Kind)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -328,3 +328,36 @@
 		t.Fatalf("after a broken connection in zone 0, without life there, it went to %+v", j.tries[len(j.tries)-1].w)
 	}
 }
+
+// TestFewJobsTellASlowWorker: a dispatcher of many sees one or two jobs at a worker in the time that one is slow; its
+// own speed counted for little before eight.
+func TestFewJobsTellASlowWorker(t *testing.T) {
+	w := newThrong(t, 80, []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}}).worlds[0]
+	for n := range 20 {
+		id, run := uint32(2), 300*ms
+		if n == 10 || n == 15 {
+			id, run = 1, 1800*ms
+		}
+		a := &attempt{w: w.d.workers[id], sent: w.d.now - run, begun: w.d.now - run, started: true}
+		w.d.learn(&request{Request: Request{Slots: 1}, c: w.d.classes[0], arrived: a.sent}, a)
+	}
+	if one, two := w.d.slowness(w.d.workers[1]), w.d.slowness(w.d.workers[2]); one-two < 0.5 {
+		t.Errorf("six times slower, which counts as %.2f and %.2f in logs", one, two)
+	}
+}
+
+// TestMovedJobTakesATurn: a job that left a queue went to the next, though a cold worker's turn was due and unused.
+func TestMovedJobTakesATurn(t *testing.T) {
+	now := time.Hour
+	workers := []Worker{{ID: 1, State: Ready}, {ID: 2, State: Ready}, {ID: 3, State: Ready, Started: now - 10*time.Second}}
+	w := newThrong(t, 80, workers).worlds[0]
+	w.d.workers[3].coldNext = now + 20*ms
+	first, j := w.keyed(7)
+	for w.now < now+300*ms {
+		w.now += 10 * ms
+		w.handle(Wake{})
+	}
+	if first == 3 || len(j.tries) < 2 || j.tries[1].w.ID != 3 {
+		t.Errorf("sent to worker %d, then moved: %d attempts", first, len(j.tries))
+	}
+}
