Weigh an encoder's own speed by how many a dispatcher meets; wait for the list as before among few

Cause: two jobs are all that one of eighty dispatchers sees at an encoder, but one of three sees dozens, and follows chance by two. The third failed list call waited twice as long as before among few, too.

Change: the prior is 2.5 times as many jobs as there are encoders to a dispatcher, at most eight; failures count as before up to 31 dispatchers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,8 @@
 	maxStrikes    = 6       // doublings of the readmission backoff
 	coldShare     = 0.5     // part of the cold budget that is used at all
 	speedMemory   = 64.0    // jobs that a worker's speed is judged on
-	speedPrior    = 2.0     // jobs of its kind that a worker's own speed must outweigh
+	speedPrior    = 8.0     // jobs of its kind that a worker's own speed must outweigh at most,
+	speedSeen     = 2.5     // and times as many as there are workers to a dispatcher: many see few jobs of each
 	extraShare    = 0.5     // further attempts for a request, where no rule says how many,
 	extraSpare    = 5.0     // and so many on top, in the time that a client waits
 	fairMemory    = 512.0   // requests over which a class's share served is judged
@@ -138,7 +139,8 @@
 func (d *Dispatcher) listFailed() {
 	d.note(&d.listLost, true, "worker list lost", "")
 	d.failures++
-	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 3)+bits.Len(uint(d.s.Dispatchers)/partySize))
+	many := bits.Len(uint(d.s.Dispatchers) / partySize)
+	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 2+many/2)+many)
 }
 
 // list takes lines of the worker list.
--- a/decide/state.go
+++ b/decide/state.go
@@ -283,7 +283,8 @@
 // slowness is a worker's log run time against the mean, its kind's where little is known.
 func (d *Dispatcher) slowness(w *worker) float64 {
 	k := d.kind(w.Kind)
-	return (w.dev + speedPrior*k.Dev/(k.N+speedPrior)) / (w.n + speedPrior)
+	prior := min(speedPrior, speedSeen*float64(len(d.fleet))/float64(d.s.Dispatchers))
+	return (w.dev + prior*k.Dev/(k.N+prior)) / max(w.n+prior, 1e-9)
 }
 
 // longestDeadline is of all classes.
