Have long jobs wait until two fit the planned part of a warming encoder's budget

Cause, reckoned and not traced: coldTurn let long jobs go once two fit the whole planned part in halves, by the fleet's mean size in run times (5.5 slots); the smallest kind holds under half of that, and two long jobs from two dispatchers within a second came to its budget from 7 s after its start.

Change: two have to fit the planned part, from about 12 s on.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -587,7 +587,7 @@
 }
 
 // coldTurn tells whether a cold worker may have a job from here: in turns from the start that the list tells, lest all
-// send when they hear of it. Unused they lapse, lest they burst. A job that fills the budget alone has none yet.
+// send when they hear of it. Unused they lapse, lest they burst. Long jobs have none before two fit the plan.
 func (d *Dispatcher) coldTurn(w *worker, r *request) bool {
 	place, n := d.turns()
 	unit, window := d.pace().Seconds(), d.s.Rules.FallWindow // of the shortest jobs
@@ -602,7 +602,7 @@
 		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
 	whole := coldShare * d.s.Rules.FallMultiple * d.warmth(w) * d.size(w) * window.Seconds()
-	return d.now >= w.coldNext && place >= 0 && r.Slots*r.c.typical().Seconds() <= max(whole, 2*unit)
+	return d.now >= w.coldNext && place >= 0 && 2*r.Slots*r.c.typical().Seconds() <= max(whole, 4*unit)
 }
 
 // send starts an attempt if the gate lets it.
