--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -268,6 +268,9 @@
 		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
 	}
 	c := newThrong(t, 80, workers)
+	for _, w := range c.worlds { // agreed rates that a worker of five slots could just do
+		w.d.s.Tenants[0].QuotaPerSecond *= 1.6
+	}
 	mixed := func() (int, uint64) { return int(c.rng.Uint32() % 4 / 3), 0 }
 	c.play(10*time.Second, 20, mixed)
 	cold := []Worker{}
