--- a/decide/cordon_test.go
+++ b/decide/cordon_test.go
@@ -68,3 +68,13 @@
 		}
 	}
 }
+
+// TestOwedOnce: a worker put back by hand counts as cold, too, and was listed twice among those to be used first.
+func TestOwedOnce(t *testing.T) {
+	w := fleet(t, site(1, true, false, false), 2)
+	w.handle(Cordon{Worker: 1, Out: true})
+	w.handle(Cordon{Worker: 1})
+	if n := len(w.d.owed); n != 1 {
+		t.Errorf("%d entries for one worker", n)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -115,7 +115,7 @@
 		l.Started, w.State = d.now, Gone // for what is out there
 		w = d.begin(l)
 		w.State, w.listed, w.unlisted, w.owed = l.State, listed, unlisted, true
-		d.owed = append(d.owed, w)
+		d.owe(w)
 	} else if w != nil {
 		w.cordoned = out
 	}
@@ -427,7 +427,7 @@
 func (d *Dispatcher) keepers(r *request) int {
 	rate := d.keys[r.Key].N / keyMemory.Seconds() * float64(d.s.Dispatchers)
 	wider := 0
-	if len(slices.Concat(d.queues...)) <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
+	if d.held() <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
 		wider = int(widen * float64(d.now-r.arrived) / float64(max(r.c.Aim, 1)))
 	}
 	return 1 + wider + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).Ceiling))
@@ -437,7 +437,7 @@
 // acts only while nothing else waits: then ceilings may be wrong, else it would only add to a queue.
 func (d *Dispatcher) lastResort(r *request) *worker {
 	told := d.s.ReportsFree && !d.s.TellsStart // room is not guessed
-	if told || r.c.followup == Fail || len(r.attempts) > 0 || len(slices.Concat(d.queues...)) > 1 || d.waiting > 0 {
+	if told || r.c.followup == Fail || len(r.attempts) > 0 || d.held() > 1 || d.waiting > 0 {
 		return nil
 	}
 	return d.random(r.c.deflt, func(w *worker) bool { return w.strikes == 0 && !d.forbidden(r, w) })
@@ -590,7 +590,7 @@
 // send when they hear of it. Unused they lapse, lest they burst. Long jobs have none before two fit the plan.
 func (d *Dispatcher) coldTurn(w *worker, r *request) bool {
 	place, n := d.turns()
-	unit, window := d.pace().Seconds(), d.s.Rules.FallWindow // of the shortest jobs
+	unit, window := d.pace().Seconds(), d.s.Rules.FallWindow // a turn is of the shortest jobs
 	if w.coldNext == 0 {
 		turn := float64((hash(uint64(w.ID), uint64(w.Started))+uint64(place))%uint64(n)) + 0.5
 		w.coldNext = d.coldAt(w, w.Started, unit*turn/float64(n))
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -28,6 +28,14 @@
 	sent, began, ends time.Duration
 }
 
+// warmWorkers is a fleet of one zone and kind.
+func warmWorkers(n int) (ws []Worker) {
+	for i := range n {
+		ws = append(ws, Worker{ID: uint32(i)*77 + 1, State: Ready})
+	}
+	return ws
+}
+
 // newThrong makes n dispatchers with the settings of the large fleet's site, which all know the workers.
 func newThrong(t *testing.T, n int, workers []Worker) *throng {
 	c := &throng{rng: rand.New(rand.NewPCG(1, 1)), now: time.Hour, slots: 4, busy: map[uint32][]*throngJob{}}
@@ -121,10 +129,7 @@
 // slot it had seen there, beyond the whole time to warm up with eighty of them: nobody sent, and the worker
 // never got warm. All together use a good part of the budget, and no window's is passed.
 func TestManyWarmAColdWorkerUp(t *testing.T) {
-	workers := []Worker{}
-	for id := range uint32(20) {
-		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
-	}
+	workers := warmWorkers(20)
 	c := newThrong(t, 80, workers)
 	preview := func() (int, uint64) { return 0, 0 }
 	c.play(10*time.Second, 80, preview)
@@ -164,10 +169,7 @@
 // TestManyDoNotMeetAtOneKeeper: each dispatcher sent its first job of a key to the one keeper that all agree on,
 // and waited there, while three in four workers were idle.
 func TestManyDoNotMeetAtOneKeeper(t *testing.T) {
-	workers := []Worker{}
-	for id := range uint32(20) {
-		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
-	}
+	workers := warmWorkers(20)
 	c := newThrong(t, 80, workers)
 	c.play(10*time.Second, 60, func() (int, uint64) { return 0, 1 + uint64(c.rng.ExpFloat64()*2) })
 	waited := 0
@@ -263,10 +265,7 @@
 // TestLongJobsReachWarmingWorkers: a worker that warms up was given short jobs only until it could almost do all it
 // ever can, and the long ones, most of the worth, queued at those that had not been replaced.
 func TestLongJobsReachWarmingWorkers(t *testing.T) {
-	workers := []Worker{}
-	for id := range uint32(8) {
-		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
-	}
+	workers := warmWorkers(8)
 	c := newThrong(t, 80, workers)
 	for _, w := range c.worlds { // agreed rates that a worker of five slots could just do
 		w.d.s.Tenants[0].QuotaPerSecond *= 1.6
@@ -300,10 +299,7 @@
 // TestQueuedAmongMany: a repeatable job with a key that found its keeper full of others' jobs stayed in the queue
 // until its aim and was refused, where most workers were idle.
 func TestQueuedAmongMany(t *testing.T) {
-	workers := []Worker{}
-	for id := range uint32(20) {
-		workers = append(workers, Worker{ID: id*77 + 1, State: Ready})
-	}
+	workers := warmWorkers(20)
 	c := newThrong(t, 80, workers)
 	c.run = func(_ int, worker uint32) time.Duration { // two in five are slow
 		return []time.Duration{300 * ms, 300 * ms, 300 * ms, 2 * time.Second, 2 * time.Second}[worker/77%5]
@@ -317,9 +313,9 @@
 // TestBrokenOffGoesToAnotherZone: with a whole zone lost, a request spent all its attempts there, one refused
 // connection after the other, before its dispatcher had met enough of them to shun the zone.
 func TestBrokenOffGoesToAnotherZone(t *testing.T) {
-	workers := []Worker{}
-	for id := range uint32(20) {
-		workers = append(workers, Worker{ID: id*77 + 1, Zone: int(id % 2), State: Ready})
+	workers := warmWorkers(20)
+	for i := range workers {
+		workers[i].Zone = i % 2
 	}
 	w := newThrong(t, 1, workers).worlds[0]
 	w.keyed(8)
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -139,7 +139,7 @@
 			}
 			w.strikes = l.Strikes
 			if w.owed = l.Owed; w.owed {
-				d.owed = append(d.owed, w)
+				d.owe(w)
 			}
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -201,7 +201,7 @@
 	drainAt               time.Duration       // else held requests are looked at again from then on
 	moved                 bool                // this dispatcher's load at a worker since the last message
 	cordons               map[uint32]bool     // left out by hand
-	owed                  []*worker           // put back by hand and owed a first job
+	owed                  []*worker           // to be used before others: put back by hand and owed a first job, or cold
 	trusted               int                 // ready workers without a strike
 	out                   []Action
 }
@@ -355,11 +355,26 @@
 		errs: slices.Repeat([]tally{{N: 3}}, len(d.classes)), refusals: make([]refusal, len(d.classes)),
 	}
 	if d.workers[l.ID] = w; d.untried(w) {
-		d.owed = append(d.owed, w)
+		d.owe(w)
 	}
 	return w
 }
 
+// owe has a worker used before others, once.
+func (d *Dispatcher) owe(w *worker) {
+	if !slices.Contains(d.owed, w) {
+		d.owed = append(d.owed, w)
+	}
+}
+
+// held is how many requests wait here.
+func (d *Dispatcher) held() (n int) {
+	for _, q := range d.queues {
+		n += len(q)
+	}
+	return n
+}
+
 // ready tells whether a worker may be used, as far as the list and people say.
 func (w *worker) ready() bool { return w.State == Ready && !w.cordoned }
 
