Take cold turns in units that a dispatcher's share of the budget holds; first attempts only

Cause: that wait is for turns as close as eighty dispatchers have them. Three have turns by the longest job, each its own, and do not need it.

Change: a turn's unit is what a dispatcher's share of the budget holds by half the time to warm up, between the shortest and the longest job; among eighty it is the shortest as before. The rule's warmth and the planned part, each written twice, are one function each.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -127,8 +127,8 @@
 func (d *Dispatcher) firstJob(r *request) *worker {
 	d.owed = slices.DeleteFunc(d.owed, func(w *worker) bool { return !w.owed && !d.untried(w) || d.workers[w.ID] != w })
 	for _, w := range d.owed {
-		first := r.c.Effect == Safe && w.own == 0 && len(r.attempts) == 0
-		if (first || !w.owed && !d.s.Leasing.On) && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
+		first := r.c.Effect == Safe && w.own == 0 || !w.owed && !d.s.Leasing.On
+		if first && len(r.attempts) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
 			return w
 		}
 	}
@@ -580,17 +580,17 @@
 // coldAt is when this dispatcher's share of a cold worker's budget, from a time on, has come to so many slot
 // seconds: it grows at the worker's size by its warmth.
 func (d *Dispatcher) coldAt(w *worker, from time.Duration, work float64) time.Duration {
-	rate, least := coldShare*d.s.Rules.FallMultiple*d.size(w)*d.part(), d.s.Rules.ColdFrom
-	grows := (1 - least) / d.s.Rules.Cold.Seconds()
-	now := least + grows*(from-w.Started).Seconds()
+	rate, least := d.plan(w)*d.part(), d.s.Rules.ColdFrom
+	grows, now := (1-least)/d.s.Rules.Cold.Seconds(), d.s.Rules.warmth(from-w.Started)
 	return from + max(d.step(), time.Duration((math.Sqrt(now*now+2*grows*work/rate)-now)/grows*float64(time.Second)))
 }
 
 // coldTurn tells whether a cold worker may have a job from here: in turns from the start that the list tells, lest all
-// send when they hear of it. Unused they lapse, lest they burst. Long jobs have none before two fit the plan.
+// send when they hear of it. Unused they lapse, lest they burst. Longer jobs wait until two fit the plan.
 func (d *Dispatcher) coldTurn(w *worker, r *request) bool {
 	place, n := d.turns()
-	unit, window := d.pace().Seconds(), d.s.Rules.FallWindow // a turn is of the shortest jobs
+	half, window := d.s.Rules.Cold/2, d.s.Rules.FallWindow // by half the time to warm up each has had a turn:
+	unit := min(d.longest(), max(d.pace().Seconds(), d.plan(w)*d.part()*half.Seconds()*d.s.Rules.warmth(half/2)))
 	if w.coldNext == 0 {
 		turn := float64((hash(uint64(w.ID), uint64(w.Started))+uint64(place))%uint64(n)) + 0.5
 		w.coldNext = d.coldAt(w, w.Started, unit*turn/float64(n))
@@ -601,8 +601,8 @@
 	for d.now-w.coldNext > window && !w.owed {
 		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
-	whole := coldShare * d.s.Rules.FallMultiple * d.warmth(w) * d.size(w) * window.Seconds()
-	return d.now >= w.coldNext && place >= 0 && 2*r.Slots*r.c.typical().Seconds() <= max(whole, 4*unit)
+	fits := r.Slots*r.c.typical().Seconds() <= max(d.plan(w)*d.warmth(w)*window.Seconds()/2, 2*unit)
+	return d.now >= w.coldNext && place >= 0 && fits
 }
 
 // send starts an attempt if the gate lets it.
--- a/decide/state.go
+++ b/decide/state.go
@@ -451,12 +451,20 @@
 
 // warmth is the least share of its capacity that a worker can have by now.
 func (d *Dispatcher) warmth(w *worker) float64 {
-	age := d.now - w.Started
-	if w.Started == 0 || age >= d.s.Rules.Cold {
+	if w.Started == 0 || d.now-w.Started >= d.s.Rules.Cold {
 		return 1
 	}
-	from := d.s.Rules.ColdFrom
-	return from + (1-from)*float64(age)/float64(d.s.Rules.Cold)
+	return d.s.Rules.warmth(d.now - w.Started)
+}
+
+// warmth is that of a worker while it is cold, so long after its start.
+func (r *Rules) warmth(age time.Duration) float64 {
+	return r.ColdFrom + (1-r.ColdFrom)*float64(age)/float64(r.Cold)
+}
+
+// plan is the part of the rule's budget for a worker that is planned, once it is warm: slot seconds a second.
+func (d *Dispatcher) plan(w *worker) float64 {
+	return coldShare * d.s.Rules.FallMultiple * d.size(w)
 }
 
 // lasts is how long after its aim a request's job may still start and end in time. It counts only for what
