--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -391,6 +391,26 @@
 	}
 }
 
+// TestQueuedJobThatStartedIsNotCalledOff: a job that had queued counted as queued for good. At its aim it was called
+// off while it ran, in time as most: with hundreds of dispatchers a fifth of what the encoders did came to nothing.
+func TestQueuedJobThatStartedIsNotCalledOff(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Classes[2].Stretch = 1
+	w := fleet(t, s, 3)
+	_, j := w.place(2)
+	w.place(2)
+	w.place(2)
+	for n := range 10 { // it queues from 20 ms on and starts at 100 ms; two go on queueing; its aim is 150 ms
+		w.now += 20 * ms
+		if w.handle(Wake{}); n == 4 {
+			w.handle(JobStarted{j.ID, 0})
+		}
+	}
+	if j.answered {
+		t.Error("a running job was called off at its aim")
+	}
+}
+
 // TestLaterTryIsOlder: a client's later try, told by its shorter budget, was once
 // held for a whole aim of its own and then served too late.
 func TestLaterTryIsOlder(t *testing.T) {
