Count a key's keepers by its share, send long jobs anywhere, and let worth pass admission

A trace of 60 dispatchers: a preview at an encoder that keeps its key runs 0.3 to 0.7 s, one that fetches 0.7 to 1.0 s, so a preview's slot time doubles; 94% of all slots are busy in the burst. 123 publishes were refused without an attempt, 2 s after they came; of those, in another trace, the tokens of admission held all but a few back while 40 of 60 encoders had room. At fault, decide/decide.go: keepers took the request at hand, times the dispatchers, for the key's rate: one request in 4 s made 7 keepers of 60 and 30 of 300. pick held publishes for those keepers. drain bound all first attempts by the tokens alike, though a dispatcher of hundreds seldom holds two to choose from.

--- a/decide/api.go
+++ b/decide/api.go
@@ -427,9 +427,7 @@
 			d.order = append(d.order, 2*i, 2*i+1)
 			d.queues = append(d.queues, nil, nil)
 		}
-		if c.Class, c.followup, c.blocks = s.Classes[i], p.Followup, nil; c.Left {
-			c.offered, c.served = 0, 0
-		}
+		c.Class, c.followup, c.blocks = s.Classes[i], p.Followup, nil
 		for _, b := range p.Blocks {
 			c.blocks = append(c.blocks, &block{Block: b})
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,6 @@
 	speedSeen     = 2.5     // and times as many as there are workers to a dispatcher: many see few jobs of each
 	extraShare    = 0.5     // further attempts for a request, where no rule says how many,
 	extraSpare    = 5.0     // and so many on top, in the time that a client waits
-	fairMemory    = 512.0   // requests over which a class's share served is judged
 	sortPace      = 16      // workers for which one job may have the fleet sorted; four times as many an aim
 	lateMemory    = 8.0     // starts at a worker that its share of late ones is judged on,
 	lateWeight    = 1.0     // and what that share counts against it in the order, in logs
@@ -50,7 +49,9 @@
 	unsafeShare   = 0.3     // of the failures at an idle age that bar it for unsafe jobs
 	ageMemory     = 6.0     // sends at an idle age that it is judged on
 	fewHeld       = 3       // workers to a request held, up to which keyed ones may go further
-	widen         = 2.0     // by so many keepers for each aim that they have waited
+	widen         = 4.0     // by so many keepers for each aim that they have waited
+	longRun       = 1.5     // of the usual job's, from which on a job goes anywhere
+	keptSlots     = 2.0     // of each of its keepers that the jobs of a key fill
 	confirmPart   = 2       // part of its aim for which a job may lack its worker's confirmation
 	idleDouble    = 4       // windows of the rule on cold workers in which trust in idle connections doubles
 	recheck       = 8       // one in so many repeatable jobs still tries an old connection
@@ -59,7 +60,7 @@
 	minSweep      = 5 * time.Millisecond
 
 	owedWithin = 4 * time.Second // a worker put back by hand has had a turn: people watch for it
-	keyMemory  = 4 * time.Second // over which a key's requests are counted
+	keyMemory  = 4 * time.Second // over which a tenant's requests are counted; a key's over the time to warm up
 )
 
 // derive makes the policies that are not given: for requests with a key the workers that keep what it
@@ -180,7 +181,7 @@
 		})
 		slices.SortFunc(d.fleet, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	maps.DeleteFunc(d.keys, func(_ uint64, k demand) bool { return d.now-k.Last > 4*keyMemory })
+	maps.DeleteFunc(d.keys, func(_ uint64, k demand) bool { return d.now-k.Last > 2*d.s.Rules.Cold })
 	best := slices.Clone(d.fleet)
 	// Weighted rendezvous hashing: each dispatcher (or party) has its own order, heads spread by capacity.
 	// With few dispatchers speed decides; of those who chose a worker alike, late starts make some leave.
@@ -203,20 +204,9 @@
 	}
 	slices.SortStableFunc(best, func(a, b *worker) int { return cmp.Compare(a.rank, b.rank) })
 	d.fill(best, changed)
-	total, worst := 0.0, d.classes[0]
-	for _, c := range d.classes {
-		total += c.offered
-		if worst.Left || c.served*worst.offered < worst.served*c.offered {
-			worst = c
-		}
-	}
 	density := func(q int) float64 {
 		c := d.classes[q/2]
-		v := d.s.Goal.Whole + d.s.Goal.WorstWindow
-		if c == worst && c.offered > 0 { // what it adds to the worst class counts too
-			v += d.s.Goal.WorstClass * total / c.offered
-		}
-		v *= c.Worth / c.mean()
+		v := c.Worth / c.mean()
 		if q%2 == 1 {
 			v *= c.LateWorth
 		}
@@ -241,16 +231,12 @@
 	r.limit = min(r.arrived+c.Aim, r.due)
 	d.requests[q.ID], r.over = r, d.overShare(q.Tenant)
 	d.taken = append(d.taken, d.now)
-	for _, f := range d.classes {
-		f.offered *= 1 - 1/fairMemory
-		f.served *= 1 - 1/fairMemory
-	}
-	c.offered += c.Worth
 	if k := d.keys[q.Key]; q.Key != 0 {
 		if len(d.keys) == 0 {
 			d.stale, d.ordered = true, 0
 		}
-		k.bump(d.now)
+		k.bump(d.now, d.s.Rules.Cold)
+		d.keyed.bump(d.now, d.s.Rules.Cold)
 		d.keys[q.Key] = k
 	}
 	d.live = append(d.live, r)
@@ -268,11 +254,10 @@
 	if tenant >= len(d.tenants) || d.s.Tenants[tenant].Left {
 		return false
 	}
-	d.tenants[tenant].bump(d.now)
+	d.tenants[tenant].bump(d.now, keyMemory)
 	used := func(i int) float64 {
 		part := d.s.Tenants[i].QuotaPerSecond / float64(d.s.Dispatchers) * keyMemory.Seconds()
-		n := d.tenants[i].at(d.now)
-		return (n - math.Sqrt(n)) / max(part, 1e-9) // beyond what chance alone brings
+		return certain(d.tenants[i].at(d.now, keyMemory)) / max(part, 1e-9)
 	}
 	var usage []float64
 	for i := range d.tenants {
@@ -331,10 +316,10 @@
 				continue // answered or moved to the late queue
 			}
 			first := len(r.attempts) == 0 && d.admitted < 1
-			if w := d.pick(r); w != nil && !(first && d.tokens < 1) && d.send(r, w) {
-				r.held = false
-				if first {
-					d.tokens--
+			waits := first && d.tokens < 1 && r.c.Worth <= d.worth() // what is worth more goes first, at the others' cost
+			if w := d.pick(r); w != nil && !waits && d.send(r, w) {
+				if r.held = false; first {
+					d.tokens = max(-mostTokens, d.tokens-1)
 				}
 				continue
 			}
@@ -374,11 +359,19 @@
 	if w := d.firstJob(r); w != nil || len(r.Order) > 0 {
 		return w
 	}
+	// To a job that runs for longer than the usual a fetch is little, and an even load more.
+	keyed := r.Key > 0 && r.c.typical().Seconds() <= longRun*cmp.Or(d.usual(), math.Inf(1))
 	for i, b := range r.c.blocks {
+		if b.ByKey && !keyed {
+			continue
+		}
+		if b.ByKey && i > 0 && !d.crosses(r, r.c.blocks[i-1]) {
+			return nil
+		}
 		if w := d.walk(b, r); w != nil {
 			return w
 		}
-		if last := i+1 == len(r.c.blocks) || !r.c.blocks[i+1].ByKey; b.ByKey && r.Key > 0 && last {
+		if last := i+1 == len(r.c.blocks) || !r.c.blocks[i+1].ByKey; b.ByKey && last {
 			return nil // held for those that keep what it needs
 		}
 	}
@@ -388,10 +381,17 @@
 	return d.walk(r.c.deflt, r)
 }
 
+// crosses tells whether a request may go on from its own zone's keepers to those of all: only where it finds its zone
+// lost. Else a move there costs more than it brings on.
+func (d *Dispatcher) crosses(r *request, own *block) bool {
+	return len(own.members) == 0 || d.zone(d.s.Zone).shunned ||
+		r.any(func(a *attempt) bool { return a.neverRan || a.broke > 0 })
+}
+
 // walk returns the block's first valid worker in the order of its strategy.
 func (d *Dispatcher) walk(b *block, r *request) *worker {
 	n := len(b.members)
-	if n == 0 || b.ByKey && r.Key == 0 {
+	if n == 0 {
 		return nil
 	}
 	start, step, reach, crowd := 0, 1, n, 1
@@ -423,14 +423,16 @@
 }
 
 // keepers is how many workers along the ring a request may go to: one, and more the more of a worker its key's jobs
-// fill. What a job needs is fetched where it lacks, which takes longer than a wait and pushes out what others need.
+// fill. What a job needs is fetched where it lacks, which takes longer than a wait and pushes
+// out what others need. Of a key's share this request itself tells nothing: among many, each would call its keys hot.
 func (d *Dispatcher) keepers(r *request) int {
-	rate := d.keys[r.Key].N / keyMemory.Seconds() * float64(d.s.Dispatchers)
+	share := certain(d.keys[r.Key].at(d.now, d.s.Rules.Cold)-1) / max(1, d.keyed.at(d.now, d.s.Rules.Cold))
 	wider := 0
 	if d.held() <= len(d.fleet)/fewHeld { // others have room: a fetch there costs nobody his place
 		wider = int(widen * float64(d.now-r.arrived) / float64(max(r.c.Aim, 1)))
 	}
-	return 1 + wider + int(rate*r.Slots*r.c.mean()/2/max(1, d.kind(r.c.Kind).Ceiling))
+	rate := cmp.Or(d.agreed(), d.keyed.N/d.s.Rules.Cold.Seconds()*float64(d.s.Dispatchers))
+	return 1 + wider + int(share*rate*cmp.Or(d.usual(), r.c.mean())/keptSlots)
 }
 
 // lastResort ends the default tag's hold with its pick of a random healthy worker, full as it may be. It
@@ -971,9 +973,6 @@
 	d.learned++
 	c.jobs = min(c.jobs+1, 4*speedMemory)
 	c.run += (run - c.run) / c.jobs
-	if (d.now - r.arrived).Seconds() <= c.Aim.Seconds()+c.Stretch*run {
-		c.served += c.Worth
-	}
 	if !d.s.TellsStart { // the end must say what the start would have
 		if d.crowded(false); run > c.Aim.Seconds()+c.Stretch*c.typical().Seconds() {
 			w.ceiling = max(firstCeiling, w.ceiling-ceilingStep)
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -43,9 +43,9 @@
 
 // ClassMemory is what was learned of a class.
 type ClassMemory struct {
-	Run, LogRun, Jobs, Offered, Served float64
-	Budget                             time.Duration
-	Errs                               tally
+	Run, LogRun, Jobs float64
+	Budget            time.Duration
+	Errs              tally
 }
 
 // RequestMemory is a request that is owed its answer.
@@ -83,7 +83,7 @@
 		m.Workers = append(m.Workers, l)
 	}
 	for _, c := range d.classes {
-		m.Classes = append(m.Classes, ClassMemory{c.run, c.logRun, c.jobs, c.offered, c.served, c.budget, c.errs})
+		m.Classes = append(m.Classes, ClassMemory{c.run, c.logRun, c.jobs, c.budget, c.errs})
 	}
 	for id, k := range d.kinds {
 		m.Kinds[id] = *k
@@ -146,7 +146,7 @@
 	d.recount()
 	for i, l := range m.Classes[:min(len(m.Classes), len(d.classes))] {
 		c := d.classes[i]
-		c.run, c.logRun, c.jobs, c.offered, c.served, c.budget, c.errs = l.Run, l.LogRun, l.Jobs, l.Offered, l.Served, l.Budget, l.Errs
+		c.run, c.logRun, c.jobs, c.budget, c.errs = l.Run, l.LogRun, l.Jobs, l.Budget, l.Errs
 	}
 	for id, k := range m.Kinds {
 		*d.kind(id) = k
--- a/decide/state.go
+++ b/decide/state.go
@@ -19,7 +19,6 @@
 	budget            time.Duration // of a first try: the longest seen
 	stuck             bool          // no worker is valid for its requests
 	errs              tally         // jobs that ended in an error, at all workers
-	offered, served   float64       // worth asked for and served in time, fading
 }
 
 type block struct {
@@ -123,11 +122,14 @@
 	Last time.Duration
 }
 
-func (k demand) at(now time.Duration) float64 {
-	return k.N * math.Exp(-(now-k.Last).Seconds()/keyMemory.Seconds())
+func (k demand) at(now, memory time.Duration) float64 {
+	return k.N * math.Exp(-(now-k.Last).Seconds()/max(memory.Seconds(), 1))
 }
 
-func (k *demand) bump(now time.Duration) { k.N, k.Last = 1+k.at(now), now }
+func (k *demand) bump(now, memory time.Duration) { k.N, k.Last = 1+k.at(now, memory), now }
+
+// certain is the part of a count that is beyond what chance alone brings.
+func certain(n float64) float64 { return max(0, n-math.Sqrt(max(0, n))) }
 
 type kindStat struct{ Dev, N, Slots, Ceiling float64 }
 
@@ -165,6 +167,7 @@
 	zones                 []*zoneStat
 	requests              map[uint32]*request
 	keys                  map[uint64]demand
+	keyed                 demand // requests with a key
 	tenants               []demand
 	bad                   tally        // jobs that ended in an error
 	served                bool         // a worker has shown life
@@ -479,14 +482,24 @@
 // size is what a worker runs at once: as learned, or as large as the fleet must be for what the tenants have agreed.
 // A dispatcher of many sees too little of any worker to learn it.
 func (d *Dispatcher) size(w *worker) float64 {
-	agreed, run, jobs := 0.0, 0.0, 0.0
+	return max(1, w.slots, d.kind(w.Kind).Slots, d.agreed()*d.usual()/float64(max(1, d.mostReady)))
+}
+
+// agreed is how many requests a second the tenants have agreed, at all dispatchers together.
+func (d *Dispatcher) agreed() (rate float64) {
 	for i := range d.s.Tenants {
-		agreed += d.s.Tenants[i].QuotaPerSecond
+		rate += d.s.Tenants[i].QuotaPerSecond
 	}
+	return rate
+}
+
+// usual is the run of a job of whatever class, in seconds: the mean of what is typical of each. 0 while not known.
+func (d *Dispatcher) usual() float64 {
+	run, jobs := 0.0, 0.0
 	for _, c := range d.classes {
 		run, jobs = run+c.jobs*c.typical().Seconds(), jobs+c.jobs
 	}
-	return max(1, w.slots, d.kind(w.Kind).Slots, agreed*run/max(jobs, 1)/float64(max(1, d.mostReady)))
+	return run / max(jobs, 1)
 }
 
 // setup is what a new connection adds to the start of a job: the least of the last few, since
@@ -537,3 +550,11 @@
 	}
 	return found
 }
+
+// worth is the mean of what a request of each class is worth.
+func (d *Dispatcher) worth() (mean float64) {
+	for _, c := range d.classes {
+		mean += c.Worth / float64(len(d.classes))
+	}
+	return mean
+}
