Give no turns at cold encoders by the run times of a few jobs

At fault: coldTurn and send took typical and mean of a class by its first job (one short publish, and the next ones fit at once), and size the run of one long job for the usual, three times the true size and so three times the plan. Now the aim counts as eight jobs beside those seen, and only upwards, and the size grows with the jobs known, by 2. TestFewJobsTellNoColdWorker fails on the module before, for either cause. TestLongJobsReachWarmingWorkers now learns for 40 s, ten jobs each, and asks for half, not for more than half.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -81,3 +81,35 @@
 		t.Errorf("%d turns are open, %.0f fit into a window", open, rate)
 	}
 }
+
+// TestFewJobsTellNoColdWorker: of 300 dispatchers one that has just started took one short job for the run of its class,
+// and gave long ones turns at a worker in its first seconds; or one long job for the size of all workers.
+func TestFewJobsTellNoColdWorker(t *testing.T) {
+	learn := func(w *world, class int, run time.Duration) {
+		a := &attempt{w: w.d.workers[1], sent: w.d.now - run, begun: w.d.now - run, started: true}
+		w.d.learn(&request{Request: Request{Slots: 1}, c: w.d.classes[class], arrived: a.sent}, a)
+	}
+	c := newThrong(t, 300, append(warmWorkers(170), Worker{ID: 5000, State: Ready, Started: time.Hour}))
+	for i, w := range c.worlds[2:] {
+		for range 10 {
+			learn(w, 0, 400*ms)
+		}
+		learn(w, 1, 200*ms)
+		for d := w.d; d.now < time.Hour+8*time.Second; d.now += 100 * ms {
+			if d.coldTurn(d.workers[5000], &request{Request: Request{Slots: 1}, c: d.classes[1]}) {
+				t.Fatalf("dispatcher %d: a long job %v after the start, by the run of one", i, d.now-time.Hour)
+			}
+		}
+	}
+	few, many := c.worlds[0], c.worlds[1]
+	learn(few, 1, 2400*ms)
+	for range 10 {
+		learn(many, 1, 2400*ms)
+		for range 3 {
+			learn(many, 0, 400*ms)
+		}
+	}
+	if one, all := few.d.size(few.d.workers[5000]), many.d.size(many.d.workers[5000]); one > all {
+		t.Errorf("by one long job a worker's size is %.1f, by forty as they come %.1f", one, all)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,6 +24,7 @@
 	coldShare     = 0.5     // part of the cold budget that is used at all
 	speedMemory   = 64.0    // jobs that a worker's speed is judged on
 	speedPrior    = 8.0     // jobs of its kind that a worker's own speed must outweigh at most,
+	sizePrior     = 2.0     // jobs that must be outweighed before a worker's size is reckoned from their runs
 	speedSeen     = 2.5     // and times as many as there are workers to a dispatcher: many see few jobs of each
 	extraShare    = 0.5     // further attempts for a request, where no rule says how many,
 	extraSpare    = 5.0     // and so many on top, in the time that a client waits
@@ -603,7 +604,7 @@
 	for d.now-w.coldNext > window && !w.owed {
 		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
-	fits := r.Slots*r.c.typical().Seconds() <= max(d.plan(w)*d.warmth(w)*window.Seconds()/2, 2*unit)
+	fits := r.Slots*r.c.wary() <= max(d.plan(w)*d.warmth(w)*window.Seconds()/2, 2*unit)
 	return d.now >= w.coldNext && place >= 0 && fits
 }
 
@@ -628,7 +629,7 @@
 		w.retryAt = d.now + d.backoff(d.pace(), w.strikes)
 	}
 	if d.warmth(w) < 1 && lease == 0 {
-		w.coldNext = d.coldAt(w, max(w.coldNext, d.now-d.s.Rules.FallWindow), r.Slots*r.c.mean())
+		w.coldNext = d.coldAt(w, max(w.coldNext, d.now-d.s.Rules.FallWindow), r.Slots*r.c.wary())
 	}
 	return true
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -274,7 +274,7 @@
 		w.d.s.Tenants[0].QuotaPerSecond *= 1.6
 	}
 	mixed := func() (int, uint64) { return int(c.rng.Uint32() % 4 / 3), 0 }
-	c.play(10*time.Second, 20, mixed)
+	c.play(40*time.Second, 20, mixed) // ten jobs each, by which their runs are known
 	cold := []Worker{}
 	for id := range uint32(6) {
 		cold = append(cold, Worker{ID: 5000 + id, State: Ready, Started: c.now})
@@ -294,7 +294,7 @@
 			long[k.worker >= 5000]++
 		}
 	}
-	if long[true] <= long[false] {
+	if 2*long[true] <= long[false] {
 		t.Errorf("%d long jobs at six workers that are half warm, %d at the other two", long[true], long[false])
 	}
 }
--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -19,6 +19,7 @@
 	seq      int
 	nodes    []*massNode
 	encoders map[uint32]*massEncoder
+	all      []*massEncoder // in the order that they came, so that sums are the same every time
 	list     []Worker
 	settings Settings
 	fetch    time.Duration
@@ -128,7 +129,7 @@
 		m.add(uint32(i)*7919+11, i%zones, 0)
 	}
 	capacity := 0.0
-	for _, e := range m.encoders {
+	for _, e := range m.all {
 		capacity += float64(e.slots) * e.speed
 	}
 	// Tenants as the site has them, at 0.8 of what all can do.
@@ -154,6 +155,7 @@
 	e.speed = []float64{1.6, 0.97, 0.6}[kind] * math.Exp(0.15*m.rng.NormFloat64())
 	e.coldFrom, e.warm = 0.14+0.2*m.rng.Float64(), time.Duration(10+14*m.rng.Float64())*time.Second
 	m.encoders[id] = e
+	m.all = append(m.all, e)
 	m.list = append(m.list, e.Worker)
 	return e
 }
@@ -371,7 +373,7 @@
 // play has traffic come for so long, at a part of what all encoders can do once warm.
 func (m *mass) play(long time.Duration, load func(at time.Duration) float64) {
 	capacity := 0.0
-	for _, e := range m.encoders {
+	for _, e := range m.all {
 		if !e.gone {
 			capacity += float64(e.slots) * e.speed
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -277,6 +277,11 @@
 // mean is the class's mean run in seconds, while unknown its aim.
 func (c *class) mean() float64 { return max(c.run, c.typical().Seconds(), 1e-3) }
 
+// wary is the class's mean run in seconds as far as a rule depends on it: one that was short may not outweigh the aim.
+func (c *class) wary() float64 {
+	return max(c.mean(), (speedPrior*c.Aim.Seconds()+c.jobs*c.mean())/(speedPrior+c.jobs))
+}
+
 // pace is the time scale of this deployment's jobs: the shortest class's typical run.
 func (d *Dispatcher) pace() time.Duration {
 	shorter := func(a, b *class) int { return cmp.Compare(a.typical(), b.typical()) }
@@ -482,7 +487,7 @@
 // size is what a worker runs at once: as learned, or as large as the fleet must be for what the tenants have agreed.
 // A dispatcher of many sees too little of any worker to learn it.
 func (d *Dispatcher) size(w *worker) float64 {
-	return max(1, w.slots, d.kind(w.Kind).Slots, d.agreed()*d.usual()/float64(max(1, d.mostReady)))
+	return max(1, w.slots, d.kind(w.Kind).Slots, d.agreed()*d.usual()*d.known()/float64(max(1, d.mostReady)))
 }
 
 // agreed is how many requests a second the tenants have agreed, at all dispatchers together.
@@ -558,3 +563,12 @@
 	}
 	return mean
 }
+
+// known tells how far the run of a job is known, up to 1: of a few jobs one long one says too much.
+func (d *Dispatcher) known() float64 {
+	jobs := 0.0
+	for _, c := range d.classes {
+		jobs += c.jobs
+	}
+	return jobs / (jobs + sizePrior)
+}
