Pass the client's Idempotency-Key on to encoders, byte for byte, with every attempt

At fault: exchange.header (internal/net/instances/pool.go), which wrote Host, id and time left alone. Without the key an encoder would also run a repeat twice.

The key goes with every attempt; two that differ are turned down, as of every field that an encoder might read otherwise. Between two processes JSON put U+FFFD for bytes that are no UTF-8, so a held command's key could change with its process: such values now go beside, in a form that older processes read as before.

--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -23,9 +23,10 @@
 	countersPath = "/_counters"
 )
 
-// commandFields are the header fields that a command is read from.
+// commandFields are the header fields that a command is read from, or that go on with it.
 var commandFields = []string{
 	"Host", "X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "X-Weight-Hint", "X-Facts", "X-Repeat",
+	"Idempotency-Key",
 }
 
 const (
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -5,12 +5,14 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // The bounds of what a peer may send. They guard against unbounded reads.
@@ -36,6 +38,33 @@
 // Field is one header line.
 type Field struct{ Name, Value string }
 
+// fieldText is a field between two processes. JSON holds no bytes that are not UTF-8, which a value may.
+type fieldText struct {
+	Name, Value string
+	Raw         []byte `json:",omitempty"` // the value, where JSON cannot hold it
+}
+
+// MarshalJSON writes a field whole, whatever its bytes.
+func (f Field) MarshalJSON() ([]byte, error) {
+	t := fieldText{Name: f.Name, Value: f.Value}
+	if !utf8.ValidString(f.Value) {
+		t.Raw = []byte(f.Value)
+	}
+	return json.Marshal(t)
+}
+
+// UnmarshalJSON reads it, also as processes wrote it that knew no Raw.
+func (f *Field) UnmarshalJSON(text []byte) error {
+	var t fieldText
+	if err := json.Unmarshal(text, &t); err != nil {
+		return err
+	}
+	if *f = (Field{t.Name, t.Value}); t.Raw != nil {
+		f.Value = string(t.Raw)
+	}
+	return nil
+}
+
 // Header is a message's header lines as they came.
 type Header []Field
 
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"io"
 	"strings"
@@ -100,3 +101,17 @@
 		require.Equal(t, string(q.Body), string(again.Body))
 	})
 }
+
+// A header goes to another process byte for byte, and may come from one that knew no Raw.
+func TestHeadersBetweenProcesses(t *testing.T) {
+	for _, value := range []string{"plain", "", "with \"quotes\" \\ and \ttabs", "caf\xe9 \xff\xfe", "caf\u00e9"} {
+		text, err := json.Marshal(Request{Method: "POST", Header: Header{{"K", value}}})
+		require.NoError(t, err)
+		var q Request
+		require.NoError(t, json.Unmarshal(text, &q))
+		require.Equal(t, Header{{"K", value}}, q.Header)
+	}
+	var h Header
+	require.NoError(t, json.Unmarshal([]byte(`[{"Name":"K","Value":"v"}]`), &h))
+	require.Equal(t, Header{{"K", "v"}}, h)
+}
--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -69,7 +69,8 @@
 // exchange is one request to an instance and what came back.
 type exchange struct {
 	method, target string
-	id             string // correlation id, of commands only
+	id             string       // correlation id, of commands only
+	passed         http1.Header // of the service client's
 	body           []byte
 	deadline       time.Time
 	mostIdle       time.Duration        // of the connection; 0: any
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -135,7 +135,7 @@
 // Send starts an attempt.
 func (p *Pool) Send(a *dispatch.Attempt) {
 	q := a.Command.Payload.(*http1.Request)
-	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, deadline: a.Deadline, mostIdle: a.MostIdle, fresh: a.Fresh, gated: true, expired: a.Expired}
+	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, passed: passedOn(q.Header), deadline: a.Deadline, mostIdle: a.MostIdle, fresh: a.Fresh, gated: true, expired: a.Expired}
 	x.sent = func() { p.reports.Written(a) }
 	x.done = func(e end) {
 		p.mu.Lock()
@@ -299,6 +299,17 @@
 		h = append(h, http1.Field{Name: "X-Correlation-Id", Value: x.id},
 			http1.Field{Name: "X-Time-Left", Value: strconv.FormatInt(left, 10) + "m"})
 	}
+	return append(h, x.passed...)
+}
+
+// keyField is what instances know a repeat by: without it one sent again would run twice.
+const keyField = "Idempotency-Key"
+
+// passedOn is what of a service client's header goes to instances as it came, beside the id.
+func passedOn(from http1.Header) (h http1.Header) {
+	if from.Given(keyField) {
+		h = http1.Header{{Name: keyField, Value: from.Get(keyField)}}
+	}
 	return h
 }
 
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -172,3 +172,20 @@
 	p.Send(attempt("s-9"))
 	require.Equal(t, decide.Moot, <-r.ended)
 }
+
+// What instances know a repeat by goes with every attempt as it came, and nothing is made up where none came.
+func TestKeyGoesWithEveryAttempt(t *testing.T) {
+	p, _, seen := pool(t, 9, "s-1", "s-2")
+	const key = "\"5c0f 6e1a\"; caf\xe9"
+	for _, h := range []http1.Header{{{Name: "idempotency-key", Value: key}, {Name: "Cookie", Value: "user=1"}}, nil} {
+		for _, id := range []string{"s-1", "s-2"} {
+			a := attempt(id)
+			a.Command.Payload.(*http1.Request).Header = h
+			p.Send(a)
+			q := <-seen
+			require.Equal(t, h != nil, q.Header.Given("Idempotency-Key"))
+			require.Equal(t, h.Get("Idempotency-Key"), q.Header.Get("Idempotency-Key"))
+			require.False(t, q.Header.Given("Cookie"))
+		}
+	}
+}
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -93,6 +93,32 @@
 	}
 }
 
+// A command that was held, changed hands and is sent by the newer process only goes on with the key that its
+// client gave it, byte for byte: without it a repeat would run twice.
+func TestKeyOutlivesTakingOver(t *testing.T) {
+	seen := make(chan *http1.Request, 9)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		seen <- q
+		return answer(c, 202)
+	})
+	<-w.watches
+	fills, held := w.dial(), w.dial()
+	w.command(fills, "c1", "once", "30000m")
+	require.Equal(t, "c1", id(<-seen))
+	const key = "caf\xe9 \xff"
+	w.post(held, "/api", http1.Header{{Name: "X-Correlation-Id", Value: "c2"}, {Name: "X-Service-Class", Value: "once"},
+		{Name: "Idempotency-Key", Value: key}}, "the work")
+	w.await(func() bool { return w.figure("in_progress") == "2" })
+	w.beside()
+	tellTable(<-w.watches, 7, true, member(w.instance.Addr().String(), "in_service"))
+	w.await(func() bool { return w.program.Phase() == Serving })
+	require.Equal(t, 204, w.news("c1", "s-1", "done", "r"))
+	q := <-seen
+	require.Equal(t, []string{"c2", key}, []string{id(q), q.Header.Get("Idempotency-Key")})
+	require.Equal(t, 204, w.news("c2", "s-1", "done", "s"))
+	require.Equal(t, "s", string(w.read(held).Body))
+}
+
 // Where no door can be, a second program shares the address all the same.
 func TestNoDoor(t *testing.T) {
 	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
