Watch the agent where lists are pushed, from the start on and again at once when it ends

Ruled out: the guard before each write (pool.Takes): it had nothing to go by. On sockets a pushed list too comes by a watch, of an agent on the same machine.

internal/config, which speaks for sockets, now has the list asked for in every case.

--- a/decide/api.go
+++ b/decide/api.go
@@ -169,6 +169,7 @@
 	Prices                  Prices
 	Goal                    Goal
 	Subscribe               bool // the worker list must be asked for
+	Pushed                  bool // it is pushed; asking for it, where that must be, costs nobody anything
 	ReportsFree             bool // load reports carry free slots
 	TellsStart              bool
 	MarksRetries            bool          // clients mark their later tries
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -143,15 +143,18 @@
 	d.note(&d.listLost, true, "worker list lost", "")
 	d.failures++
 	many := bits.Len(uint(d.s.Dispatchers) / partySize)
-	d.asked = d.now + d.backoff(d.s.Rules.MustAskIn/16, min(d.failures, 2+many/2)+many)
+	base, doublings := d.s.Rules.MustAskIn/16, min(d.failures, 2+many/2)+many
+	if d.s.Pushed { // to an agent here: asking it costs nobody anything, and what it has counts as told
+		base, doublings = d.s.Rules.DrainGrace/16, 1
+	}
+	d.asked = d.now + d.backoff(base, doublings)
 }
 
 // list takes lines of the worker list.
 func (d *Dispatcher) list(lines []Worker, whole bool) {
-	d.failures, d.asked = 0, 0
 	d.note(&d.listLost, false, "", "worker list back")
 	d.upsert(lines, whole)
-	d.stale, d.freed = true, true
+	d.failures, d.asked, d.stale, d.freed = 0, 0, true, true
 }
 
 // believe takes what a line of the list, or its absence from a whole one, says of a worker. Draining stays for its
@@ -871,8 +874,7 @@
 func (d *Dispatcher) alive(w *worker) {
 	d.moved = d.moved || w.ghost > 0
 	w.ghost, w.lived, w.zone.lived, d.served = 0, d.now, d.now, true
-	w.retryAt = d.now
-	d.freed = true
+	w.retryAt, d.freed = d.now, true
 	if w.strikes > 0 {
 		d.judge(w, w.strikes/2)
 	}
@@ -1006,7 +1008,6 @@
 
 // sweep looks at everything that time alone changes.
 func (d *Dispatcher) sweep() {
-	step := d.step()
 	if d.asked > 0 && d.now >= d.asked {
 		d.asked = 0
 		d.do(Subscribe{})
@@ -1033,7 +1034,7 @@
 		}
 		d.live[n] = r
 		n++
-		due := d.now+max(2*step, min(d.stall, r.Budget/4), r.Budget/answerMargin) >= r.due // rule 1: in time
+		due := d.now+max(2*d.step(), min(d.stall, r.Budget/4), r.Budget/answerMargin) >= r.due // rule 1: in time
 		if !r.streaming && (due || r.held && r.out == 0 && len(r.attempts) > 0 && d.spent(r)) {
 			d.answer(r)
 			continue
@@ -1059,8 +1060,7 @@
 		}
 	}
 	clear(d.live[n:])
-	d.live = d.live[:n]
-	d.waiting, d.running = waiting, running
+	d.live, d.waiting, d.running = d.live[:n], waiting, running
 	d.note(&d.crowd, waiting > running, "jobs queue at the workers: late ones are called off",
 		"jobs no longer queue at the workers")
 	d.note(&d.dark, len(d.fleet) > 0 && d.outage(), "no worker is trusted: the least bad are tried",
--- a/decide/list_test.go
+++ b/decide/list_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -115,3 +116,26 @@
 		}
 	}
 }
+
+// TestLostListIsAskedForAgain: where the list is asked of a service, the longer it fails the more seldom; a pushed
+// one is asked of an agent here, which costs nobody anything, always well within the grace of a drain.
+func TestLostListIsAskedForAgain(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		s := site(1, true, false, false)
+		s.Dispatchers, s.Pushed, s.Rules.DrainGrace = 300, pushed, time.Second
+		w := newWorld(t, s)
+		longest := time.Duration(0)
+		for range 12 {
+			w.now += ms
+			lost, asked := w.now, false
+			for acts := w.d.Handle(w.now, []Event{ListFailed{}}); !asked; acts = w.d.Handle(w.now, []Event{Wake{}}) {
+				asked = slices.ContainsFunc(acts, func(a Action) bool { _, yes := a.(Subscribe); return yes })
+				w.now += ms
+			}
+			longest = max(longest, w.now-lost)
+		}
+		if pushed != (longest < s.Rules.DrainGrace/4) {
+			t.Errorf("pushed %v: asked for after up to %v", pushed, longest)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -267,6 +267,8 @@
 	if err := checkSettings(c.Settings, c.Names); err != nil {
 		return nil, err
 	}
+	// On sockets a list that is pushed comes by a watch too: of the agent on this machine.
+	c.Settings.Subscribe = true
 	// Without these every connection would fail at once, or be closed as soon as it is idle.
 	limits := &c.Settings.Limits
 	limits.ConnectTimeout = cmp.Or(limits.ConnectTimeout, defaultConnect)
--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -19,6 +19,7 @@
 // its queue, but a watch says something every 2 s, if only an empty line.
 const (
 	answerPatience = 5 * time.Second
+	agentPatience  = time.Second             // with an agent on this machine, which answers at once or is down
 	quietest       = 3200 * time.Millisecond // what is told counts as told after 6 s, heard or not
 	jitter         = 400 * time.Millisecond  // of the first call after a move
 	maxObject      = 4 << 20                 // one line of a watch
@@ -42,12 +43,14 @@
 	revision int64
 	leave    context.CancelFunc // ends the watch that is on
 	moved    bool               // since that watch began
+	patience time.Duration      // with a call's answer
 }
 
 // NewWatcher watches from the given revision on.
 func NewWatcher(address string, revision int64) *Watcher {
 	return &Watcher{
 		address: address, revision: revision, silence: quietest, wanted: make(chan struct{}, 1), leave: func() {},
+		patience: answerPatience,
 	}
 }
 
@@ -58,6 +61,16 @@
 	w.address, w.revision = address, revision
 }
 
+// AtAgent says whether the name table's peer is an agent on this machine, which has been sent the table, and
+// no service that many call.
+func (w *Watcher) AtAgent(yes bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.patience = answerPatience; yes {
+		w.patience = agentPatience
+	}
+}
+
 // Subscribe asks for a watch. It never blocks; while one is on, it does nothing.
 func (w *Watcher) Subscribe() {
 	select {
@@ -87,7 +100,7 @@
 		}
 		on, leave := context.WithCancel(ctx)
 		w.mu.Lock()
-		address, revision, moved := w.address, w.revision, w.moved
+		address, revision, moved, patience := w.address, w.revision, w.moved, w.patience
 		w.leave, w.moved = leave, false
 		w.mu.Unlock()
 		if moved { // all dispatchers are told at once; discovery works through calls in turn
@@ -96,7 +109,7 @@
 			case <-time.After(rand.N(jitter)):
 			}
 		}
-		err := w.watch(on, sink, address, revision)
+		err := w.watch(on, sink, address, revision, time.Now().Add(patience))
 		leave()
 		if ctx.Err() != nil {
 			return
@@ -126,15 +139,15 @@
 	return !w.moved
 }
 
-func (w *Watcher) watch(ctx context.Context, sink Sink, address string, revision int64) error {
-	dialer := net.Dialer{Deadline: time.Now().Add(answerPatience)}
+func (w *Watcher) watch(ctx context.Context, sink Sink, address string, revision int64, answered time.Time) error {
+	dialer := net.Dialer{Deadline: answered}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if err := conn.SetDeadline(time.Now().Add(answerPatience)); err != nil {
+	if err := conn.SetDeadline(answered); err != nil {
 		return err
 	}
 	target := "/catalog/members?stream=1&index=" + strconv.FormatInt(revision, 10)
--- a/internal/net/nametable/watch_test.go
+++ b/internal/net/nametable/watch_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -67,3 +68,37 @@
 		Size: 1, Started: time.UnixMilli(2000)}, got.Members[0])
 	require.Empty(t, s.listed)
 }
+
+// An agent on the machine answers at once or is down: silence there is no queue to wait in. Once it speaks again
+// what was missed comes first.
+func TestSilentAgentIsAskedAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := sink{make(chan dispatch.List, 9), make(chan error, 9)}
+	w, service := NewWatcher(l.Addr().String(), 41), NewWatcher(l.Addr().String(), 41)
+	w.AtAgent(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	waits := sink{make(chan dispatch.List, 9), make(chan error, 9)}
+	go w.Run(ctx, s)
+	go service.Run(ctx, waits)
+	for _, watcher := range []*Watcher{service, w} {
+		watcher.Subscribe()
+		silent, err := l.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { silent.Close() })
+	}
+	require.ErrorIs(t, <-s.lost, os.ErrDeadlineExceeded)
+	require.Empty(t, waits.lost, "a service may have many to answer first")
+	w.Subscribe()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	q, err := http1.ReadRequest(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, "/catalog/members?stream=1&index=41", q.Target)
+	line := `{"revision":44,"complete":false,"members":[]}` + "\n"
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
+	require.EqualValues(t, 44, (<-s.listed).Revision)
+}
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -111,7 +111,7 @@
 	return fmt.Sprintf(`{"id":"s-1","host_port":%q,"locality":"a","flavor":"m2","cell":0,"phase":%q,"size":1,"up_since_ms":0}`, address, phase)
 }
 
-const settings = `{"Balancers":1,"SlotNo":0,"Zone":0,"Zones":["a"],"Skus":["m2"],"GranularityUs":2000,"Discovery":"subscribe",
+const usualSettings = `{"Balancers":1,"SlotNo":0,"Zone":0,"Zones":["a"],"Skus":["m2"],"GranularityUs":2000,"Discovery":"subscribe",
 "Weights":"silent","WorthBy":"work","Domain":{"ClassKind":[-1,-1],"ClassStretch":[2.5,2],"ProgressUs":1000000,"TellsStart":true},
 "LoadReport":{"Via":"silent"},"ObjectiveMix":{"Whole":1},"Tenants":[{"Name":"acme","QuotaPerS":1000}],
 "Permissions":{"AttemptsCap":3,"OpenCap":100,"Cancelling":true,"ParallelTries":true,"Probes":true,"RetryAfter":true,
@@ -127,13 +127,18 @@
 
 // startAt has the name table give another address for the instance, unless that is empty.
 func startAt(t *testing.T, address string, script func(w *world, c net.Conn, q *http1.Request) bool) *world {
-	w := &world{t: t, watches: make(chan net.Conn, 9), targets: make(chan string, 9)}
+	return startBy(t, "", address, script)
+}
+
+// startBy goes by other settings, unless those are empty.
+func startBy(t *testing.T, settings, address string, script func(w *world, c net.Conn, q *http1.Request) bool) *world {
+	w := &world{t: t, settings: settings, watches: make(chan net.Conn, 9), targets: make(chan string, 9)}
 	w.instance = listen(t, func(c net.Conn, q *http1.Request) bool { return script(w, c, q) })
 	w.table = w.nameTable()
 	file := t.TempDir() + "/config.json"
 	w.configure = func(discovery string) {
 		text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin_addr":"127.0.0.1:0","discovery":%q,"seed":"1f","known":{"revision":7,"complete":true,"members":[%s]},"settings":%s}`,
-			"127.0.0.1:0", discovery, member(cmp.Or(address, w.instance.Addr().String()), "in_service"), cmp.Or(w.settings, settings))
+			"127.0.0.1:0", discovery, member(cmp.Or(address, w.instance.Addr().String()), "in_service"), cmp.Or(w.settings, usualSettings))
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	}
 	w.configure(w.table.Addr().String())
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -102,6 +102,7 @@
 		Connections: p.bounds.pool, Connect: c.Settings.Limits.ConnectTimeout, Idle: c.Settings.Limits.ConnIdle,
 	})
 	p.watcher = nametable.NewWatcher(c.Discovery, c.Known.Revision)
+	p.watcher.AtAgent(c.Settings.Pushed)
 	p.bounds.listener = sockets - p.bounds.pool
 	s := p.bound(c.Settings)
 	var err error
@@ -259,6 +260,7 @@
 		return
 	}
 	p.server.Retune(next.Settings, next.Names)
+	p.watcher.AtAgent(next.Settings.Pushed)
 	p.pool.Retune(next.Settings.Limits.ConnectTimeout, next.Settings.Limits.ConnIdle)
 	if keys := p.config.AtRestart(next); len(keys) > 0 {
 		p.log.Warn("configuration: counts from the next start on", "keys", keys)
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -216,11 +216,11 @@
 	held, c := w.dial(), w.dial()
 	w.command(held, "c1", "safe", "30000m")
 	require.Equal(t, "c1", <-took)
-	reload(strings.Replace(settings, `"DeadlineUs":40000000`, `"DeadlineUs":0`, 1), "load_errors", "1")
-	reload(settings[:len(settings)/2], "load_errors", "2")
+	reload(strings.Replace(usualSettings, `"DeadlineUs":40000000`, `"DeadlineUs":0`, 1), "load_errors", "1")
+	reload(usualSettings[:len(usualSettings)/2], "load_errors", "2")
 	w.command(c, "c2", "strict", "30000m")
 	require.Equal(t, 400, w.read(c).Status)
-	strict := strings.Replace(settings, `{"Name":"safe","Effect":"free"`, `{"Name":"strict","Effect":"single_shot"`, 1)
+	strict := strings.Replace(usualSettings, `{"Name":"safe","Effect":"free"`, `{"Name":"strict","Effect":"single_shot"`, 1)
 	reload(strict, "loads", "1")
 	require.Equal(t, 204, w.news("c1", "s-1", "done", "r"))
 	require.Equal(t, "r", string(w.read(held).Body))
@@ -233,6 +233,40 @@
 	require.Equal(t, []string{"1", "1", "2"}, []string{w.figure("passed.safe"), w.figure("bad_gateway.strict"), w.figure("load_errors")})
 }
 
+// Where lists are pushed the agent on the machine is watched as any name table: from the start on, again at
+// once when a watch ends, and wherever a reload moves it. What it tells of a drain holds.
+func TestPushedListsAreWatched(t *testing.T) {
+	pushed := strings.Replace(usualSettings, `"subscribe"`, `"automatic"`, 1)
+	w := startBy(t, pushed, "", func(w *world, c net.Conn, q *http1.Request) bool {
+		w.news(id(q), "s-1", "done", "r")
+		return answer(c, 202)
+	})
+	line := func(phase string) string { return member(w.instance.Addr().String(), phase) }
+	sent := func(name string, status int) {
+		c := w.dial()
+		w.command(c, name, "safe", "500m")
+		require.Equal(t, status, w.read(c).Status)
+	}
+	require.Equal(t, "/catalog/members?stream=1&index=7", <-w.targets)
+	watch := <-w.watches
+	sent("c1", 200)
+	tellTable(watch, 9, false, line("terminating"))
+	w.await(func() bool { return !w.program.pool.Takes("s-1") })
+	sent("c2", 503)
+	for range 3 {
+		watch.Close()
+		require.Equal(t, "/catalog/members?stream=1&index=9", <-w.targets)
+		watch = <-w.watches
+	}
+	next := w.nameTable()
+	w.configure(next.Addr().String())
+	w.signals <- syscall.SIGHUP
+	require.Equal(t, "/catalog/members?stream=1&index=0", <-w.targets)
+	tellTable(<-w.watches, 3, true, strings.Replace(line("in_service"), `"up_since_ms":0`, `"up_since_ms":1000`, 1))
+	w.await(func() bool { return w.program.pool.Takes("s-1") })
+	sent("c3", 200)
+}
+
 // SIGTERM loses nothing: what is held is answered, new connections and call-backs still
 // come, and the program ends by itself.
 func TestTerminationAnswersWhatIsHeld(t *testing.T) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -103,6 +103,7 @@
 		},
 		Goal:       decide.Goal(p.ObjectiveMix),
 		Subscribe:  p.Discovery == "subscribe",
+		Pushed:     p.Discovery == "automatic",
 		TellsStart: p.Domain.TellsStart, MarksRetries: p.Clients.MarksRetry,
 		Progress: us(p.Domain.ProgressUs),
 		Rated:    p.Weights != "silent",
