Refuse before clients have no connection left to be told on; the least worth makes room

Ruled out: the parting of descriptors between two processes (the older one ends within 20 ms), the listener's places (192), what is refused at the door (nothing is). At fault: Program.bound (internal/program/program.go), which let the module hold 160.

The bound is now a third less an eighth of it, or what the listener has room for, if that is less. Past it decide.arrive refused the newcomer, whatever waited; now, of what was never sent, the one in the last queue by worth per run makes room: late ones first, then classes worth less.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -209,13 +209,9 @@
 	}
 	slices.SortStableFunc(best, func(a, b *worker) int { return cmp.Compare(a.rank, b.rank) })
 	d.fill(best, changed)
-	density := func(q int) float64 {
+	density := func(q int) float64 { // of an odd queue, whose requests are late, what that leaves
 		c := d.classes[q/2]
-		v := c.Worth / c.mean()
-		if q%2 == 1 {
-			v *= c.LateWorth
-		}
-		return v
+		return c.Worth * math.Pow(c.LateWorth, float64(q%2)) / c.mean()
 	}
 	slices.SortStableFunc(d.order, func(a, b int) int { return cmp.Compare(density(b), density(a)) })
 }
@@ -235,7 +231,7 @@
 	}
 	r.limit = min(r.arrived+c.Aim, r.due)
 	d.requests[q.ID], r.over = r, d.overShare(q.Tenant)
-	d.taken = append(d.taken, d.now)
+	d.taken, d.live = append(d.taken, d.now), append(d.live, r)
 	if k := d.keys[q.Key]; q.Key != 0 {
 		if len(d.keys) == 0 {
 			d.stale, d.ordered = true, 0
@@ -244,13 +240,19 @@
 		d.keyed.bump(d.now, d.s.Rules.Cold)
 		d.keys[q.Key] = k
 	}
-	d.live = append(d.live, r)
-	if d.s.Limits.Open > 0 && len(d.requests) > d.s.Limits.Open { // the queue is bounded
-		d.answer(r)
-		return
-	}
 	d.tokens = min(mostTokens, d.tokens+d.admitted)
 	d.hold(r, false)
+	if d.s.Limits.Open <= 0 || len(d.requests) <= d.s.Limits.Open {
+		return
+	}
+	for _, q := range slices.Backward(d.order) { // bounded: of what was never sent, the least worth makes room
+		for _, o := range slices.Backward(d.queues[q]) {
+			if o.held && o.queue == q && len(o.attempts) == 0 {
+				d.answer(o)
+				return
+			}
+		}
+	}
 }
 
 // overShare tells whether a request is beyond its tenant's share, by chance as often as the
@@ -441,10 +443,9 @@
 }
 
 // lastResort ends the default tag's hold with its pick of a random healthy worker, full as it may be. It
-// acts only while nothing else waits: then ceilings may be wrong, else it would only add to a queue.
+// acts only while nothing else waits: then ceilings may be wrong, else it would only add to a queue. Told room is not guessed.
 func (d *Dispatcher) lastResort(r *request) *worker {
-	told := d.s.ReportsFree && !d.s.TellsStart // room is not guessed
-	if told || r.c.followup == Fail || len(r.attempts) > 0 || d.held() > 1 || d.waiting > 0 {
+	if told := d.s.ReportsFree && !d.s.TellsStart; told || r.c.followup == Fail || len(r.attempts) > 0 || d.held() > 1 || d.waiting > 0 {
 		return nil
 	}
 	return d.random(r.c.deflt, func(w *worker) bool { return w.strikes == 0 && !d.forbidden(r, w) })
@@ -1096,8 +1097,7 @@
 			if r.Key > 0 && !hung && (r.c.Effect != Safe || d.s.Dispatchers <= len(d.fleet)) {
 				continue // what it needs is fetched elsewhere; among many, who meet it seldom, its queue is others'
 			}
-			w := d.pick(r)
-			if w != nil && d.s.Limits.Cancel && d.send(r, w) {
+			if w := d.pick(r); w != nil && d.s.Limits.Cancel && d.send(r, w) {
 				d.do(Cancel{Request: r.ID, Attempt: i})
 			}
 			return
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -538,6 +538,34 @@
 	}
 }
 
+// TestLeastWorthMakesRoom: past the limit of open requests the newcomer is refused only where it is worth least for
+// its run; else one that is late, or of a class worth less, makes room. What was sent stays.
+func TestLeastWorthMakesRoom(t *testing.T) {
+	s := site(1, false, false, false)
+	s.Limits.Open = 4
+	w := fleet(t, s, 1)
+	var js []*job
+	answered := func(class int, want ...bool) {
+		_, j := w.place(class)
+		js = append(js, j)
+		for i, j := range js {
+			if j.answered != want[i] {
+				t.Errorf("with %d requests: request %d answered %v, want %v", len(js), i, j.answered, want[i])
+			}
+		}
+	}
+	answered(0, false) // sent
+	answered(0, false, false)
+	answered(0, false, false, false)
+	w.now += 150 * ms // the two that wait are late
+	w.handle(Wake{})
+	answered(0, false, false, false, false)
+	answered(1, false, false, true, false, false)
+	answered(1, false, true, true, false, false, false)
+	answered(1, false, true, true, true, false, false, false) // all of its own class are worth more
+	answered(0, false, true, true, true, false, false, false, true)
+}
+
 // TestOpenIsBounded: what comes past the limit of open requests is refused at once.
 func TestOpenIsBounded(t *testing.T) {
 	s := site(1, false, false, false)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -238,11 +238,16 @@
 	}
 }
 
+// clientsPart is which part of the descriptors service clients hold for requests at most, by the operators'
+// page. One that finds them all held is turned away unheard.
+const clientsPart = 3
+
 // bound has settings hold as many commands as there is room for. Each keeps a connection, and some
-// must stay free, or no call-back could come in and nothing held would ever end: the module refuses
-// what goes beyond.
+// must stay free: here, or no call-back could come in and nothing held would ever end, and at the clients, or
+// nobody could be told no. The module refuses what goes beyond.
 func (p *Program) bound(s decide.Settings) decide.Settings {
-	if open := p.bounds.listener - p.bounds.listener/6; s.Limits.Open <= 0 || s.Limits.Open > open {
+	clients := p.config.Limits.Sockets / clientsPart
+	if open := min(clients-clients/8, p.bounds.listener-p.bounds.listener/6); s.Limits.Open <= 0 || s.Limits.Open > open {
 		s.Limits.Open = open
 	}
 	return s
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -267,6 +268,27 @@
 	sent("c3", 200)
 }
 
+// Clients that hold as many connections as they may, each with a command that waits, still learn at once that
+// there is no room: none of them finds no connection left to be told on.
+func TestClientsAreLeftAConnection(t *testing.T) {
+	w := startBy(t, strings.Replace(usualSettings, `"OpenCap":100`, `"OpenCap":20000`, 1), "",
+		func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	most := w.program.config.Limits.Sockets / clientsPart
+	refused := make(chan int, most)
+	for i := range most {
+		c := w.dial()
+		w.command(c, fmt.Sprint("c", i), "safe", "30000m")
+		go func() {
+			if p, err := http1.ReadResponse(bufio.NewReader(c), "POST"); err == nil {
+				refused <- p.Status
+			}
+		}()
+	}
+	require.Equal(t, 503, <-refused)
+	w.await(func() bool { return w.figure("in_progress") == strconv.Itoa(most-most/8) })
+	require.Less(t, w.program.server.Connections(), w.program.bounds.listener)
+}
+
 // SIGTERM loses nothing: what is held is answered, new connections and call-backs still
 // come, and the program ends by itself.
 func TestTerminationAnswersWhatIsHeld(t *testing.T) {
