--- a/decide/decide.go
+++ b/decide/decide.go
@@ -991,7 +991,7 @@
 	k.Dev, k.N = k.Dev*(1-1/speedMemory)+dev, k.N*(1-1/speedMemory)+1
 }
 
-// report takes a worker's own figures: its size while it has room.
+// report takes a worker's own figures: its size while it has room, where it tells what it holds besides.
 func (d *Dispatcher) report(w *worker, p *Report) {
 	if p != nil && p.Active >= 0 && d.unseen() {
 		w.foreign, w.seen, w.news = 0, d.now, true
@@ -999,11 +999,10 @@
 		w.foreign = max(0, p.Active-used)
 	}
 	// With little memory free, what it holds may be waiting for memory beside a free slot.
-	if p == nil || p.FreeSlots <= 0 || p.FreeMemory >= 0 && p.FreeMemory < 1 {
+	if p == nil || p.Active < 0 || p.FreeSlots <= 0 || p.FreeMemory >= 0 && p.FreeMemory < 1 {
 		return
 	}
-	size := p.FreeSlots + max(p.Active, 0)
-	w.slots = math.Round(size)
+	w.slots = math.Round(p.FreeSlots + p.Active)
 	d.kind(w.Kind).Slots = max(d.kind(w.Kind).Slots, w.slots)
 }
 
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -43,6 +43,7 @@
 	Unusable bool
 	Outcome  decide.Outcome
 	Kept     time.Duration
+	Report   *decide.Report `json:",omitempty"`
 }
 
 // Handed is all that one loop hands to another.
@@ -181,7 +182,7 @@
 			return
 		}
 		a := h.attempts[f.N]
-		switch a.elsewhere, a.kept = false, f.Kept; {
+		switch a.elsewhere, a.kept, a.report = false, f.Kept, f.Report; {
 		case f.Taken:
 			l.taken(a)
 		case f.Unusable:
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -15,7 +15,7 @@
 	l.post(func(l *Loop) {
 		switch {
 		case l.yielded:
-			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Outcome: o, Kept: kept})
+			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Outcome: o, Kept: kept, Report: a.report})
 		case !a.over:
 			a.kept = kept
 			l.end(a, o)
@@ -65,17 +65,18 @@
 }
 
 // Probed is the answer to a probe.
-func (l *Loop) Probed(instance string, o decide.Outcome) {
-	l.post(func(l *Loop) { l.tell(decide.Probed{Worker: l.number(instance), Outcome: o}) })
+func (l *Loop) Probed(instance string, o decide.Outcome, report *decide.Report) {
+	l.post(func(l *Loop) { l.tell(decide.Probed{Worker: l.number(instance), Outcome: o, Report: report}) })
 }
 
 // News is what an instance tells of a job by call-back.
 type News struct {
 	ID, From string // the command's and the instance's
 	State    NewsState
-	Share    float64 // of a running job
-	Result   []byte  // of one that is done
-	Via      Process `json:"-"`
+	Share    float64        // of a running job
+	Result   []byte         // of one that is done
+	Report   *decide.Report `json:",omitempty"` // of the instance, with word that ends an attempt
+	Via      Process        `json:"-"`
 }
 
 // Process is where word of an instance came from.
@@ -113,6 +114,9 @@
 		}
 		return
 	}
+	if n.Report != nil {
+		a.report = n.Report
+	}
 	switch n.State {
 	case Started:
 		l.tell(decide.JobStarted{Request: a.request, Attempt: a.N})
--- a/internal/dispatch/retune.go
+++ b/internal/dispatch/retune.go
@@ -40,6 +40,7 @@
 func (l *Loop) fit(s decide.Settings, n wire.Names) (decide.Settings, wire.Names) {
 	var all wire.Names
 	var zones, kinds, classes, tenants []int
+	all.Reports = n.Reports
 	all.Zones, zones = graft(l.names.Zones, n.Zones)
 	all.Kinds, kinds = graft(l.names.Kinds, n.Kinds)
 	all.Classes, classes = graft(l.names.Classes, n.Classes)
--- a/internal/net/clients/callback.go
+++ b/internal/net/clients/callback.go
@@ -13,9 +13,10 @@
 	State  string          `json:"state"`
 	Share  float64         `json:"share"`
 	Result json.RawMessage `json:"result"`
+	Load   json.RawMessage `json:"load"` // the instance's load report
 }
 
-// read takes a body. Nearly all are one flat object of plain texts and numbers, of which reading by
+// read takes a body. Nearly all are one flat object of plain texts and numbers, perhaps with a flat one of loads, of which reading by
 // encoding/json took a twelfth of the CPU that a command costs; whatever looks otherwise goes that way.
 func (c *callback) read(body []byte) error {
 	if c.quick(body) {
@@ -65,6 +66,8 @@
 			field = 8
 		case "result":
 			field = 16
+		case "load":
+			field = 32
 		default: // also a name in other letters, which encoding/json takes for one of these
 			return false
 		}
@@ -87,6 +90,14 @@
 			c.Share, b = share, b[n:]
 			continue
 		}
+		if field == 32 {
+			end := bytes.IndexByte(b, '}') + 1
+			if b[0] != '{' || end == 0 || !json.Valid(b[:end]) { // valid as it is cut: it ends there
+				return false
+			}
+			c.Load, b = b[:end], b[end:]
+			continue
+		}
 		value, rest, ok := text(b)
 		if !ok {
 			return false
--- a/internal/net/clients/callback_test.go
+++ b/internal/net/clients/callback_test.go
@@ -34,6 +34,9 @@
 	require.True(t, c.quick([]byte(usualCallback)))
 	require.Equal(t, callback{ID: "9b1f03aa5c7e2d41", From: "s-0badcafe", State: "done", Result: json.RawMessage(`"..."`)}, c)
 	require.True(t, c.quick([]byte(`{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"running","share":0.4}`)))
+	c = callback{}
+	require.True(t, c.quick([]byte(`{"id":"9b","from":"s-0","load":{"x0":6.04,"cpu":0.1},"state":"failed"}`)))
+	require.Equal(t, callback{ID: "9b", From: "s-0", State: "failed", Load: json.RawMessage(`{"x0":6.04,"cpu":0.1}`)}, c)
 	require.NoError(t, c.read([]byte(`{"id":"\u0061","result":{"a":1}}`)))
 	require.Equal(t, callback{ID: "a", Result: json.RawMessage(`{"a":1}`)}, c)
 	require.Error(t, c.read([]byte(`{"id":1}`)))
--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -154,7 +154,7 @@
 		return c.reply(400, nil, "no call-back\n", q.Close)
 	}
 	if state, ok := newsStates[in.State]; ok { // others may come some day: nothing to do
-		n := dispatch.News{ID: in.ID, From: in.From, State: state, Share: in.Share, Result: in.Result}
+		n := dispatch.News{ID: in.ID, From: in.From, State: state, Share: in.Share, Result: in.Result, Report: c.server.reports.Object(in.Load)}
 		if plain, rest, ok := text(in.Result); ok && len(rest) == 0 { // a text stands for itself, all else as it is
 			n.Result = plain
 		} else if in.Result != nil {
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -16,6 +16,7 @@
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/loadreport"
 	"caperrelay/internal/wire"
 )
 
@@ -54,6 +55,7 @@
 	classes  atomic.Pointer[map[string]decide.Class]
 	counters func() string
 	log      *slog.Logger
+	reports  *loadreport.Reader // of instances; nil: none come
 	patience patience
 	slots    chan struct{} // one for each connection; bounds the descriptors used here
 
@@ -94,6 +96,9 @@
 	return server
 }
 
+// ReadBy says who reads instances' load reports. It must come before Serve.
+func (s *Server) ReadBy(r *loadreport.Reader) { s.reports = r }
+
 // Retune has commands read by other settings from now on.
 func (s *Server) Retune(settings decide.Settings, n wire.Names) {
 	classes := map[string]decide.Class{}
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -19,6 +19,7 @@
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/loadreport"
 	"caperrelay/internal/wire"
 )
 
@@ -190,6 +191,24 @@
 	require.Equal(t, []any{"9b", true, 2500 * time.Microsecond, 2.0, 0.5}, []any{cmd.ID, cmd.Repeat, cmd.Work, cmd.Slots, cmd.Memory})
 }
 
+// An instance's load comes with its word, by the quick way too, and rubbish in it takes nothing from that word.
+func TestReportsReachTheModule(t *testing.T) {
+	c, s, dial := serve(t, 2, 0)
+	s.ReadBy(loadreport.New([]string{"x0", "avg_ms"}, slog.New(slog.DiscardHandler)))
+	for load, want := range map[string]float64{`{"avg_ms":87.483,"cpu":0.136,"x0":6.04}`: 6.04, `{"x0": 2, "more": {"x0": 9}}`: 2, `{"x0":"}"}`: -1, `7`: -1} {
+		body := `{"from":"s-1","id":"c1","load":` + load + `,"result":"r","state":"done"}`
+		text := fmt.Sprintf("POST /_jobs/news HTTP/1.1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		require.Equal(t, 204, ask(t, dial(), text).Status)
+		n := <-c.told
+		require.Equal(t, "r", string(n.Result))
+		if want < 0 {
+			require.Nil(t, n.Report, load)
+		} else {
+			require.Equal(t, want, n.Report.FreeSlots, load)
+		}
+	}
+}
+
 // A result is served as the instance gave it; one that says "done" without any has none to serve.
 func TestResultsAreTheInstancesOwn(t *testing.T) {
 	c, _, dial := serve(t, 2, 0)
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -10,6 +10,7 @@
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/loadreport"
 )
 
 // courtesy is how long a give-up or a probe may take before it is dropped. A connection with
@@ -26,7 +27,8 @@
 	Written(*dispatch.Attempt)
 	Taken(*dispatch.Attempt)
 	Unusable(*dispatch.Attempt)
-	Probed(instance string, o decide.Outcome)
+	Probed(instance string, o decide.Outcome, report *decide.Report)
+	Loaded(*dispatch.Attempt, decide.Report)
 }
 
 // Limits bounds the pool.
@@ -40,6 +42,7 @@
 type Pool struct {
 	limits  Limits
 	reports Reports
+	loads   *loadreport.Reader // nil: instances report none
 
 	mu        sync.Mutex
 	instances map[string]*instance
@@ -63,6 +66,9 @@
 // ReportTo says who takes reports. It must come before anything is sent.
 func (p *Pool) ReportTo(r Reports) { p.reports = r }
 
+// ReadBy says who reads instances' load reports. It must come before anything is sent.
+func (p *Pool) ReadBy(r *loadreport.Reader) { p.loads = r }
+
 // Listed takes the name table's news as soon as it has been read: what drains or is gone
 // gets nothing new, whatever has been decided by then.
 func (p *Pool) Listed(l dispatch.List) {
@@ -144,6 +150,9 @@
 		if e.unusable() {
 			p.reports.Unusable(a)
 		} else if o, over := e.outcome(); over {
+			if r := p.load(e); r != nil {
+				p.reports.Loaded(a, *r)
+			}
 			p.reports.Ended(a, o, e.kept)
 		} else {
 			p.reports.Taken(a)
@@ -181,11 +190,29 @@
 	})
 }
 
-// Probe checks an instance.
+// load is the report that came with an answer, nil where none did.
+func (p *Pool) load(e end) *decide.Report {
+	if e.stage != answered {
+		return nil
+	}
+	return p.loads.Line(e.response.Header.Get(loadreport.HeaderField))
+}
+
+// Probe checks an instance, by the way that brings a load report where there are any.
 func (p *Pool) Probe(id string) {
+	target := "/ping"
+	if p.loads.Any() {
+		target = "/_load"
+	}
 	p.start(id, &exchange{
-		method: "GET", target: "/ping", deadline: time.Now().Add(courtesy),
-		done: func(e end) { p.reports.Probed(id, e.probeOutcome()) },
+		method: "GET", target: target, deadline: time.Now().Add(courtesy),
+		done: func(e end) {
+			report := p.load(e)
+			if report == nil && e.stage == answered {
+				report = p.loads.Object(e.response.Body)
+			}
+			p.reports.Probed(id, e.probeOutcome(), report)
+		},
 	})
 }
 
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -11,12 +12,14 @@
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/loadreport"
 )
 
 // reports collects the pool's reports.
 type reports struct {
 	ended  chan decide.Outcome
 	probed chan decide.Outcome
+	loads  chan *decide.Report
 	taken  chan *dispatch.Attempt
 }
 
@@ -24,11 +27,16 @@
 func (r reports) Written(*dispatch.Attempt)                                    {}
 func (r reports) Taken(a *dispatch.Attempt)                                    { r.taken <- a }
 func (r reports) Unusable(*dispatch.Attempt)                                   {}
-func (r reports) Probed(_ string, o decide.Outcome)                            { r.probed <- o }
+func (r reports) Loaded(_ *dispatch.Attempt, l decide.Report)                  { r.loads <- &l }
+func (r reports) Probed(_ string, o decide.Outcome, l *decide.Report) {
+	if r.probed <- o; l != nil {
+		r.loads <- l
+	}
+}
 
 // pool returns one of so many connections and instances that show each request.
 func pool(t *testing.T, most int, ids ...string) (*Pool, reports, chan *http1.Request) {
-	r, seen := reports{make(chan decide.Outcome, 9), make(chan decide.Outcome, 9), make(chan *dispatch.Attempt, 9)}, make(chan *http1.Request, 9)
+	r, seen := reports{make(chan decide.Outcome, 9), make(chan decide.Outcome, 9), make(chan *decide.Report, 9), make(chan *dispatch.Attempt, 9)}, make(chan *http1.Request, 9)
 	p := NewPool(Limits{Connections: most, Connect: 10 * time.Second, Idle: time.Minute})
 	p.ReportTo(r)
 	var l dispatch.List
@@ -54,6 +62,10 @@
 						seen <- q
 						if q.Target == "/take" {
 							c.Write([]byte("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"))
+						} else if q.Target == "/full" {
+							c.Write([]byte("HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nX-Backend-Load: TEXT x0=2.5\r\nContent-Length: 0\r\n\r\n"))
+						} else if q.Target == "/_load" {
+							c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":4}"))
 						} else if q.Method != "POST" { // other attempts stay unanswered
 							c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 						}
@@ -189,3 +201,19 @@
 		}
 	}
 }
+
+// An answer that ends an attempt brings its load report, and so does a probe, which goes the way that has one.
+func TestReportsOfAnswersAndProbes(t *testing.T) {
+	p, r, seen := pool(t, 9, "s-1")
+	p.ReadBy(loadreport.New([]string{"x0"}, slog.New(slog.DiscardHandler)))
+	a := attempt("s-1")
+	a.Command.Payload.(*http1.Request).Target = "/full"
+	p.Send(a)
+	require.Equal(t, decide.Full, <-r.ended)
+	require.Equal(t, 2.5, (<-r.loads).FreeSlots)
+	<-seen
+	p.Probe("s-1")
+	require.Equal(t, "/_load", (<-seen).Target)
+	require.Equal(t, decide.OK, <-r.probed)
+	require.Equal(t, 4.0, (<-r.loads).FreeSlots)
+}
--- /dev/null
+++ b/internal/net/loadreport/loadreport_test.go
@@ -0,0 +1,47 @@
+package loadreport
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/decide"
+)
+
+// Only what the settings name is read, under whichever page's name; rubbish is told once and changes nothing.
+func TestReports(t *testing.T) {
+	var log bytes.Buffer
+	r := New([]string{"x0", "avg_ms", "cpu"}, slog.New(slog.NewTextHandler(&log, nil)))
+	free := func(n float64) *decide.Report {
+		return &decide.Report{Active: -1, Waiting: -1, FreeSlots: n, FreeMemory: -1}
+	}
+	for text, want := range map[string]*decide.Report{
+		`{"avg_ms":87.5,"cpu":0.136,"x0":6.04}`:     free(6.04),
+		`{"x0":0,"queue":7,"x1":"not ours","a":{}}`: free(0),
+		`{"util":1}`: free(-1),
+		`null`:       nil, ``: nil,
+	} {
+		require.Equal(t, want, r.Object([]byte(text)), text)
+	}
+	require.Equal(t, free(3), r.Line("TEXT x0=3, util=0.61,latency_ms=8"))
+	require.Equal(t, free(-1), r.Line("text inflight=7"))
+	require.Empty(t, log.String())
+	for _, text := range []string{`{"x0":-1}`, `{"x0":1e9}`, `{"x0":"3"}`, `{"cpu":null`, `[3]`, `{"x0":1e999}`, strings.Repeat(" ", 2000)} {
+		require.Nil(t, r.Object([]byte(text)), text)
+	}
+	for _, text := range []string{"x0=3", "TEXT x0=NaN", "TEXT x0", "TEXT x0=+Inf", "BIN x0=3"} {
+		require.Nil(t, r.Line(text), text)
+	}
+	require.Equal(t, 1, strings.Count(log.String(), "\n"))
+
+	r.Retune([]string{"inflight", "queue"})
+	require.Equal(t, &decide.Report{Active: 7, Waiting: 2, FreeSlots: -1, FreeMemory: -1}, r.Line("TEXT inflight=7, queue=2, util=0.61"))
+	r.Retune(nil)
+	require.Nil(t, r.Object([]byte(`{"x0":1}`)))
+	var none *Reader
+	require.False(t, none.Any())
+	require.Nil(t, none.Line("TEXT x0=3"))
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -21,6 +21,7 @@
 	"caperrelay/internal/net/clients"
 	"caperrelay/internal/net/handover"
 	"caperrelay/internal/net/instances"
+	"caperrelay/internal/net/loadreport"
 	"caperrelay/internal/net/nametable"
 )
 
@@ -69,6 +70,7 @@
 	pool    *instances.Pool
 	watcher *nametable.Watcher
 	server  *clients.Server
+	loads   *loadreport.Reader
 	bounds  bounds
 	cordons cordons
 	fresh   chan struct{} // closed once discovery has told of the list
@@ -110,7 +112,10 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	p.pool.ReportTo(p.loop)
+	p.loads = loadreport.New(c.Names.Reports, logger)
+	p.pool.ReadBy(p.loads)
 	p.server = clients.New(p.loop, s, c.Names, p.bounds.listener, p.counters, logger)
+	p.server.ReadBy(p.loads)
 	if c.Admin != "" {
 		p.parts = append(p.parts, &admin{program: p, address: c.Admin})
 	}
@@ -265,6 +270,7 @@
 		return
 	}
 	p.server.Retune(next.Settings, next.Names)
+	p.loads.Retune(next.Names.Reports)
 	p.watcher.AtAgent(next.Settings.Pushed)
 	p.pool.Retune(next.Settings.Limits.ConnectTimeout, next.Settings.Limits.ConnIdle)
 	if keys := p.config.AtRestart(next); len(keys) > 0 {
--- /dev/null
+++ b/internal/program/settings_test.go
@@ -0,0 +1,264 @@
+package program
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"caperrelay/internal/config"
+	"caperrelay/internal/net/http1"
+)
+
+// object is a JSON object as it is drawn.
+type object map[string]any
+
+// drawSettings draws settings over what the wire page allows, keys that may be absent among them.
+func drawSettings(t *rapid.T) object {
+	number := func(name string, from, to int) int { return rapid.IntRange(from, to).Draw(t, name) }
+	share := func(name string) float64 { return rapid.Float64Range(0, 1).Draw(t, name) }
+	yes := func(name string) bool { return rapid.Bool().Draw(t, name) }
+	names := func(of string, n int) []string {
+		all := make([]string, n)
+		for i := range all {
+			all[i] = fmt.Sprint(of, i)
+		}
+		return all
+	}
+	balancers, zones, kinds, classes := number("balancers", 1, 400), number("zones", 1, 4), number("kinds", 1, 3), number("classes", 1, 4)
+	var requests []object
+	var kind []int
+	var stretch []float64
+	for i := range classes {
+		effect := rapid.SampledFrom([]string{"free", "guarded", "single_shot"}).Draw(t, "effect")
+		c := object{
+			"Name": fmt.Sprint("class", i), "Effect": effect, "AimUs": number("aim", 0, 100_000), "DeadlineUs": number("deadline", 40_000, 160_000),
+			"Points": number("points", 0, 10), "LateWorth": share("late"), "MemorySpanUs": number("span", 0, 200_000),
+		}
+		if scope := rapid.SampledFrom([]string{"all", "zone", "cell", ""}).Draw(t, "scope"); scope != "" || effect == "guarded" {
+			c["KeyScope"] = scope
+			if scope == "" {
+				c["KeyScope"] = "all"
+			}
+		}
+		requests = append(requests, c)
+		kind, stretch = append(kind, number("kind", -1, kinds-1)), append(stretch, 3*share("stretch"))
+	}
+	s := object{
+		"Balancers": balancers, "SlotNo": number("slot", 0, balancers-1), "Zone": number("zone", 0, zones-1),
+		"Zones": names("z", zones), "Skus": names("k", kinds), "RequestClasses": requests, "GranularityUs": number("granularity", 0, 4000),
+		"Permissions": object{
+			"AttemptsCap": number("attempts", 1, 4), "OpenCap": rapid.SampledFrom([]int{0, 1, 5, 20_000}).Draw(t, "open"),
+			"Cancelling": yes("cancel"), "ParallelTries": yes("parallel"), "Probes": yes("probes"), "PeerMessages": yes("peers"),
+			"RetryAfter": yes("retry after"), "MaxRetryAfterUs": number("most after", 0, 2_000_000),
+			"ConnIdleUs": rapid.SampledFrom([]int{0, 15_000_000}).Draw(t, "idle"), "ConnectTimeoutUs": rapid.SampledFrom([]int{0, 120_000}).Draw(t, "connect"),
+		},
+		"Rules": object{
+			"AnswerSlackUs": 8000, "DrainGraceUs": number("grace", 0, 1_500_000), "ColdFrom": 0.05 + 0.9*share("cold from"), "ColdUs": number("cold", 0, 24_000_000),
+			"FallMultiple": 1 + 3*share("fall"), "FallUs": number("fall time", 0, 3_000_000), "MustAskInUs": number("must ask", 0, 10_000_000),
+			"GoneIsAdvice": yes("advice"),
+		},
+		"Clients": object{"MarksRetry": yes("marks")}, "OverShareWorth": share("over"),
+		"Deductions": object{"CrossZone": share("cross"), "Waste": share("waste"), "Probe": 0.002},
+	}
+	if yes("domain") {
+		s["Domain"] = object{"ClassKind": kind, "ClassStretch": stretch[:number("stretches", 0, classes)], "ProgressUs": number("progress", 0, 50_000), "TellsStart": yes("starts")}
+	}
+	if d := rapid.SampledFrom([]string{"", "subscribe", "automatic"}).Draw(t, "discovery"); d != "" {
+		s["Discovery"] = d
+	}
+	if v := rapid.SampledFrom([]string{"", "silent", "piggyback", "pull"}).Draw(t, "reports"); v != "" {
+		s["LoadReport"] = object{"Via": v, "Fields": rapid.SampledFrom([][]string{nil, {"x0"}, {"x0", "avg_ms", "cpu"}, {"active", "waiting", "x0", "x1"}}).Draw(t, "fields")}
+	}
+	if w := rapid.SampledFrom([]string{"", "silent", "nominal"}).Draw(t, "weights"); w != "" {
+		s["Weights"] = w
+	}
+	var tenants []object
+	for i := range number("tenants", 0, 3) {
+		tenants = append(tenants, object{"Name": fmt.Sprint("t", i), "QuotaPerS": 10 * share("quota")})
+	}
+	s["Tenants"] = tenants
+	return s
+}
+
+// sending is one command as an instance got it.
+type sending struct {
+	at       string // the instance
+	n        int
+	key      string
+	neverRan bool
+	got      time.Time
+}
+
+// fleet is instances whose answers follow from a command's id and how often it has come.
+type fleetOf struct {
+	mu       sync.Mutex
+	sendings map[string][]sending // by command, in the order that they came
+	news     func(id, from, state string)
+}
+
+func (f *fleetOf) script(at string) func(c net.Conn, q *http1.Request) bool {
+	return func(c net.Conn, q *http1.Request) bool {
+		if q.Method != "POST" {
+			return answer(c, 200)
+		}
+		f.mu.Lock()
+		n := len(f.sendings[id(q)])
+		h := fnv.New32a()
+		fmt.Fprint(h, id(q), n, at)
+		what := h.Sum32() % 12
+		f.sendings[id(q)] = append(f.sendings[id(q)], sending{at: at, n: n, key: q.Header.Get("Idempotency-Key"), neverRan: what == 0, got: time.Now()})
+		f.mu.Unlock()
+		load := http1.Field{Name: "X-Backend-Load", Value: []string{"TEXT x0=1, inflight=3", "rubbish"}[what%2]}
+		switch what {
+		case 0:
+			return answer(c, 503, http1.Field{Name: "X-Unprocessed", Value: "1"}, load)
+		case 1:
+			return answer(c, 500, load)
+		case 2:
+			return false // broken before the 202
+		case 3:
+			return true // silent
+		case 4:
+			f.news(id(q), at, "failed")
+		case 5:
+			f.news(id(q), at, "lost")
+		case 6: // taken, and never heard of again
+		default:
+			f.news(id(q), at, "started")
+			f.news(id(q), at, "done")
+		}
+		return answer(c, 202)
+	}
+}
+
+// Whatever settings the wire page allows, the daemon starts, each command has one final answer, and neither what
+// may have run nor what drains is sent to beyond the rules.
+func TestAnySettings(t *testing.T) {
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		require.NoError(t, flag.Set("rapid.checks", "25")) // each plays a short day in real time
+		defer flag.Set("rapid.checks", f.DefValue)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawSettings(rt)
+		playShortDay(t, rt, s)
+	})
+}
+
+const instancesOfDay, commandsOfDay = 4, 16
+
+func playShortDay(t *testing.T, rt *rapid.T, s object) {
+	f := &fleetOf{sendings: map[string][]sending{}}
+	zones, kinds := s["Zones"].([]string), s["Skus"].([]string)
+	var members []object
+	for i := range instancesOfDay {
+		name := fmt.Sprint("s-", i)
+		in := listen(t, f.script(name))
+		defer in.stop()
+		members = append(members, object{
+			"id": name, "host_port": in.Addr().String(), "locality": zones[i%len(zones)], "flavor": kinds[i%len(kinds)], "cell": i % 2, "phase": "in_service",
+			"size": 1, "up_since_ms": 0,
+		})
+	}
+	watches := make(chan net.Conn, 99)
+	table := listen(t, func(c net.Conn, q *http1.Request) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+		watches <- c
+		return true
+	})
+	defer table.stop()
+	text, err := json.Marshal(object{
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": table.Addr().String(), "seed": "1f", "settings": s,
+		"known": object{"revision": 1, "complete": true, "members": members},
+	})
+	require.NoError(rt, err)
+	dir := t.TempDir()
+	require.NoError(rt, os.WriteFile(dir+"/config.json", text, 0o600))
+	c, err := config.Load(func(name string) string {
+		return map[string]string{"PROXY_CONFIG": dir + "/config.json", "TMPDIR": dir}[name]
+	})
+	require.NoError(rt, err)
+	p, err := New(c, slog.New(slog.DiscardHandler))
+	require.NoError(rt, err)
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- p.Run(signals) }()
+	w := &world{t: t, program: p}
+	f.news = func(id, from, state string) { w.news(id, from, state, "of "+id) }
+	w.await(func() bool { return p.Phase() == Serving })
+
+	classes := s["RequestClasses"].([]object)
+	status := make([]int, 2*commandsOfDay)
+	day := func(from int) {
+		var all sync.WaitGroup
+		for i := from; i < from+commandsOfDay; i++ {
+			all.Go(func() {
+				c := w.connect()
+				defer c.Close()
+				class := classes[i%len(classes)]
+				w.post(c, "/api", http1.Header{
+					{Name: "X-Correlation-Id", Value: fmt.Sprint("c", i)}, {Name: "X-Service-Class", Value: class["Name"].(string)},
+					{Name: "X-Account", Value: fmt.Sprint("t", i%3)}, {Name: "X-Time-Left", Value: strconv.Itoa(class["DeadlineUs"].(int)) + "u"},
+					{Name: "Idempotency-Key", Value: fmt.Sprint("key of ", i)}, {Name: "Cookie", Value: fmt.Sprint("user=u", i%2)},
+				}, "the work")
+				a := w.read(c)
+				if status[i] = a.Status; a.Status == 200 && string(a.Body) != fmt.Sprint("of c", i) {
+					status[i] = -1
+				}
+			})
+		}
+		all.Wait()
+	}
+	day(0)
+	watch := <-watches
+	members[0]["phase"] = "terminating"
+	line, err := json.Marshal(object{"revision": 2, "complete": false, "members": members[:1]})
+	require.NoError(rt, err)
+	fmt.Fprintf(watch, "%x\r\n%s\n\r\n", len(line)+1, line)
+	w.await(func() bool { return !p.pool.Takes("s-0") })
+	day(commandsOfDay)
+	signals <- syscall.SIGTERM
+	f.check(rt, s, members, status)
+}
+
+// check holds what instances got and clients were answered against the rules.
+func (f *fleetOf) check(t *rapid.T, s object, members []object, status []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	classes, attempts := s["RequestClasses"].([]object), s["Permissions"].(object)["AttemptsCap"].(int)
+	for i, answered := range status {
+		name, class := fmt.Sprint("c", i), classes[i%len(classes)]
+		all := f.sendings[name]
+		require.Contains(t, []int{200, 400, 502, 503}, answered, "the answer of %s", name)
+		require.LessOrEqual(t, len(all), attempts, "attempts of %s", name)
+		var ran *sending // the first that may have run
+		for _, a := range all {
+			require.Equal(t, fmt.Sprint("key of ", i), a.key)
+			require.False(t, i >= commandsOfDay && a.at == "s-0", "%s went to what drains", name)
+			if ran != nil && class["Effect"] == "single_shot" {
+				t.Fatalf("%s went out again, to %s, though %s may have run it", name, a.at, ran.at)
+			}
+			if ran != nil && class["Effect"] == "guarded" {
+				group := map[string]string{"zone": "locality", "cell": "cell"}[class["KeyScope"].(string)]
+				of := func(at string) any { n, _ := strconv.Atoi(at[2:]); return members[n][group] }
+				require.Equal(t, of(ran.at), of(a.at), "%s left its group", name)
+			}
+			if !a.neverRan && ran == nil {
+				ran = &a
+			}
+		}
+		if harmless := class["Effect"] == "free" || class["Effect"] == "guarded" && class["KeyScope"] == "all"; ran != nil && !harmless {
+			require.NotEqual(t, 503, answered, "%s was refused though %s may have run it", name, ran.at)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -56,7 +56,10 @@
 }
 
 // Names gives the names that the settings use, each at its number.
-type Names struct{ Classes, Tenants, Zones, Kinds []string }
+type Names struct {
+	Classes, Tenants, Zones, Kinds []string
+	Reports                        []string // the fields of load reports; none: there are no reports
+}
 
 // ParseSettings reads the settings text. It is the one reader of settings: the
 // adapter gets the text in its first message, a real dispatcher in its configuration.
@@ -116,6 +119,7 @@
 	var fields []string
 	if p.LoadReport.Via != "silent" {
 		fields = p.LoadReport.Fields
+		names.Reports = fields
 	}
 	for _, f := range fields {
 		s.ReportsFree = s.ReportsFree || f == "x0" && p.LoadReport.Via == "piggyback"
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,10 +3,12 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"math"
 	"time"
 
@@ -252,12 +254,28 @@
 	if n > 4 {
 		return nil, fmt.Errorf("load report of %d values", n)
 	}
-	r := &decide.Report{Active: -1, Waiting: -1, FreeSlots: -1, FreeMemory: -1}
-	for i, name := range d.layouts[instance] {
-		if i >= n {
-			break
+	names := d.layouts[instance]
+	return Report(func(yield func(string, float64) bool) {
+		for i, name := range names[:min(n, len(names))] {
+			if !yield(name, b.f32(1+4*i)) {
+				return
+			}
 		}
-		v := b.f32(1 + 4*i)
+	}), nil
+}
+
+// reportFields are names of a report's fields that other pages use for those of the wire's page.
+var reportFields = map[string]string{
+	"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps", "eps": "err_rps",
+}
+
+// ReportField is the wire's name of a report's field.
+func ReportField(name string) string { return cmp.Or(reportFields[name], name) }
+
+// Report is a load report of fields by the wire's names, those that the module has a word for.
+func Report(fields iter.Seq2[string, float64]) *decide.Report {
+	r := &decide.Report{Active: -1, Waiting: -1, FreeSlots: -1, FreeMemory: -1}
+	for name, v := range fields {
 		switch name {
 		case "active":
 			r.Active = v
@@ -269,7 +287,7 @@
 			r.FreeMemory = v
 		}
 	}
-	return r, nil
+	return r
 }
 
 // AppendReply encodes the reply to a batch.
--- a/winglb/attempt.go
+++ b/winglb/attempt.go
@@ -282,7 +282,7 @@
 	if f.takes(id) {
 		o = decide.OK
 	}
-	go f.reports().Probed(id, o)
+	go f.reports().Probed(id, o, nil)
 }
 
 // Release does nothing: an encoder's one connection carries all calls.
