Network with faults and a list service with a capacity, between real daemons in one rig

Need: the operators' priorities are about many processes while parts of the system fail; the rig's daemons each had a list service of their own that bears everything, and nothing between them and their peers could be cut, slowed or reset.

internal/standin/link leads TCP and UDP through relays, one for each pair, each direction with weather of its own: cut, delay with a long tail, rate; loss, doubles and reordering of datagrams; resets; seeded, changed while it runs, with a timeline. What happens to a piece is decided without I/O and attacked by rapid. internal/standin/listservice works through calls in turn, fails those that waited too long and charges their work, goes down and comes back, keeps a ledger by caller. rig.Options.Lists and Net put both round any number of daemons; Each starts, kills, stops and wakes them in groups.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -25,6 +25,8 @@
 	"caperrelay/internal/standin/host"
 	"caperrelay/internal/standin/httpface"
 	"caperrelay/internal/standin/ledger"
+	"caperrelay/internal/standin/link"
+	"caperrelay/internal/standin/listservice"
 )
 
 // Options of a rig.
@@ -46,6 +48,11 @@
 	Lean bool
 	// Ledger's size.
 	Lines int
+	// Lists is the one list service of all daemons; nil: each has one of its own, which bears everything.
+	Lists *listservice.Service
+	// Net leads all that daemons call through relays, from "n0", "n1" ... to "lists" and to encoders by their ids;
+	// nil: they call directly.
+	Net *link.Net
 }
 
 // Rig is an installation.
@@ -96,14 +103,29 @@
 				return nil, err
 			}
 		}
-		face, err := httpface.New(r.Host, httpface.Options{Dispatcher: fmt.Sprintf("n%d", n), Callback: func() string { return d.Listen }, TellStarts: true})
+		name := fmt.Sprintf("n%d", n)
+		face, err := httpface.New(r.Host, httpface.Options{
+			Dispatcher: name, Callback: func() string { return d.Listen }, TellStarts: true,
+			Through: func(encoder, address string) (string, error) { return r.through(name, encoder, address) },
+		})
 		if err != nil {
 			r.Close()
 			return nil, err
 		}
 		r.faces = append(r.faces, face)
 		r.daemons = append(r.daemons, d)
-		if err := os.WriteFile(d.file, []byte(r.config(d, face.Discovery())), 0o600); err != nil {
+		discovery := face.Discovery()
+		if o.Lists != nil {
+			discovery, err = o.Lists.Door(name, face.List)
+		}
+		if err == nil {
+			discovery, err = r.through(name, "lists", discovery)
+		}
+		if err != nil {
+			r.Close()
+			return nil, err
+		}
+		if err := os.WriteFile(d.file, []byte(r.config(d, discovery)), 0o600); err != nil {
 			r.Close()
 			return nil, err
 		}
@@ -111,6 +133,23 @@
 	return r, nil
 }
 
+// through is the address at which one party finds another.
+func (r *Rig) through(from, to, address string) (string, error) {
+	if r.Net == nil {
+		return address, nil
+	}
+	return r.Net.TCP(link.Way{From: from, To: to}, address)
+}
+
+// Each does something to the daemons from one number up to another, all at once.
+func (r *Rig) Each(from, to int, do func(*Daemon)) {
+	var all sync.WaitGroup
+	for _, d := range r.daemons[from:to] {
+		all.Go(func() { do(d) })
+	}
+	all.Wait()
+}
+
 // reserve keeps an address on loopback for as long as the rig lives, for listeners that share it.
 func (r *Rig) reserve() (string, error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
@@ -246,6 +285,12 @@
 	<-d.done
 }
 
+// Stop has the daemon's process stand still, as on a machine that is suspended; Wake ends that.
+func (d *Daemon) Stop() error { return d.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Wake has it go on.
+func (d *Daemon) Wake() error { return d.cmd.Process.Signal(syscall.SIGCONT) }
+
 // File is its configuration.
 func (d *Daemon) File() string { return d.file }
 
--- a/internal/standin/httpface/face.go
+++ b/internal/standin/httpface/face.go
@@ -58,6 +58,8 @@
 	Dispatcher string        // its name, for the ledger
 	Callback   func() string // its address, once it has one
 	TellStarts bool          // whether encoders tell of starts
+	// Through is the address at which the dispatcher finds an encoder that listens at another; nil: the same.
+	Through func(encoder, address string) (string, error)
 }
 
 // New opens a face's sockets.
@@ -73,7 +75,15 @@
 			return nil, err
 		}
 		f.doors = append(f.doors, d)
-		e.Attach("http/"+o.Dispatcher, d.address, d)
+		at, err := d.address, error(nil)
+		if o.Through != nil {
+			at, err = o.Through(e.ID(), at)
+		}
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		e.Attach("http/"+o.Dispatcher, at, d)
 	}
 	var err error
 	if f.discovery, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -395,7 +405,7 @@
 			f.watch(c)
 			return
 		default:
-			c.Write(http1.AppendResponse(nil, 200, nil, f.list()))
+			c.Write(http1.AppendResponse(nil, 200, nil, f.List()))
 		}
 	}
 }
@@ -410,7 +420,7 @@
 		woken := f.woken
 		f.mu.Unlock()
 		if text = nil; fresh { // the whole list each time: simple, and allowed
-			text = f.list()
+			text = f.List()
 		}
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(text)+1, text); err != nil {
 			return
@@ -439,7 +449,8 @@
 	UpSince float64 `json:"up_since_ms"`
 }
 
-func (f *Face) list() []byte {
+// List is what discovery tells the dispatcher, as text.
+func (f *Face) List() []byte {
 	list := struct {
 		Revision int64    `json:"revision"`
 		Complete bool     `json:"complete"`
