Ask for the list in turns by time since the start, and evenly where nobody is reached

Calls that waited and failed go again in turns that double, by the time since the list was first wanted, each after a gap as long as the turn before. Where a call reached nobody (no connection) or failed at once there is nothing to work off: an even pace. A process that takes over asks at once.

--- a/cmd/winglb-full/main.go
+++ b/cmd/winglb-full/main.go
@@ -95,7 +95,7 @@
 }
 
 type proof struct {
-	Name string `arg:"" enum:"plugin,memory,import" help:"Which: plugin, memory or import."`
+	Name string `arg:"" enum:"plugin,memory,import,coldstart" help:"Which: plugin, memory, import or coldstart."`
 }
 
 func (p *proof) Run() error {
@@ -105,6 +105,8 @@
 		return prove.Memory(o)
 	case "import":
 		return prove.Import(o)
+	case "coldstart":
+		return prove.ColdStart(o)
 	}
 	return prove.Plugin(o)
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -232,8 +232,9 @@
 	}
 	// ListDelta changes the lines it holds.
 	ListDelta struct{ Workers []Worker }
-	// ListFailed: a subscription or a fetch failed; the list stays.
-	ListFailed struct{}
+	// ListFailed: a subscription or a fetch failed; the list stays. Nobody: the call reached nobody, and cost
+	// nobody anything.
+	ListFailed struct{ Nobody bool }
 	// Request has arrived and is owed one final answer.
 	Request struct {
 		ID            uint32
@@ -453,12 +454,13 @@
 		case ListFull:
 			d.list(e.Workers, true)
 			if e.Cached && d.s.Subscribe {
-				d.do(Subscribe{})
+				d.ask(false)
 			}
 		case ListDelta:
 			d.list(e.Workers, false)
 		case ListFailed:
-			d.listFailed()
+			d.note(&d.listLost, true, "worker list lost", "")
+			d.ask(e.Nobody)
 		case Request:
 			d.arrive(e)
 		case StreamStarted:
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"maps"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -138,18 +137,6 @@
 	return nil
 }
 
-// listFailed asks for the list again after a while.
-func (d *Dispatcher) listFailed() {
-	d.note(&d.listLost, true, "worker list lost", "")
-	d.failures++
-	many := bits.Len(uint(d.s.Dispatchers) / partySize)
-	base, doublings := d.s.Rules.MustAskIn/16, min(d.failures, 2+many/2)+many
-	if d.s.Pushed { // to an agent here: asking it costs nobody anything, and what it has counts as told
-		base, doublings = d.s.Rules.DrainGrace/16, 1
-	}
-	d.asked = d.now + d.backoff(base, doublings)
-}
-
 // list takes lines of the worker list.
 func (d *Dispatcher) list(lines []Worker, whole bool) {
 	d.note(&d.listLost, false, "", "worker list back")
@@ -1009,7 +996,7 @@
 // sweep looks at everything that time alone changes.
 func (d *Dispatcher) sweep() {
 	if d.asked > 0 && d.now >= d.asked {
-		d.asked = 0
+		d.asked, d.called = 0, d.now
 		d.do(Subscribe{})
 	}
 	if d.s.Limits.PeerMessages && d.now-d.peersAt >= d.tellEvery() {
--- a/decide/state.go
+++ b/decide/state.go
@@ -178,7 +178,7 @@
 	ordered               time.Duration
 	stale                 bool // blocks must be rebuilt
 	armed                 bool
-	asked                 time.Duration // when to ask for the list again; 0: not wanted
+	asked, called, wanted time.Duration // when to ask for the list (0: not wanted), when that last was, since when it has been wanted
 	failures              int
 	peers                 map[int]*peer
 	listLost, crowd, dark condition
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -131,8 +131,10 @@
 	l.post(func(l *Loop) { l.tell(decide.Cordon{Worker: l.number(id), Out: out}) })
 }
 
-// ListLost says that the watch on the name table has failed.
-func (l *Loop) ListLost() { l.post(func(l *Loop) { l.tell(decide.ListFailed{}) }) }
+// ListLost says that the watch on the name table, or a call for one, has failed; nobody: that call reached none.
+func (l *Loop) ListLost(nobody bool) {
+	l.post(func(l *Loop) { l.tell(decide.ListFailed{Nobody: nobody}) })
+}
 
 // number is the module's id of an instance, the same at every dispatcher, since the module
 // has them share one order. It is the number that the instance bears on the simulator's wire,
--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -25,6 +25,9 @@
 	maxObject      = 4 << 20                 // one line of a watch
 )
 
+// ErrNobody says that a call has reached nobody: it has cost the service nothing.
+var ErrNobody = errors.New("nobody reached")
+
 // Sink takes what discovery tells. Its calls come from one goroutine and in order.
 type Sink interface {
 	// Listed takes a list as it was read.
@@ -143,7 +146,7 @@
 	dialer := net.Dialer{Deadline: answered}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrNobody, err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -320,5 +321,5 @@
 // Lost takes the end of a watch.
 func (p *Program) Lost(err error) {
 	p.log.Warn("name table lost", "err", err)
-	p.loop.ListLost()
+	p.loop.ListLost(errors.Is(err, nametable.ErrNobody))
 }
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -87,6 +87,7 @@
 		return nil
 	}
 	p.watcher.From(p.before.Discovery, p.before.List.Revision)
+	p.watcher.Subscribe() // now: what takes over waits for discovery, and takes the place of another watch
 	p.mu.Lock()
 	p.discovery = p.before.Discovery
 	p.mu.Unlock()
