--- a/decide/ask.go
+++ b/decide/ask.go
@@ -12,6 +12,7 @@
 	listPace   = 20 * time.Millisecond // a dispatcher, at which first calls are spread
 	listSpread = 0.6                   // of the time in which the rules want a call: no first call may come later
 	downParts  = 64                    // a call that fails within such a part of that time found nobody in
+	fewParts   = 16                    // dispatchers whose spread is under such a part of it are few
 	mostTurns  = 10                    // doublings of the time over which calls are spread
 )
 
@@ -28,7 +29,7 @@
 	spread := min(time.Duration(d.s.Dispatchers)*listPace, time.Duration(listSpread*float64(within)))
 	if d.failures > 0 && (nobody || d.now-d.called < within/downParts) {
 		d.wanted, d.failures = d.now, 1
-		d.asked = d.now + max(d.step(), d.backoff(max(spread, within/16), 1))
+		d.asked = d.now + max(d.step(), d.backoff(max(spread, within/fewParts), 1))
 		return
 	}
 	if d.failures == 0 {
@@ -37,5 +38,8 @@
 	over := max(spread, time.Duration(min(d.failures, 4))*within/downParts) // a few need not hurry either
 	long := math.Exp2(float64(min(d.failures, mostTurns)))
 	d.asked = max(d.now+d.step(), d.wanted+time.Duration((2*(long-1)+long*d.rng.Float64())*float64(over)))
+	if spread < within/fewParts { // few: an even pace of theirs runs over no service
+		d.asked = min(d.asked, d.now+max(d.step(), d.backoff(2*within/fewParts, 1)))
+	}
 	d.failures++
 }
--- a/decide/list_test.go
+++ b/decide/list_test.go
@@ -120,7 +120,7 @@
 // TestLostListIsAskedForAgain: a pushed list is asked of an agent here, always well within the grace of a drain. Of a
 // service it is asked for in turns: at first within three fifths of the time that the rules want a call in, then, while
 // calls wait and fail, in turns that double, each after a gap as long as the turn before. Where calls reach nobody the
-// pace stays even, however long it lasts, and the turns after that begin anew.
+// pace stays even, however long it lasts, and the turns after that begin anew; that of a few always does.
 func TestLostListIsAskedForAgain(t *testing.T) {
 	s := site(1, true, false, false)
 	s.Dispatchers, s.Rules.DrainGrace, s.Rules.MustAskIn = 300, time.Second, 10*time.Second
@@ -167,5 +167,14 @@
 		began = w.d.wanted
 		_, asked = asks(w, ListFailed{}, time.Second)
 		in(1, asked, 2, 4)
+
+		few := s
+		few.Dispatchers = 12
+		w = newWorld(t, few)
+		for range 12 {
+			if lost, asked := asks(w, ListFailed{}, time.Second); asked-lost > 2*time.Second {
+				t.Errorf("few: asked for after %v", asked-lost)
+			}
+		}
 	}
 }
