Take refused requests out of their queue, and keep one rule for calls of a few

What made room for a newcomer stayed in its queue until all that was held before it had gone, up to a class's whole time: a rush could pile up thousands of entries, and each newcomer looked through them. It leaves the queue now (decide.arrive); the test fails without it.

The stand-in list service read a map without its lock and could wait for a late caller at its end.

--- a/decide/ask.go
+++ b/decide/ask.go
@@ -20,26 +20,24 @@
 // over a time; those that waited and failed have a turn twice as long, which begins only when the service has had the
 // time to work off what it failed. So however little it bears, some turn is long enough. Where the last call reached
 // nobody, or failed at once, there is nothing to work off: a service that is down or cut off is tried at an even pace.
+// A few dispatchers run over no service at such a pace, and keep it in any case.
 func (d *Dispatcher) ask(nobody bool) {
-	if d.s.Pushed { // to an agent here: asking it costs nobody anything, and what it has counts as told
-		d.asked = d.now + d.backoff(d.s.Rules.DrainGrace/16, 1)
-		return
-	}
 	within := d.s.Rules.MustAskIn
 	spread := min(time.Duration(d.s.Dispatchers)*listPace, time.Duration(listSpread*float64(within)))
-	if d.failures > 0 && (nobody || d.now-d.called < within/downParts) {
-		d.wanted, d.failures = d.now, 1
-		d.asked = d.now + max(d.step(), d.backoff(max(spread, within/fewParts), 1))
-		return
-	}
-	if d.failures == 0 {
-		d.wanted = d.now
-	}
-	over := max(spread, time.Duration(min(d.failures, 4))*within/downParts) // a few need not hurry either
-	long := math.Exp2(float64(min(d.failures, mostTurns)))
-	d.asked = max(d.now+d.step(), d.wanted+time.Duration((2*(long-1)+long*d.rng.Float64())*float64(over)))
-	if spread < within/fewParts { // few: an even pace of theirs runs over no service
-		d.asked = min(d.asked, d.now+max(d.step(), d.backoff(2*within/fewParts, 1)))
+	few, nobody := spread < within/fewParts, nobody || d.now-d.called < within/downParts
+	after := time.Duration(0)
+	switch {
+	case d.s.Pushed: // to an agent here: asking it costs nobody anything, and what it has counts as told
+		after = d.backoff(d.s.Rules.DrainGrace/16, 1)
+	case d.failures == 0:
+		d.wanted, after = d.now, time.Duration(d.rng.Float64()*float64(spread))
+	case few || nobody:
+		d.wanted, d.failures = d.now, 0
+		after = d.backoff(max(spread, within/fewParts), 1)
+	default:
+		long := math.Exp2(float64(min(d.failures, mostTurns)))
+		after = d.wanted - d.now + time.Duration((2*(long-1)+long*d.rng.Float64())*float64(spread))
 	}
+	d.asked = d.now + max(d.step(), after)
 	d.failures++
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -141,7 +141,8 @@
 func (d *Dispatcher) list(lines []Worker, whole bool) {
 	d.note(&d.listLost, false, "", "worker list back")
 	d.upsert(lines, whole)
-	d.failures, d.asked, d.stale, d.freed = 0, 0, true, true
+	d.failures, d.asked = 0, 0
+	d.stale, d.freed = true, true
 }
 
 // believe takes what a line of the list, or its absence from a whole one, says of a worker. Draining stays for its
@@ -218,7 +219,8 @@
 	}
 	r.limit = min(r.arrived+c.Aim, r.due)
 	d.requests[q.ID], r.over = r, d.overShare(q.Tenant)
-	d.taken, d.live = append(d.taken, d.now), append(d.live, r)
+	d.taken = append(d.taken, d.now)
+	d.live = append(d.live, r)
 	if k := d.keys[q.Key]; q.Key != 0 {
 		if len(d.keys) == 0 {
 			d.stale, d.ordered = true, 0
@@ -233,8 +235,9 @@
 		return
 	}
 	for _, q := range slices.Backward(d.order) { // bounded: of what was never sent, the least worth makes room
-		for _, o := range slices.Backward(d.queues[q]) {
+		for i, o := range slices.Backward(d.queues[q]) {
 			if o.held && o.queue == q && len(o.attempts) == 0 {
+				d.queues[q] = slices.Delete(d.queues[q], i, i+1) // or it would wait there behind all that is held
 				d.answer(o)
 				return
 			}
@@ -430,9 +433,10 @@
 }
 
 // lastResort ends the default tag's hold with its pick of a random healthy worker, full as it may be. It
-// acts only while nothing else waits: then ceilings may be wrong, else it would only add to a queue. Told room is not guessed.
+// acts only while nothing else waits: then ceilings may be wrong, else it would only add to a queue.
 func (d *Dispatcher) lastResort(r *request) *worker {
-	if told := d.s.ReportsFree && !d.s.TellsStart; told || r.c.followup == Fail || len(r.attempts) > 0 || d.held() > 1 || d.waiting > 0 {
+	told := d.s.ReportsFree && !d.s.TellsStart // room is not guessed
+	if told || r.c.followup == Fail || len(r.attempts) > 0 || d.held() > 1 || d.waiting > 0 {
 		return nil
 	}
 	return d.random(r.c.deflt, func(w *worker) bool { return w.strikes == 0 && !d.forbidden(r, w) })
@@ -862,7 +866,8 @@
 func (d *Dispatcher) alive(w *worker) {
 	d.moved = d.moved || w.ghost > 0
 	w.ghost, w.lived, w.zone.lived, d.served = 0, d.now, d.now, true
-	w.retryAt, d.freed = d.now, true
+	w.retryAt = d.now
+	d.freed = true
 	if w.strikes > 0 {
 		d.judge(w, w.strikes/2)
 	}
@@ -1047,7 +1052,8 @@
 		}
 	}
 	clear(d.live[n:])
-	d.live, d.waiting, d.running = d.live[:n], waiting, running
+	d.live = d.live[:n]
+	d.waiting, d.running = waiting, running
 	d.note(&d.crowd, waiting > running, "jobs queue at the workers: late ones are called off",
 		"jobs no longer queue at the workers")
 	d.note(&d.dark, len(d.fleet) > 0 && d.outage(), "no worker is trusted: the least bad are tried",
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -566,6 +566,20 @@
 	answered(0, false, true, true, true, false, false, false, true)
 }
 
+// TestRefusedLeaveTheQueue: what made room waited in its queue behind all that was held, thousands in a rush, and each
+// newcomer looked through them.
+func TestRefusedLeaveTheQueue(t *testing.T) {
+	s := site(1, false, false, false)
+	s.Limits.Open = 9
+	w := fleet(t, s, 1)
+	for i := range 300 {
+		w.place(i % 2)
+		if held := w.d.held(); held > s.Limits.Open {
+			t.Fatalf("%d wait after %d requests", held, i+1)
+		}
+	}
+}
+
 // TestOpenIsBounded: what comes past the limit of open requests is refused at once.
 func TestOpenIsBounded(t *testing.T) {
 	s := site(1, false, false, false)
--- a/internal/standin/listservice/service.go
+++ b/internal/standin/listservice/service.go
@@ -130,9 +130,11 @@
 
 // Close ends the service.
 func (s *Service) Close() {
-	s.Down(true)
 	s.mu.Lock()
 	s.closed = true
+	s.mu.Unlock()
+	s.Down(true)
+	s.mu.Lock()
 	for _, l := range s.doors {
 		l.Close()
 	}
@@ -145,6 +147,7 @@
 func (s *Service) serve(caller string, c net.Conn) {
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	closed := s.closed
 	s.mu.Unlock()
 	defer func() {
 		c.Close()
@@ -152,6 +155,9 @@
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
+	if closed { // it came while the service ended
+		return
+	}
 	br := bufio.NewReaderSize(c, http1.MaxLine)
 	q, err := http1.ReadRequest(br, nil)
 	if err != nil || !strings.HasPrefix(q.Target, "/catalog/members") {
@@ -191,11 +197,11 @@
 	defer tick.Stop()
 	for fresh := true; ; {
 		s.mu.Lock()
-		woken, closed := s.woken, s.closed
+		woken, closed, list := s.woken, s.closed, s.lists[caller]
 		s.mu.Unlock()
 		var text []byte
 		if fresh {
-			text = s.lists[caller]()
+			text = list()
 		}
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(text)+1, text); err != nil || closed {
 			return
