Let dispatchers tell each other of the list: a few of each zone watch, by memberlist

After a power cut each of hundreds of dispatchers watched the one list service by itself.

The operators' call members shows it. Encoders' stand-ins can be shared by daemons, links relay TCP and UDP at one address.

--- a/internal/full/serve.go
+++ b/internal/full/serve.go
@@ -61,6 +61,9 @@
 		}
 		s.Parts = append(s.Parts, part)
 	}
+	if f.Members != nil {
+		s.Parts = append(s.Parts, membersPart(f))
+	}
 	for _, w := range f.Fronts {
 		s.Parts = append(s.Parts, frontPart(w))
 	}
--- a/internal/net/control/server.go
+++ b/internal/net/control/server.go
@@ -26,7 +26,6 @@
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/lease"
-	"caperrelay/internal/net/nametable"
 	"caperrelay/internal/net/sock"
 )
 
@@ -73,7 +72,7 @@
 	grpc     *grpc.Server // nil: it does not listen
 	book     *lease.Book
 	places   *lease.Places
-	table    nametable.Table
+	table    dispatch.Table
 	settings *controlv1.Settings
 	cordons  []string
 	eased    map[string]time.Duration // when people put an instance back
--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -32,6 +32,8 @@
 type Sink interface {
 	// Listed takes a list as it was read.
 	Listed(dispatch.List)
+	// Alive: the watch is on, and nothing has changed.
+	Alive()
 	// Lost: the watch, or the call for one, has failed. The table stays as it was.
 	Lost(error)
 }
@@ -92,6 +94,17 @@
 	w.Subscribe()
 }
 
+// Rest ends the watch that is on, and what is asked for: others tell of changes. The next Subscribe begins one again.
+func (w *Watcher) Rest() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.wanted:
+	default:
+	}
+	w.leave()
+}
+
 // Run serves subscriptions until the context ends. When to ask again after a loss is
 // the decision of whoever subscribes.
 func (w *Watcher) Run(ctx context.Context, sink Sink) {
@@ -181,6 +194,7 @@
 			return errors.New("the watch ended")
 		}
 		if len(lines.Bytes()) == 0 {
+			sink.Alive()
 			continue
 		}
 		l, err := ParseList(lines.Bytes())
--- a/internal/net/nametable/watch_test.go
+++ b/internal/net/nametable/watch_test.go
@@ -22,6 +22,7 @@
 }
 
 func (s sink) Listed(l dispatch.List) { s.listed <- l }
+func (s sink) Alive()                 {}
 func (s sink) Lost(err error)         { s.lost <- err }
 
 // Whatever way a watch ends, it is told once, and the next one goes on from the last revision.
--- a/internal/net/operators/operators.go
+++ b/internal/net/operators/operators.go
@@ -34,6 +34,7 @@
 	Uncordon(id string) error // uses it again
 	Quiesce() error           // sends service clients away
 	Resume() error            // takes them again
+	Show(what string) string  // what else this installation can tell; empty: nothing of that name
 }
 
 // Server serves the operators' listener.
@@ -146,6 +147,10 @@
 		return verdict(about(rest[0]))
 	case do != nil || about != nil || call == "counters":
 		return "ERR wrong number of words\n"
+	case len(rest) == 0:
+		if text := s.desk.Show(call); text != "" {
+			return text + "\nEND\n"
+		}
 	}
 	return "ERR no such call: health, counters, cordon ID, uncordon ID, quiesce, resume\n"
 }
--- a/internal/net/operators/operators_test.go
+++ b/internal/net/operators/operators_test.go
@@ -15,8 +15,11 @@
 // desk is healthy and can do nothing else.
 type desk struct{}
 
-func (desk) Health() error          { return nil }
-func (desk) Figures() string        { return "proxy.loads=0\n" }
+func (desk) Health() error   { return nil }
+func (desk) Figures() string { return "proxy.loads=0\n" }
+func (desk) Show(what string) string {
+	return map[string]string{"members": "{}"}[what]
+}
 func (desk) Quiesce() error         { return errors.New("not\nnow") }
 func (desk) Resume() error          { return nil }
 func (desk) Uncordon(string) error  { return nil }
@@ -50,7 +53,7 @@
 func TestCalls(t *testing.T) {
 	dial := serve(t)
 	for text, want := range map[string]string{
-		"health\n": "OK\n", "health\r\n": "OK\n", "counters\n": "proxy.loads=0\nEND\n", "quiesce\n": "ERR not now\n",
+		"members\n": "{}\nEND\n", "health\n": "OK\n", "health\r\n": "OK\n", "counters\n": "proxy.loads=0\nEND\n", "quiesce\n": "ERR not now\n",
 		"resume\nhealth\n": "OK\n", "cordon s-1\n": "ERR s-1 is not known\n",
 		"uncordon s-1\n": "OK\n", "cordon\n": "ERR wrong number of words\n", "health now\n": "ERR wrong number of words\n", "\n": "ERR an empty call\n",
 		"reboot\n":                          "ERR no such call: health, counters, cordon ID, uncordon ID, quiesce, resume\n",
--- a/internal/program/desk.go
+++ b/internal/program/desk.go
@@ -43,3 +43,13 @@
 	}
 	return errors.New(p.Phase().String())
 }
+
+// Show is what a part tells under a name; empty: none does.
+func (p *Program) Show(what string) (text string) {
+	p.each(func(t Part) {
+		if s, ok := t.(interface{ Show(string) string }); ok && text == "" {
+			text = s.Show(what)
+		}
+	})
+	return text
+}
--- a/internal/program/part.go
+++ b/internal/program/part.go
@@ -35,6 +35,7 @@
 	Log  *slog.Logger
 	// Config is the one that the program starts with.
 	Config *config.Config
+	Lists  Lists
 }
 
 // NewPart makes a part.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -76,6 +75,8 @@
 	cordons cordons
 	fresh   chan struct{} // closed once discovery has told of the list
 	parts   []Part
+	sharer  Sharer          // nil: the list comes from the own watch alone
+	telling sync.Mutex      // of a list: one at a time
 	context context.Context // of the program's run
 
 	mu           sync.Mutex
@@ -83,7 +84,7 @@
 	since        time.Time // of the phase
 	ending       bool      // told to end while relieving
 	listener     *net.TCPListener
-	table        nametable.Table
+	table        dispatch.Table
 	discovery    string
 	older, newer *handover.Link // the other processes, nil: none
 	before       standing       // the older one's
@@ -109,7 +110,7 @@
 	p.bounds.listener = sockets - p.bounds.pool
 	s := p.bound(c.Settings)
 	var err error
-	if p.loop, err = dispatch.New(s, c.Names, p.pool, p.watcher, others{p}, logger); err != nil {
+	if p.loop, err = dispatch.New(s, c.Names, p.pool, subscriptions{p}, others{p}, logger); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	p.pool.ReportTo(p.loop)
@@ -121,7 +122,7 @@
 		p.parts = append(p.parts, &admin{program: p, address: c.Admin})
 	}
 	for _, n := range parts {
-		t, err := n(Core{Loop: p.loop, Log: logger, Config: c})
+		t, err := n(Core{Loop: p.loop, Log: logger, Config: c, Lists: lists{p}})
 		if err != nil {
 			return nil, err
 		}
@@ -287,6 +288,9 @@
 	p.mu.Unlock()
 	if moved {
 		p.watcher.Move(next.Discovery)
+		if p.sharer != nil {
+			p.sharer.Moved()
+		}
 	}
 }
 
@@ -298,16 +302,6 @@
 	_ = p.enter(Stopped, Starting) || p.enter(Departing, Serving, Quiescing, Quiesced) || p.enter(Draining, Yielded)
 }
 
-// Listed takes the name table's news.
-func (p *Program) Listed(l dispatch.List) {
-	p.take(l, false)
-	select {
-	case <-p.fresh:
-	default:
-		close(p.fresh)
-	}
-}
-
 // take takes a list: the pool first, which guards each send.
 func (p *Program) take(l dispatch.List, cached bool) {
 	p.mu.Lock()
@@ -317,9 +311,3 @@
 	p.each(func(t Part) { t.Listed(l) })
 	p.loop.Listed(l, cached)
 }
-
-// Lost takes the end of a watch.
-func (p *Program) Lost(err error) {
-	p.log.Warn("name table lost", "err", err)
-	p.loop.ListLost(errors.Is(err, nametable.ErrNobody))
-}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -53,6 +55,8 @@
 	// Net leads all that daemons call through relays, from "n0", "n1" ... to "lists" and to encoders by their ids;
 	// nil: they call directly.
 	Net *link.Net
+	// Members has daemons tell each other of the list.
+	Members bool
 }
 
 // Rig is an installation.
@@ -65,6 +69,7 @@
 	mu      sync.Mutex
 	procs   map[*exec.Cmd]struct{}
 	held    []int // sockets that keep addresses
+	block   [2]byte
 }
 
 // Daemon is one dispatcher's process and its addresses, which stay the same over its lives.
@@ -72,6 +77,8 @@
 	rig             *Rig
 	n               int
 	Listen, Control string
+	Admin           string // where operators call, with Members
+	members         string
 	file            string
 	cmd             *exec.Cmd
 	done            chan struct{}
@@ -84,7 +91,9 @@
 	for i := range specs {
 		specs[i].ColdFor = cmp.Or(o.Cold, specs[i].ColdFor)
 	}
-	r := &Rig{Options: o, Host: host.New(specs, ledger.New(o.Lines)), procs: map[*exec.Cmd]struct{}{}}
+	// Over the first block of loopback, which others use, and below the last; a rig in another process has another.
+	block := [2]byte{byte(1 + rand.N(250)), byte(rand.N(250))}
+	r := &Rig{block: block, Options: o, Host: host.New(specs, ledger.New(o.Lines)), procs: map[*exec.Cmd]struct{}{}}
 	var once []string
 	for _, c := range o.Classes {
 		if c.Once {
@@ -103,16 +112,15 @@
 				return nil, err
 			}
 		}
+		if o.Members {
+			d.members, d.Admin = r.own(n, 7946), r.own(n, 7947)
+		}
 		name := fmt.Sprintf("n%d", n)
-		face, err := httpface.New(r.Host, httpface.Options{
-			Dispatcher: name, Callback: func() string { return d.Listen }, TellStarts: true,
-			Through: func(encoder, address string) (string, error) { return r.through(name, encoder, address) },
-		})
+		face, err := r.face(d, name)
 		if err != nil {
 			r.Close()
 			return nil, err
 		}
-		r.faces = append(r.faces, face)
 		r.daemons = append(r.daemons, d)
 		discovery := face.Discovery()
 		if o.Lists != nil {
@@ -125,7 +133,11 @@
 			r.Close()
 			return nil, err
 		}
-		if err := os.WriteFile(d.file, []byte(r.config(d, discovery)), 0o600); err != nil {
+		among, err := r.among(d)
+		if err == nil {
+			err = os.WriteFile(d.file, []byte(r.config(d, discovery)+among), 0o600)
+		}
+		if err != nil {
 			r.Close()
 			return nil, err
 		}
@@ -133,6 +145,68 @@
 	return r, nil
 }
 
+// own is a loopback address that is one daemon's alone, so that its port is free whatever others use.
+func (r *Rig) own(n, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", r.block[0], int(r.block[1])+n/250, 1+n%250, port)
+}
+
+// Members0 is where daemons find the first one, not through any relay.
+func (r *Rig) Members0() string { return r.own(0, 7946) }
+
+// joins is how many daemons are in the files as those to join.
+const joins = 4
+
+// among is what a daemon's file says of the others.
+func (r *Rig) among(d *Daemon) (string, error) {
+	if !r.Members {
+		return "", nil
+	}
+	var join, through []string
+	for n := range r.Daemons {
+		if n == d.n {
+			continue
+		}
+		at, err := r.own(n, 7946), error(nil)
+		if r.Net != nil {
+			if at, err = r.Net.Both(link.Way{From: fmt.Sprintf("n%d", d.n), To: fmt.Sprintf("n%d", n)}, at); err != nil {
+				return "", err
+			}
+			through = append(through, fmt.Sprintf("n%d = %q", n, at))
+		}
+		if n < joins {
+			join = append(join, fmt.Sprintf("%q", fmt.Sprintf("n%d/%s", n, at)))
+		}
+	}
+	return fmt.Sprintf("[members]\nlisten = %q\njoin = [%s]\n[members.through]\n%s\n", d.members, strings.Join(join, ", "), strings.Join(through, "\n")), nil
+}
+
+// face is how a daemon sees the encoders. Daemons that tell each other of the list have one for all: its addresses
+// must mean the same to each.
+func (r *Rig) face(d *Daemon, name string) (*httpface.Face, error) {
+	o := httpface.Options{
+		Dispatcher: name, Callback: func() string { return d.Listen }, TellStarts: true,
+		Through: func(encoder, address string) (string, error) { return r.through(name, encoder, address) },
+	}
+	if r.Members {
+		if len(r.faces) > 0 {
+			return r.faces[0], nil
+		}
+		o = httpface.Options{Dispatcher: "any", TellStarts: true, Shared: func(via string) string {
+			for n, d := range r.daemons {
+				if via == fmt.Sprintf("n%d", n) {
+					return d.Listen
+				}
+			}
+			return ""
+		}}
+	}
+	face, err := httpface.New(r.Host, o)
+	if err == nil {
+		r.faces = append(r.faces, face)
+	}
+	return face, err
+}
+
 // through is the address at which one party finds another.
 func (r *Rig) through(from, to, address string) (string, error) {
 	if r.Net == nil {
@@ -174,7 +248,7 @@
 func (r *Rig) config(d *Daemon, discovery string) string {
 	var s strings.Builder
 	line := func(format string, args ...any) { fmt.Fprintf(&s, format+"\n", args...) }
-	line("[node]\nname = %q\nlisten = %q\ndiscovery = %q\nnumber = %d\nof = %d\nzone = %q", fmt.Sprintf("n%d", d.n), d.Listen, discovery, d.n, r.Daemons, []string{"a", "b"}[d.n%2])
+	line("[node]\nname = %q\nlisten = %q\ndiscovery = %q\nnumber = %d\nof = %d\nzone = %q\nadmin = %q", fmt.Sprintf("n%d", d.n), d.Listen, discovery, d.n, r.Daemons, r.Zone(d.n), d.Admin)
 	if r.Lean {
 		line("[limits]\ncores = 1\nmemory = \"512MB\"\nsockets = 4096")
 	} else {
@@ -203,6 +277,9 @@
 	return s.String()
 }
 
+// Zone is where a daemon stands.
+func (r *Rig) Zone(n int) string { return []string{"a", "b"}[n%2] }
+
 // start runs one of our programs.
 func (r *Rig) start(role, file string, stdout *os.File) (*exec.Cmd, chan struct{}, error) {
 	cmd := r.Command(role, file)
@@ -303,6 +380,24 @@
 // Signal sends its process a signal.
 func (d *Daemon) Signal(s os.Signal) { d.cmd.Process.Signal(s) }
 
+// Ask makes an operator's call, and returns its answer without its last line; empty: the daemon does not answer.
+func (d *Daemon) Ask(call string) string {
+	c, err := net.DialTimeout("tcp", d.Admin, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := fmt.Fprintln(c, call); err != nil {
+		return ""
+	}
+	text, err := io.ReadAll(c)
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSuffix(string(text), "END\n")
+}
+
 // get asks the daemon's listener.
 func (d *Daemon) get(target string) (*http1.Response, error) {
 	c, err := net.DialTimeout("tcp", d.Listen, time.Second)
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -44,13 +44,15 @@
 	net   *link.Net
 }
 
-func found(t *testing.T, work time.Duration) *town {
+func found(t *testing.T, work time.Duration) *town { return founded(t, fleet, work, false) }
+
+func founded(t *testing.T, daemons int, work time.Duration, among bool) *town {
 	w := &town{T: t, lists: listservice.New(work, time.Second), net: link.New(1)}
 	t.Cleanup(w.lists.Close)
 	t.Cleanup(w.net.Close)
 	var err error
 	w.Rig, err = rig.New(rig.Options{
-		Encoders: 3, Slots: 4, Daemons: fleet, Classes: []load.Class{{Name: "preview", Work: time.Millisecond, Left: 20 * time.Second}, {Name: "publish", Once: true, Work: time.Millisecond, Left: 20 * time.Second}},
+		Encoders: 3, Slots: 4, Daemons: daemons, Members: among, Classes: []load.Class{{Name: "preview", Work: time.Millisecond, Left: 20 * time.Second}, {Name: "publish", Once: true, Work: time.Millisecond, Left: 20 * time.Second}},
 		Command: func(role, file string) *exec.Cmd {
 			cmd := exec.Command(os.Args[0])
 			cmd.Env = append(os.Environ(), "WINGLB_RIG_ROLE="+role, "WINGLB_RIG_FILE="+file)
@@ -96,7 +98,7 @@
 // job has a daemon do one, and returns the status; 0: the daemon is not there.
 func (w *town) job(n int, class string) int {
 	jobs++
-	q, err := http.NewRequest("POST", "http://"+w.Daemon(n).Listen+"/api?work_us=1000&class="+class+map[bool]string{true: "&once=1"}[class == "publish"], strings.NewReader("work"))
+	q, err := http.NewRequest("POST", "http://"+w.Daemon(n).Listen+fmt.Sprintf("/api?via=n%d&work_us=1000&class=", n)+class+map[bool]string{true: "&once=1"}[class == "publish"], strings.NewReader("work"))
 	require.NoError(w, err)
 	q.Header.Set("X-Correlation-Id", fmt.Sprint("job-", jobs))
 	q.Header.Set("X-Service-Class", class)
--- a/internal/siteconf/siteconf.go
+++ b/internal/siteconf/siteconf.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -116,6 +117,7 @@
 	Tenants  []Tenant `toml:"tenant"`
 	Control  *Control `toml:"control"`
 	Fronts   []Front  `toml:"front"`
+	Members  *Members `toml:"members"`
 	Log      Log      `toml:"log"`
 
 	path  string
@@ -215,6 +217,15 @@
 	Clients int      `toml:"clients"`
 }
 
+// Members is this dispatcher among others that tell each other of the worker list.
+type Members struct {
+	Listen   string            `toml:"listen"`   // TCP and UDP
+	Join     []string          `toml:"join"`     // where others are found
+	Through  map[string]string `toml:"through"`  // where named ones are reached from here, if not at their own addresses
+	Watchers int               `toml:"watchers"` // of the list service, in each zone
+	FanOut   int               `toml:"fan_out"`  // whom each tells of a change
+}
+
 // TLS is the keys of a listener.
 type TLS struct {
 	Certificate string   `toml:"certificate"`
@@ -325,7 +336,7 @@
 // words of the file's keys, for guesses at what was meant.
 var words = strings.Fields(`node limits site rules attempts kind class tenant control log name listen discovery admin seed number of zone cores
 memory sockets zones tells_start progress rated grain crossing drain_grace cold_from cold fall_multiple fall_window most open copies probes
-connect idle max_retry_after slots effect aim stretch deadline worth late_worth rate senders silence lease new tls front routes nginx within clients certificate key client_ca names format level`)
+connect idle max_retry_after slots effect aim stretch deadline worth late_worth rate senders silence lease new tls front routes nginx within clients members join through watchers fan_out certificate key client_ca names format level`)
 
 // near guesses which key was meant.
 func near(key string) string {
@@ -479,6 +490,19 @@
 			return f.at(at("clients"), "%d: from 1 to 100000 connections", w.Clients)
 		}
 	}
+	if m := f.Members; m != nil {
+		m.Watchers, m.FanOut = cmp.Or(m.Watchers, 2), cmp.Or(m.FanOut, 4)
+		switch host, port, err := net.SplitHostPort(m.Listen); {
+		case err != nil || net.ParseIP(host) == nil || port == "" || port == "0":
+			return f.at("members.listen", `%q: write listen = "address:port", the address at which the others reach this dispatcher`, m.Listen)
+		case m.Watchers < 1 || m.Watchers > 16:
+			return f.at("members.watchers", "%d: from 1 to 16 in each zone", m.Watchers)
+		case m.FanOut < 2 || m.FanOut > 32:
+			return f.at("members.fan_out", "%d: from 2 to 32", m.FanOut)
+		case f.Node.Of > 1 && len(m.Join) == 0:
+			return f.at("members.join", `missing: write join = ["host:port"], the addresses of some others`)
+		}
+	}
 	c := f.Control
 	if c == nil {
 		return nil
--- a/internal/standin/httpface/face.go
+++ b/internal/standin/httpface/face.go
@@ -3,11 +3,12 @@
 // back.
 //
 // What a job is stands in the query of its target, which passes through the dispatcher unchanged:
-// work_us (of one slot), class, once=1 where it must not run twice.
+// work_us (of one slot), class, once=1 where it must not run twice, and, where dispatchers share a face, via.
 package httpface
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,6 +40,7 @@
 	host       *host.Host
 	dispatcher string
 	callback   func() string
+	shared     func(string) string
 	tellStarts bool
 	doors      []*door
 	discovery  net.Listener
@@ -57,7 +59,9 @@
 type Options struct {
 	Dispatcher string        // its name, for the ledger
 	Callback   func() string // its address, once it has one
-	TellStarts bool          // whether encoders tell of starts
+	// Shared: one face serves all dispatchers, and a job's "via" says whose it is and so whom to call back.
+	Shared     func(via string) string
+	TellStarts bool // whether encoders tell of starts
 	// Through is the address at which the dispatcher finds an encoder that listens at another; nil: the same.
 	Through func(encoder, address string) (string, error)
 }
@@ -65,7 +69,7 @@
 // New opens a face's sockets.
 func New(h *host.Host, o Options) (*Face, error) {
 	f := &Face{
-		host: h, dispatcher: o.Dispatcher, callback: o.Callback, tellStarts: o.TellStarts, calls: make(chan call, backlog),
+		host: h, dispatcher: o.Dispatcher, callback: o.Callback, shared: o.Shared, tellStarts: o.TellStarts, calls: make(chan call, backlog),
 		idle: make(chan net.Conn, mostIdle), done: make(chan struct{}), conns: map[net.Conn]struct{}{}, woken: make(chan struct{}),
 	}
 	for _, e := range h.Encoders() {
@@ -262,7 +266,7 @@
 	if err != nil {
 		return 400, nil
 	}
-	v.Job, v.Sender = id, d.face.dispatcher
+	v.Job, v.Sender = id, cmp.Or(v.Sender, d.face.dispatcher)
 	from := d.encoder.ID()
 	var line *ledger.Attempt
 	known := make(chan struct{})
@@ -270,13 +274,13 @@
 		switch e {
 		case encoder.Started:
 			if d.face.tellStarts {
-				d.face.tell(call{id: id, from: from, state: "started"})
+				d.face.tell(call{id: id, via: v.Sender, from: from, state: "started"})
 			}
 		case encoder.Killed: // the machine's agent sees the process die
-			d.face.tell(call{id: id, from: from, state: "lost"})
+			d.face.tell(call{id: id, via: v.Sender, from: from, state: "lost"})
 		case encoder.Ended:
 			<-known // the line is there before this can be called, but for jobs that take no time
-			d.face.tell(call{id: id, from: from, state: "done", line: line})
+			d.face.tell(call{id: id, via: v.Sender, from: from, state: "done", line: line})
 		}
 	}
 	reply, l := d.encoder.Arrive(v)
@@ -302,14 +306,14 @@
 	if err != nil {
 		return v, fmt.Errorf("work_us: %w", err)
 	}
-	v.Work, v.Class, v.Once = time.Duration(us)*time.Microsecond, values.Get("class"), values.Get("once") == "1"
+	v.Work, v.Class, v.Once, v.Sender = time.Duration(us)*time.Microsecond, values.Get("class"), values.Get("once") == "1", values.Get("via")
 	return v, nil
 }
 
 // call is one call-back.
 type call struct {
-	id, from, state string
-	line            *ledger.Attempt
+	id, via, from, state string
+	line                 *ledger.Attempt
 }
 
 func (f *Face) tell(c call) {
@@ -356,12 +360,19 @@
 		return err
 	}
 	var conn net.Conn
-	select {
-	case conn = <-f.idle:
-	default:
-		if conn, err = net.DialTimeout("tcp", f.callback(), patience); err != nil {
+	if f.shared != nil { // each time to another
+		if conn, err = net.DialTimeout("tcp", f.shared(c.via), patience); err != nil {
 			return err
 		}
+		defer conn.Close()
+	} else {
+		select {
+		case conn = <-f.idle:
+		default:
+			if conn, err = net.DialTimeout("tcp", f.callback(), patience); err != nil {
+				return err
+			}
+		}
 	}
 	conn.SetDeadline(time.Now().Add(patience))
 	h := http1.Header{{Name: "Host", Value: "dispatcher"}}
@@ -374,7 +385,7 @@
 		conn.Close()
 		return err
 	}
-	if p.Close {
+	if p.Close || f.shared != nil {
 		conn.Close()
 	} else {
 		select {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -144,6 +144,39 @@
 	if err != nil {
 		return "", err
 	}
+	n.streams(w, target, l)
+	return l.Addr().String(), nil
+}
+
+// Both opens one address for connections and datagrams.
+func (n *Net) Both(w Way, target string) (string, error) {
+	there, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return "", err
+	}
+	for tries := 0; ; tries++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		at := l.Addr().(*net.TCPAddr)
+		u, err := net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port})
+		if err == nil {
+			n.streams(w, target, l)
+			n.packets(w, there, u)
+			return at.String(), nil
+		}
+		l.Close()
+		if tries == mostTries { // the port is free for connections only
+			return "", err
+		}
+	}
+}
+
+const mostTries = 20
+
+// streams relays what connects to a listener.
+func (n *Net) streams(w Way, target string, l net.Listener) {
 	n.mu.Lock()
 	n.ends = append(n.ends, l)
 	if n.pairs[w] == nil {
@@ -159,7 +192,6 @@
 			n.wg.Go(func() { n.relay(w, target, c.(*net.TCPConn)) })
 		}
 	})
-	return l.Addr().String(), nil
 }
 
 // pair is one connection through a relay: the caller's half, and the other once it is up.
@@ -291,12 +323,17 @@
 	if err != nil {
 		return "", err
 	}
+	n.packets(w, there, l)
+	return l.LocalAddr().String(), nil
+}
+
+// packets relays the datagrams that come to a socket.
+func (n *Net) packets(w Way, target *net.UDPAddr, l *net.UDPConn) {
 	n.mu.Lock()
 	n.ends = append(n.ends, l)
 	out, back := n.direction(w), n.direction(Way{w.To, w.From})
 	n.mu.Unlock()
-	n.wg.Go(func() { n.datagrams(w, l, there, out, back) })
-	return l.LocalAddr().String(), nil
+	n.wg.Go(func() { n.datagrams(w, l, target, out, back) })
 }
 
 // session is one sender on a way.
