--- a/cmd/winglb-full/main.go
+++ b/cmd/winglb-full/main.go
@@ -21,14 +21,16 @@
 )
 
 type commands struct {
-	Serve   serve     `cmd:"" help:"Run a dispatcher: by a TOML file, or by the PROXY_* variables as the platform starts it."`
-	Check   check     `cmd:"" help:"Read a TOML file and say what is wrong with it, one line a fault."`
-	Demo    runDemo   `cmd:"" help:"Run stand-in encoders, discovery, a daemon and a small load on this machine, and sum up."`
-	Import  importers `cmd:"" help:"Take over another program's configuration."`
-	Routes  routing   `cmd:"" help:"Look at routes."`
-	Prove   proof     `cmd:"" help:"Run one of the measurements behind make prove-NAME."`
-	Version version   `cmd:"" help:"Print the version."`
-	Rig     rigRole   `cmd:"" hidden:""`
+	Serve   serve      `cmd:"" help:"Run a dispatcher: by a TOML file, or by the PROXY_* variables as the platform starts it."`
+	Check   check      `cmd:"" help:"Read a TOML file and say what is wrong with it, one line a fault."`
+	Demo    runDemo    `cmd:"" help:"Run stand-in encoders, discovery, a daemon and a small load on this machine, and sum up."`
+	Import  importers  `cmd:"" help:"Take over another program's configuration."`
+	Members askMembers `cmd:"" help:"Ask dispatchers who lives, and who watches the list service."`
+	Lists   askLists   `cmd:"" help:"Ask dispatchers which list each has, from whom and how old it is."`
+	Routes  routing    `cmd:"" help:"Look at routes."`
+	Prove   proof      `cmd:"" help:"Run one of the measurements behind make prove-NAME."`
+	Version version    `cmd:"" help:"Print the version."`
+	Rig     rigRole    `cmd:"" hidden:""`
 }
 
 type serve struct {
--- /dev/null
+++ b/cmd/winglb-full/members.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"caperrelay/internal/members"
+)
+
+// asked is what the commands about members have alike.
+type asked struct {
+	At   []string `arg:"" name:"address" help:"Operators' addresses (node.admin) of dispatchers."`
+	JSON bool     `help:"Print one JSON object for each dispatcher that answers."`
+}
+
+const (
+	answerWithin = 2 * time.Second
+	asksAtOnce   = 32
+	mostAnswer   = 4 << 20
+)
+
+// view asks one dispatcher.
+func view(address string) (v members.View, err error) {
+	c, err := net.DialTimeout("tcp", address, answerWithin)
+	if err != nil {
+		return v, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(answerWithin))
+	if _, err := fmt.Fprintln(c, "members"); err != nil {
+		return v, err
+	}
+	text, err := io.ReadAll(io.LimitReader(c, mostAnswer))
+	if err != nil {
+		return v, err
+	}
+	if fault, ok := strings.CutPrefix(string(text), "ERR "); ok {
+		return v, fmt.Errorf("%s: it tells nobody of its list ([members] is missing in its file, or it does not serve)", strings.TrimSpace(fault))
+	}
+	return v, json.Unmarshal([]byte(strings.TrimSuffix(string(text), "END\n")), &v)
+}
+
+// views asks all, and has f print those that answered in the order of the addresses.
+func (a *asked) views(heading string, f func(io.Writer, members.View)) error {
+	all, faults := make([]members.View, len(a.At)), make([]error, len(a.At))
+	var wg sync.WaitGroup
+	for from := 0; from < len(a.At); from += asksAtOnce {
+		for i := from; i < min(from+asksAtOnce, len(a.At)); i++ {
+			wg.Go(func() { all[i], faults[i] = view(a.At[i]) })
+		}
+		wg.Wait()
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if !a.JSON {
+		fmt.Fprintln(out, heading)
+	}
+	silent := 0
+	for i, v := range all {
+		switch {
+		case faults[i] != nil:
+			silent++
+			fmt.Fprintf(os.Stderr, "%s: %v\n", a.At[i], faults[i])
+		case a.JSON:
+			text, err := json.Marshal(v)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(out, string(text))
+		default:
+			f(out, v)
+		}
+	}
+	out.Flush()
+	if silent > 0 {
+		return fmt.Errorf("%d of %d dispatchers did not tell", silent, len(a.At))
+	}
+	return nil
+}
+
+type askMembers struct{ asked }
+
+func (a *askMembers) Run() error {
+	return a.views("DISPATCHER\tSEES\tZONE\tLIST SERVICE\tSETTINGS", func(out io.Writer, v members.View) {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t\n", v.Name, v.Name, v.Zone, v.Watch)
+		for _, p := range v.Peers {
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", v.Name, p.Name, p.Zone, p.Watch, p.Settings)
+		}
+	})
+}
+
+type askLists struct{ asked }
+
+func (a *askLists) Run() error {
+	return a.views("DISPATCHER\tZONE\tLIST SERVICE\tREVISION\tOF\tAGE\tENCODERS\tTELLS\tNOT LISTENED TO", func(out io.Writer, v members.View) {
+		age := "no list"
+		if v.Age >= 0 {
+			age = v.Age.Round(time.Millisecond).String()
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%d.%d\t%s\t%s\t%d\t%s\t%s\n", v.Name, v.Zone, v.Watch, v.Term, v.Revision, v.Source, age, v.Encoders, strings.Join(v.Tells, " "), strings.Join(v.Doubted, " "))
+	})
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -297,6 +297,8 @@
 	// Relieve: this process takes over from one that has what is here in its memory. Nothing may
 	// have arrived yet.
 	Relieve struct{ Memory Memory }
+	// Advise: an earlier process, which ended some time ago, had learned what is here. It is advice.
+	Advise struct{ Memory Memory }
 	// PeerSaid is a message of another dispatcher.
 	PeerSaid struct {
 		Peer int
@@ -318,6 +320,7 @@
 func (Probed) event()        {}
 func (PeerSaid) event()      {}
 func (Relieve) event()       {}
+func (Advise) event()        {}
 func (Cordon) event()        {}
 func (Lease) event()         {}
 
@@ -489,6 +492,8 @@
 			d.cordon(e.Worker, e.Out)
 		case Lease:
 			d.leased(e)
+		case Advise:
+			d.advise(e.Memory)
 		case Relieve:
 			d.remember(e.Memory)
 		}
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -114,6 +115,40 @@
 	return m
 }
 
+// Advice is the part of a memory that is true for longer than a process: how long classes run, how large kinds of
+// worker are, and which processes of them had been told to drain. Ceilings, strikes and cold turns are of the moment.
+func (m Memory) Advice() Memory {
+	a := Memory{Classes: m.Classes, Kinds: m.Kinds}
+	for _, w := range m.Workers {
+		if w.State == Draining {
+			a.Workers = append(a.Workers, WorkerMemory{Worker: w.Worker})
+		}
+	}
+	return a
+}
+
+// advise takes advice: only of what is not known better by now. It never says that a worker is warm or fit.
+func (d *Dispatcher) advise(m Memory) {
+	sane := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
+	for i, l := range m.Classes[:min(len(m.Classes), len(d.classes))] {
+		if c := d.classes[i]; c.jobs == 0 && l.Jobs > 0 && sane(l.Run) && sane(l.Jobs) && !math.IsNaN(l.LogRun) && !math.IsInf(l.LogRun, 0) {
+			c.run, c.logRun, c.jobs = l.Run, l.LogRun, min(l.Jobs, speedPrior) // soon outweighed
+		}
+	}
+	for id, k := range m.Kinds {
+		if own := d.kind(id); own.Slots == 0 && sane(k.Slots) {
+			own.Slots = k.Slots
+		}
+	}
+	for _, l := range m.Workers { // for its process, whatever an older list says
+		if w := d.workers[l.ID]; w != nil && l.State == Draining && w.Started == l.Started {
+			w.State = Draining
+		}
+	}
+	d.recount()
+	d.stale, d.freed, d.ordered = true, true, 0
+}
+
 // remember takes over what another process of this dispatcher knew.
 func (d *Dispatcher) remember(m Memory) {
 	d.taken, d.extras, d.admitted, d.tokens, d.fresh, d.bad = m.Taken, m.Extras, m.Admitted, m.Tokens, m.Fresh, m.Bad
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -111,23 +112,51 @@
 	return c
 }
 
+// Learned tells what was learned, for a lasting snapshot. to must not block.
+func (l *Loop) Learned(to func(Handed)) {
+	l.post(func(l *Loop) {
+		given := Handed{Module: l.mod.Memory().Advice(), Numbers: maps.Clone(l.workers), Names: l.names, Classes: l.settings.Classes}
+		to(given)
+	})
+}
+
+// Advise takes what an earlier process had learned before its machine was off, of classes that there are still.
+func (l *Loop) Advise(given Handed) {
+	l.post(func(l *Loop) {
+		at := make([]int, len(given.Names.Classes))
+		for i, name := range given.Names.Classes {
+			at[i] = slices.Index(l.names.Classes, name)
+		}
+		l.tell(decide.Advise{Memory: l.ours(given, at)})
+	})
+}
+
+// ours is another process's memory in this one's numbers, without commands. at is our number of each of its classes,
+// -1: none.
+func (l *Loop) ours(given Handed, at []int) decide.Memory {
+	m := given.Module
+	for i := range m.Workers {
+		m.Workers[i].ID = l.number(given.Numbers[m.Workers[i].ID])
+	}
+	known := make([]decide.ClassMemory, len(l.names.Classes))
+	for i, c := range m.Classes[:min(len(m.Classes), len(at))] {
+		if at[i] >= 0 {
+			known[at[i]] = c
+		}
+	}
+	m.Classes, m.Tenants = known, nil // those are learned within seconds
+	if !slices.Equal(l.names.Zones, given.Names.Zones) || !slices.Equal(l.names.Kinds, given.Names.Kinds) {
+		m.Zones, m.Kinds = nil, nil
+	}
+	return m
+}
+
 // Relieve takes all that another process has handed over. Each command must have its payload and
 // its client again.
 func (l *Loop) Relieve(given Handed) {
 	l.post(func(l *Loop) {
-		m := given.Module
-		for i := range m.Workers {
-			m.Workers[i].ID = l.number(given.Numbers[m.Workers[i].ID])
-		}
 		at := l.learn(given)
-		known := make([]decide.ClassMemory, len(l.names.Classes))
-		for i, c := range m.Classes {
-			known[at[i]] = c
-		}
-		m.Classes, m.Tenants = known, nil // those are learned within seconds
-		if !slices.Equal(l.names.Zones, given.Names.Zones) || !slices.Equal(l.names.Kinds, given.Names.Kinds) {
-			m.Zones, m.Kinds = nil, nil
-		}
+		m := l.ours(given, at)
 		for _, c := range given.Commands {
 			if l.ids[c.ID] != nil { // taken here too, while both were in service
 				c.Client.Answer(Answer{Verdict: Failed})
--- a/internal/full/serve.go
+++ b/internal/full/serve.go
@@ -61,6 +61,9 @@
 		}
 		s.Parts = append(s.Parts, part)
 	}
+	if f.Snapshot != nil {
+		s.Parts = append(s.Parts, snapshotPart(f))
+	}
 	if f.Members != nil {
 		s.Parts = append(s.Parts, membersPart(f))
 	}
--- /dev/null
+++ b/internal/full/snapshot.go
@@ -0,0 +1,163 @@
+package full
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperrelay/internal/config"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/program"
+	"caperrelay/internal/siteconf"
+	"caperrelay/internal/snapshot"
+)
+
+// snapshotPart keeps a lasting snapshot, and starts from the last one.
+func snapshotPart(f *siteconf.File) program.NewPart {
+	o := f.Snapshot
+	return func(core program.Core) (program.Part, error) {
+		s := &snapshots{path: o.File, node: f.Node.Name, every: time.Duration(o.Every), loop: core.Loop, log: core.Log}
+		last, err := snapshot.Read(o.File, f.Node.Name)
+		switch age := time.Duration(0); {
+		case errors.Is(err, snapshot.ErrNone):
+		case err != nil:
+			core.Log.Warn("snapshot not used", "file", o.File, "err", err)
+		default:
+			if age = time.Since(last.Written); age < 0 || age > time.Duration(o.Keep) {
+				core.Log.Warn("snapshot not used", "file", o.File, "err", fmt.Sprintf("it is %v old", age.Round(time.Second)))
+				break
+			}
+			core.Log.Info("snapshot taken up", "age", age.Round(time.Millisecond), "encoders", len(last.List.Members))
+			s.last = last
+			if len(core.Config.Known.Members) == 0 {
+				core.Config.Known.Members = last.List.Members
+			}
+		}
+		return s, nil
+	}
+}
+
+// snapshots is the lasting snapshot as a part. It is written behind: nothing waits for the disk.
+type snapshots struct {
+	path, node string
+	every      time.Duration
+	loop       *dispatch.Loop
+	log        *slog.Logger
+	last       *snapshot.Content // as found at the start; nil: none
+	written    atomic.Int64
+
+	mu      sync.Mutex
+	table   dispatch.Table
+	cordons []string
+	cancel  context.CancelFunc
+	ended   chan struct{}
+}
+
+func (*snapshots) Name() string { return "snapshot" }
+
+func (s *snapshots) Phase(ctx context.Context, p program.Phase) error {
+	switch p {
+	case program.Serving, program.Quiescing, program.Quiesced:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.cancel == nil {
+			if s.last != nil {
+				s.loop.Advise(s.last.Learned)
+				s.last = nil
+			}
+			ctx, s.cancel = context.WithCancel(ctx)
+			s.ended = make(chan struct{})
+			go s.run(ctx, s.ended)
+		}
+	case program.Yielded, program.Stopped:
+		s.mu.Lock()
+		cancel, ended := s.cancel, s.ended
+		s.cancel = nil
+		s.mu.Unlock()
+		if cancel != nil {
+			cancel()
+			<-ended // the file is free for the next process
+		}
+	}
+	return nil
+}
+
+func (s *snapshots) run(ctx context.Context, ended chan struct{}) {
+	defer close(ended)
+	every := time.NewTicker(s.every)
+	defer every.Stop()
+	var file *snapshot.File
+	defer func() {
+		if file != nil {
+			file.Close()
+		}
+	}()
+	faulty := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+		err := error(nil)
+		if file == nil {
+			file, err = snapshot.Open(s.path)
+		}
+		if err == nil {
+			err = s.write(ctx, file)
+		}
+		if err != nil && !faulty {
+			s.log.Warn("snapshot not written", "file", s.path, "err", err)
+		}
+		faulty = err != nil
+	}
+}
+
+func (s *snapshots) write(ctx context.Context, file *snapshot.File) error {
+	learned := make(chan dispatch.Handed, 1)
+	s.loop.Learned(func(h dispatch.Handed) { learned <- h })
+	c := &snapshot.Content{Node: s.node, Written: time.Now()}
+	select {
+	case <-ctx.Done():
+		return nil
+	case c.Learned = <-learned:
+	}
+	s.mu.Lock()
+	c.List, c.Cordons = s.table.List(), s.cordons
+	s.mu.Unlock()
+	if err := file.Write(c); err != nil {
+		return err
+	}
+	s.written.Add(1)
+	return nil
+}
+
+func (s *snapshots) Listed(l dispatch.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Take(l)
+}
+
+func (s *snapshots) Cordoned(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cordons = ids
+}
+
+// LeftOut is who was left out by hand when the last snapshot was written.
+func (s *snapshots) LeftOut() []string {
+	if s.last == nil {
+		return nil
+	}
+	return s.last.Cordons
+}
+
+func (*snapshots) Reloaded(*config.Config) {}
+func (*snapshots) Quiet() bool             { return true }
+func (s *snapshots) Figures() string {
+	return fmt.Sprintf("proxy.snapshot.written=%d\n", s.written.Load())
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -20,18 +20,21 @@
 	beatEvery   = 500 * time.Millisecond // that a watcher says that it watches
 	silentAfter = 2 * time.Second        // without a beat, a watcher counts as none
 	ackWithin   = 200 * time.Millisecond // else whoever was told is passed over
-	settleAfter = 500 * time.Millisecond // without a change of the membership, roles are taken
-	settleBy    = 2 * time.Second        // after the start they are in any case
+	settleAfter = 500 * time.Millisecond // without a change of the membership, roles are taken,
+	settleMore  = 4 * time.Second        // and so much later as dispatchers are missing, in parts of all,
+	settleBy    = 5 * time.Second        // after the start in any case
 	leastRetry  = 200 * time.Millisecond // after a watch was lost; doubled for each more
 	mostRetry   = 5 * time.Second
 	failingFor  = 2 * time.Second  // without a watch, a watcher says so and another takes over
 	pardonAfter = 30 * time.Second // after which it may be chosen again
 	olderFor    = 10 * time.Second // that the service tells an older list, until that is believed
 	askEvery    = time.Second
-	doubtFor    = 30 * time.Second // that whoever told nonsense is not listened to
-	mostAhead   = 5 * time.Second  // of our clock, that a source's may be
-	mostJump    = 1 << 20          // revisions at once
-	fewMembers  = 4                // of a table, under which half of it may go at once
+	askFirst    = 400 * time.Millisecond // while there is no list at all
+	mostMissing = 0.1                    // of the dispatchers: with so few missing few take a role that is another's
+	doubtFor    = 30 * time.Second       // that whoever told nonsense is not listened to
+	mostAhead   = 5 * time.Second        // of our clock, that a source's may be
+	mostJump    = 1 << 20                // revisions at once
+	fewMembers  = 4                      // of a table, under which half of it may go at once
 )
 
 // Mark orders lists: a term begins when a list service has begun its revisions anew.
@@ -243,7 +246,7 @@
 
 // ask asks some peers for the whole list, of the own zone if there are any.
 func (s *State) ask(now time.Time, n int) {
-	if now.Sub(s.asked) < askEvery {
+	if every := map[bool]time.Duration{true: askEvery, false: askFirst}[s.has]; now.Sub(s.asked) < every {
 		return
 	}
 	s.asked = now
@@ -575,9 +578,12 @@
 	s.show()
 }
 
-// settled tells whether enough is known of who lives to take a role: else all that start at once would watch.
+// settled tells whether enough is known of who lives to take a role: else all that start at once would watch, each
+// the first of those it has heard of. The more are missing, the longer more are waited for.
 func (s *State) settled(now time.Time) bool {
-	return len(s.peers)+1 >= s.c.Expected || now.Sub(s.changed) >= settleAfter || now.Sub(s.began) >= settleBy
+	missing := max(0, 1-float64(len(s.peers)+1)/float64(max(1, s.c.Expected)))
+	after := settleAfter + time.Duration(missing*float64(settleMore))
+	return missing <= mostMissing || now.Sub(s.changed) >= after || now.Sub(s.began) >= settleBy
 }
 
 // role takes or leaves the watch: the first of a zone have it. Those that fail come last, and those that should beat
--- a/internal/net/members/members.go
+++ b/internal/net/members/members.go
@@ -12,6 +12,8 @@
 	"io"
 	"log"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -27,15 +29,20 @@
 
 const (
 	tick        = 50 * time.Millisecond
-	rejoinEvery = time.Second            // while not all that the settings count are seen
+	lookEvery   = 150 * time.Millisecond // who lives, while that changes
+	seedEvery   = 2                      // of such calls, one goes to an address of the file: else islands stay apart
+	joinFirst   = 200 * time.Millisecond // between whole exchanges while not all that the settings count are seen,
+	joinMost    = 2 * time.Second        // twice as long for each that told nothing new
 	openEvery   = 100 * time.Millisecond // while an older process has the address
-	dialWithin  = time.Second
-	joinsAtOnce = 3
+	dialWithin  = 2 * time.Second
 	mostSends   = 64      // of lists, at once; more are told again when no confirmation comes
 	mostMessage = 4 << 20 // bytes
 	mostName    = 256     // bytes of a dispatcher's
 	mostSmall   = 1100    // bytes of a datagram, with memberlist's own
 	gossipEvery = 100 * time.Millisecond
+	// What a cut has swallowed of the others' states is made up for by whole exchanges; the library's own 30 s would
+	// leave roles apart for that long.
+	wholeEvery = 2 * time.Second
 )
 
 // Lists is where lists go and how the own watch is begun and ended.
@@ -70,9 +77,13 @@
 	nodes  map[string]*memberlist.Node
 	watch  members.Watch
 	cancel context.CancelFunc // nil: closed
-	joins  int
-	joined time.Time
-	joinOn bool
+	metas  map[string]shown   // as last read
+
+	joins, seen int
+	joinWait    time.Duration
+	joinAt      time.Time
+	joinOn      bool
+
 	counts struct{ told, asked, passed, garbage int64 }
 }
 
@@ -163,6 +174,7 @@
 		}
 	}
 	s.lists.Watch(false) // what was begun alone; roles are taken from now on
+	looked := time.Time{}
 	for every := time.NewTicker(tick); ; {
 		select {
 		case <-ctx.Done():
@@ -170,9 +182,9 @@
 			return
 		case <-every.C:
 		}
-		dirty := s.dirty.Swap(false)
 		s.event(func(m *members.State, now time.Time) {
-			if dirty {
+			if now.Sub(looked) >= lookEvery && s.dirty.Swap(false) {
+				looked = now
 				m.Living(now, s.living())
 			}
 			m.Tick(now)
@@ -194,6 +206,7 @@
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = s.o.Name, host, n, host, n
 	c.Delegate, c.Events, c.TCPTimeout, c.GossipInterval = (*delegate)(s), (*delegate)(s), dialWithin, gossipEvery
+	c.PushPullInterval, c.EnableCompression = wholeEvery, false // it would cost each of many datagrams
 	c.Logger = log.New(lines{s.log}, "", 0)
 	base, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: n, Logger: c.Logger})
 	if err != nil {
@@ -212,25 +225,31 @@
 		return nil
 	}
 	s.list, s.state, s.nodes = list, members.New(s.o.Config, time.Now()), map[string]*memberlist.Node{}
+	s.metas, s.joinAt, s.joinWait = map[string]shown{}, time.Time{}, joinFirst
 	s.log.Info("among other dispatchers", "listen", s.o.Listen)
 	return nil
 }
 
-// rejoin calls those in the list of addresses, in turn, while not all dispatchers are seen: at the start, and once a
-// cut has healed that lasted until both sides took each other for dead.
+// rejoin exchanges all that is known with one other, while not all dispatchers are seen: at the start, and once a cut
+// has healed that lasted until both sides took each other for dead. Hundreds that start at once must not all call the
+// few addresses in their files again and again: every second call goes to any that is seen.
 func (s *Server) rejoin(now time.Time) {
-	if len(s.o.Join) == 0 || len(s.nodes)+1 >= s.o.Expected || s.joinOn || now.Sub(s.joined) < rejoinEvery {
+	if len(s.o.Join) == 0 || len(s.nodes)+1 >= s.o.Expected || s.joinOn || now.Before(s.joinAt) {
 		return
 	}
-	s.joined, s.joinOn = now, true
-	var at []string
-	for range min(joinsAtOnce, len(s.o.Join)) {
-		at = append(at, s.o.Join[s.joins%len(s.o.Join)])
-		s.joins++
+	at := s.o.Join[rand.IntN(len(s.o.Join))]
+	if names := slices.Collect(maps.Keys(s.nodes)); len(names) > 0 && s.joins%seedEvery != 0 {
+		n := s.nodes[names[rand.IntN(len(names))]]
+		at = n.Name + "/" + cmp.Or(s.o.Through[n.Name], n.Address())
 	}
+	s.joins++
+	if s.joinWait = min(joinMost, 2*s.joinWait); len(s.nodes) != s.seen || len(s.nodes) == 0 {
+		s.seen, s.joinWait = len(s.nodes), joinFirst
+	}
+	s.joinOn, s.joinAt = true, now.Add(s.joinWait/2+rand.N(s.joinWait))
 	list := s.list
 	go func() {
-		list.Join(at) // whom it did not reach is called again
+		list.Join([]string{at}) // whom it did not reach is called again
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.joinOn = false
@@ -244,17 +263,33 @@
 	Watch    members.Watch `json:"w,omitempty"`
 }
 
+// shown is a dispatcher's meta, read.
+type shown struct {
+	text string
+	peer members.Peer
+}
+
 // living is all others that live.
 func (s *Server) living() (all []members.Peer) {
 	s.nodes = map[string]*memberlist.Node{}
 	for _, n := range s.list.Members() {
-		var m meta
-		if n.Name == s.o.Name || json.Unmarshal(n.Meta, &m) != nil {
+		if n.Name == s.o.Name {
 			continue
 		}
+		m, ok := s.metas[n.Name]
+		if !ok || m.text != string(n.Meta) {
+			var read meta
+			if json.Unmarshal(n.Meta, &read) != nil {
+				continue
+			}
+			watch := min(max(read.Watch, members.None), members.Failing)
+			m = shown{string(n.Meta), members.Peer{Name: n.Name, Zone: read.Zone, Settings: read.Settings, Watch: watch}}
+			s.metas[n.Name] = m
+		}
 		s.nodes[n.Name] = n
-		all = append(all, members.Peer{Name: n.Name, Zone: m.Zone, Settings: m.Settings, Watch: min(max(m.Watch, members.None), members.Failing)})
+		all = append(all, m.peer)
 	}
+	maps.DeleteFunc(s.metas, func(name string, _ shown) bool { return s.nodes[name] == nil })
 	return all
 }
 
--- a/internal/program/cordons.go
+++ b/internal/program/cordons.go
@@ -78,6 +78,20 @@
 	return os.Rename(fresh, p.cordonsFile())
 }
 
+// leftOut is who was left out last: by the file, which is of this moment, or where the machine has lost that by a
+// part that keeps it for longer.
+func (p *Program) leftOut() (ids []string) {
+	if _, err := os.Stat(p.cordonsFile()); !errors.Is(err, os.ErrNotExist) {
+		return p.stored()
+	}
+	p.each(func(t Part) {
+		if k, ok := t.(interface{ LeftOut() []string }); ok {
+			ids = append(ids, k.LeftOut()...)
+		}
+	})
+	return ids
+}
+
 // stored is what an earlier process has left.
 func (p *Program) stored() (ids []string) {
 	text, err := os.ReadFile(p.cordonsFile())
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -184,7 +184,7 @@
 	if list := p.meet(ctx); list != nil {
 		known = *list
 	} else {
-		p.recall(p.stored())
+		p.recall(p.leftOut())
 	}
 	if err := p.listen(); err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/rig/members_test.go
+++ b/internal/rig/members_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"caperrelay/internal/members"
+	"caperrelay/internal/rig"
 	"caperrelay/internal/standin/link"
 )
 
@@ -64,10 +66,12 @@
 
 const town8 = 8
 
+func talking(o *rig.Options) { o.Members = true }
+
 // Eight daemons start at once with no list: two a zone watch, the others are told by them. All watchers of a zone are
 // killed, and one of the other zone is stopped, which wakes believing that it watches: a drain is told all the same.
 func TestPeersTellEachOther(t *testing.T) {
-	w := founded(t, town8, time.Millisecond, true)
+	w := founded(t, town8, time.Millisecond, talking)
 	w.start(0, town8)
 	w.serves(0, town8)
 	w.settled()
@@ -98,7 +102,7 @@
 // A watcher is cut off from the list service only, another from its peers only; then the zones from each other, while a
 // drain is told on one side.
 func TestMembersCutOff(t *testing.T) {
-	w := founded(t, town8, time.Millisecond, true)
+	w := founded(t, town8, time.Millisecond, talking)
 	w.start(0, town8)
 	w.serves(0, town8)
 	w.settled()
@@ -149,7 +153,7 @@
 // A stranger among them tells garbage, half a list and a revision from the future; then the list service itself tells
 // some an older list. All keep the last good one.
 func TestNobodyIsMisled(t *testing.T) {
-	w := founded(t, town8, time.Millisecond, true)
+	w := founded(t, town8, time.Millisecond, talking)
 	w.start(0, town8)
 	w.serves(0, town8)
 	w.settled()
@@ -183,6 +187,49 @@
 	w.rules()
 }
 
+// All machines go off together. Back without a list service they serve by their snapshots, and leave out whom people
+// left out; one whose snapshot is torn, or another program's, starts as ever.
+func TestSnapshots(t *testing.T) {
+	w := founded(t, 4, time.Millisecond, func(o *rig.Options) { o.Snapshots = true })
+	w.start(0, 4)
+	w.told(4)
+	w.serves(0, 4)
+	id := w.Host.Encoders()[0].ID()
+	for n := range 4 {
+		require.Equal(t, "OK\n", w.Daemon(n).Ask("cordon "+id))
+		before := w.Daemon(n).Figure("snapshot.written")
+		w.await("a snapshot of it", func() bool { return w.Daemon(n).Figure("snapshot.written") > before+1 })
+	}
+	w.lists.Down(true)
+	w.Each(0, 4, (*rig.Daemon).Kill)
+	lost, err := filepath.Glob(filepath.Join(w.Dir, "*.cordons"))
+	require.NoError(t, err)
+	require.NotEmpty(t, lost)
+	for _, path := range lost { // with the machine's temporary files
+		require.NoError(t, os.Remove(path))
+	}
+	text, err := os.ReadFile(w.Daemon(1).Snapshot())
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(w.Daemon(1).Snapshot(), text[:6000], 0o600))
+	require.NoError(t, os.WriteFile(w.Daemon(2).Snapshot(), []byte("of another program"), 0o600))
+	require.NoError(t, os.WriteFile(w.Daemon(3).Snapshot(), text, 0o600)) // n1's
+	w.lists.Begin()
+	w.start(0, 4)
+	w.serves(0, 1)
+	w.leaves(1, 0)
+	w.await("each has asked in vain", func() bool { return w.asked(0, 4) })
+	for n := 1; n < 4; n++ {
+		require.Equal(t, 503, w.job(n, "preview"), "it knows no encoder")
+	}
+	w.lists.Down(false)
+	w.serves(0, 4)
+	for n := range 4 {
+		before := w.Daemon(n).Figure("snapshot.written")
+		w.await("it writes a snapshot again", func() bool { return w.Daemon(n).Figure("snapshot.written") > before })
+	}
+	w.rules()
+}
+
 type devNull struct{}
 
 func (devNull) Write(b []byte) (int, error) { return len(b), nil }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -57,6 +57,8 @@
 	Net *link.Net
 	// Members has daemons tell each other of the list.
 	Members bool
+	// Snapshots has each keep a lasting snapshot, ten times a second.
+	Snapshots bool
 }
 
 // Rig is an installation.
@@ -77,7 +79,7 @@
 	rig             *Rig
 	n               int
 	Listen, Control string
-	Admin           string // where operators call, with Members
+	Admin           string // where operators call, with Members or Snapshots
 	members         string
 	file            string
 	cmd             *exec.Cmd
@@ -112,7 +114,7 @@
 				return nil, err
 			}
 		}
-		if o.Members {
+		if o.Members || o.Snapshots {
 			d.members, d.Admin = r.own(n, 7946), r.own(n, 7947)
 		}
 		name := fmt.Sprintf("n%d", n)
@@ -153,8 +155,8 @@
 // Members0 is where daemons find the first one, not through any relay.
 func (r *Rig) Members0() string { return r.own(0, 7946) }
 
-// joins is how many daemons are in the files as those to join.
-const joins = 4
+// joins is how many daemons are in the files as those to join: more among hundreds, who call them all at once.
+func (r *Rig) joins() int { return max(4, r.Daemons/25) }
 
 // among is what a daemon's file says of the others.
 func (r *Rig) among(d *Daemon) (string, error) {
@@ -173,7 +175,7 @@
 			}
 			through = append(through, fmt.Sprintf("n%d = %q", n, at))
 		}
-		if n < joins {
+		if n < r.joins() {
 			join = append(join, fmt.Sprintf("%q", fmt.Sprintf("n%d/%s", n, at)))
 		}
 	}
@@ -262,6 +264,9 @@
 	if !r.Lean {
 		line("[control]\nlisten = %q\nsenders = %d\nnew = true\n%s", d.Control, r.Senders, r.TLS)
 	}
+	if r.Snapshots {
+		line("[snapshot]\nfile = %q\nevery = \"100ms\"", d.Snapshot())
+	}
 	line("[[kind]]\nname = \"m2\"\nslots = %d", r.Slots)
 	for _, c := range r.Classes {
 		effect := "repeat"
@@ -368,6 +373,12 @@
 // Wake has it go on.
 func (d *Daemon) Wake() error { return d.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Number is its place among all.
+func (d *Daemon) Number() int { return d.n }
+
+// Snapshot is the file of its lasting snapshot.
+func (d *Daemon) Snapshot() string { return d.file + ".snapshot" }
+
 // File is its configuration.
 func (d *Daemon) File() string { return d.file }
 
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -44,22 +44,27 @@
 	net   *link.Net
 }
 
-func found(t *testing.T, work time.Duration) *town { return founded(t, fleet, work, false) }
+func found(t *testing.T, work time.Duration) *town { return founded(t, fleet, work) }
 
-func founded(t *testing.T, daemons int, work time.Duration, among bool) *town {
+// founded may have more: what it adds to the options.
+func founded(t *testing.T, daemons int, work time.Duration, more ...func(*rig.Options)) *town {
 	w := &town{T: t, lists: listservice.New(work, time.Second), net: link.New(1)}
 	t.Cleanup(w.lists.Close)
 	t.Cleanup(w.net.Close)
 	var err error
-	w.Rig, err = rig.New(rig.Options{
-		Encoders: 3, Slots: 4, Daemons: daemons, Members: among, Classes: []load.Class{{Name: "preview", Work: time.Millisecond, Left: 20 * time.Second}, {Name: "publish", Once: true, Work: time.Millisecond, Left: 20 * time.Second}},
+	o := rig.Options{
+		Encoders: 3, Slots: 4, Daemons: daemons, Classes: []load.Class{{Name: "preview", Work: time.Millisecond, Left: 20 * time.Second}, {Name: "publish", Once: true, Work: time.Millisecond, Left: 20 * time.Second}},
 		Command: func(role, file string) *exec.Cmd {
 			cmd := exec.Command(os.Args[0])
 			cmd.Env = append(os.Environ(), "WINGLB_RIG_ROLE="+role, "WINGLB_RIG_FILE="+file)
 			return cmd
 		},
 		Dir: t.TempDir(), Tenants: []string{"ups"}, Lean: true, Lists: w.lists, Net: w.net,
-	})
+	}
+	for _, f := range more {
+		f(&o)
+	}
+	w.Rig, err = rig.New(o)
 	require.NoError(t, err)
 	t.Cleanup(w.Rig.Close)
 	t.Cleanup(func() {
--- a/internal/siteconf/siteconf.go
+++ b/internal/siteconf/siteconf.go
@@ -107,18 +107,19 @@
 
 // File is the file as it is written. README.md and deploy/site.sample.toml tell its keys.
 type File struct {
-	Node     Node     `toml:"node"`
-	Limits   Limits   `toml:"limits"`
-	Site     Site     `toml:"site"`
-	Rules    Rules    `toml:"rules"`
-	Attempts Attempts `toml:"attempts"`
-	Kinds    []Kind   `toml:"kind"`
-	Classes  []Class  `toml:"class"`
-	Tenants  []Tenant `toml:"tenant"`
-	Control  *Control `toml:"control"`
-	Fronts   []Front  `toml:"front"`
-	Members  *Members `toml:"members"`
-	Log      Log      `toml:"log"`
+	Node     Node      `toml:"node"`
+	Limits   Limits    `toml:"limits"`
+	Site     Site      `toml:"site"`
+	Rules    Rules     `toml:"rules"`
+	Attempts Attempts  `toml:"attempts"`
+	Kinds    []Kind    `toml:"kind"`
+	Classes  []Class   `toml:"class"`
+	Tenants  []Tenant  `toml:"tenant"`
+	Control  *Control  `toml:"control"`
+	Fronts   []Front   `toml:"front"`
+	Members  *Members  `toml:"members"`
+	Snapshot *Snapshot `toml:"snapshot"`
+	Log      Log       `toml:"log"`
 
 	path  string
 	text  []string
@@ -226,6 +227,13 @@
 	FanOut   int               `toml:"fan_out"`  // whom each tells of a change
 }
 
+// Snapshot is the lasting copy of what this dispatcher knows.
+type Snapshot struct {
+	File  string   `toml:"file"`
+	Every Duration `toml:"every"`
+	Keep  Duration `toml:"keep"` // one older than this is not used
+}
+
 // TLS is the keys of a listener.
 type TLS struct {
 	Certificate string   `toml:"certificate"`
@@ -324,7 +332,7 @@
 // units has the keys whose values need one, and what to write.
 var units = func() map[string]string {
 	all := map[string]string{"memory": `write "%sMB"`, "cold_from": `write "%s%%"`, "late_worth": `write "%s%%"`, "rate": `write "%s/s"`}
-	for _, key := range strings.Fields("aim deadline progress grain drain_grace cold fall_window connect idle max_retry_after silence lease within") {
+	for _, key := range strings.Fields("aim deadline progress grain drain_grace cold fall_window connect idle max_retry_after silence lease within every keep") {
 		all[key] = `write "%[1]sms" or "%[1]ss"`
 	}
 	return all
@@ -336,7 +344,7 @@
 // words of the file's keys, for guesses at what was meant.
 var words = strings.Fields(`node limits site rules attempts kind class tenant control log name listen discovery admin seed number of zone cores
 memory sockets zones tells_start progress rated grain crossing drain_grace cold_from cold fall_multiple fall_window most open copies probes
-connect idle max_retry_after slots effect aim stretch deadline worth late_worth rate senders silence lease new tls front routes nginx within clients members join through watchers fan_out certificate key client_ca names format level`)
+connect idle max_retry_after slots effect aim stretch deadline worth late_worth rate senders silence lease new tls front routes nginx within clients members join through watchers fan_out snapshot file every keep certificate key client_ca names format level`)
 
 // near guesses which key was meant.
 func near(key string) string {
@@ -503,6 +511,15 @@
 			return f.at("members.join", `missing: write join = ["host:port"], the addresses of some others`)
 		}
 	}
+	if w := f.Snapshot; w != nil {
+		w.Every, w.Keep = cmp.Or(w.Every, Duration(5*time.Second)), cmp.Or(w.Keep, Duration(24*time.Hour))
+		switch {
+		case w.File == "":
+			return f.at("snapshot.file", `missing: write file = "path", on a disk that lasts`)
+		case w.Every < Duration(100*time.Millisecond):
+			return f.at("snapshot.every", `%v: at least "100ms"`, time.Duration(w.Every))
+		}
+	}
 	c := f.Control
 	if c == nil {
 		return nil
