Hold late starts at cold encoders not against them once they are warm

The share of late starts (begun, decide.go) is what keeps them last: a cold encoder's jobs start late, its share of late ones is kept for eight starts there, and nobody sends it those.

Change: a late start counts only if the job was sent to a warm worker. Test: TestLateWhileColdIsForgotten fails without.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -113,3 +113,23 @@
 		t.Errorf("by one long job a worker's size is %.1f, by forty as they come %.1f", one, all)
 	}
 }
+
+// TestLateWhileColdIsForgotten: starts that were late because a worker was cold once kept it last in the order long after
+// it was warm: nobody sent there, so nothing put it right.
+func TestLateWhileColdIsForgotten(t *testing.T) {
+	for _, cold := range []bool{true, false} {
+		w := fleet(t, site(1, true, false, false), 1)
+		_, j := w.place(2)
+		if cold {
+			w.d.workers[1].Started = w.now // it was started anew a moment ago
+		}
+		for range 60 {
+			w.now += 8 * ms
+			w.handle(Wake{})
+		}
+		w.handle(JobStarted{j.ID, 0})
+		if late := w.d.workers[1].late.Share > 0; late == cold {
+			t.Errorf("cold %v: held against it %v", cold, late)
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -767,7 +767,9 @@
 	d.fared(a, delay-d.late > r.c.Aim/2)
 	d.crowded(d.now-r.attempts[0].sent-d.late > r.c.Aim)
 	prompt := delay-d.late <= d.grace(r, a)
-	w.late.add(!prompt, lateMemory)
+	if d.s.Rules.warmth(a.sent-w.Started) >= 1 { // what was late at a cold one says nothing of it warm: few would go back
+		w.late.add(!prompt, lateMemory)
+	}
 	d.learned++
 	d.sawSetup(a, delay-d.late)
 	if prompt {
--- a/internal/prove/coldstart.go
+++ b/internal/prove/coldstart.go
@@ -41,20 +41,25 @@
 func ColdStart(o Options) error {
 	var all [2]coldFigures
 	for i, work := range []time.Duration{10 * time.Millisecond, 40 * time.Millisecond} {
-		f, err := coldStart(o, work, false)
+		f, err := coldStart(o, scene{work: work})
 		if err != nil {
 			return err
 		}
 		fmt.Fprintf(o.Progress, "%3.0f calls a second: all have their list after %.1f s (floor %.1f), %.0f%% of %.2f calls each failed\n", 1/work.Seconds(), f.last, f.floor, 100*f.failed, f.calls)
 		all[i] = f
 	}
-	talk, err := coldStart(o, 40*time.Millisecond, true)
+	out, err := coldStart(o, scene{work: 10 * time.Millisecond, outage: 10 * time.Second})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(o.Progress, "alone, 100 calls a second, down for 10 s in the middle and back at half of that: all have their list %.1f s after it is back (floor %.1f), %.0f%% of what it took meanwhile failed\n", out.last, out.floor, 100*out.failed)
+	talk, err := coldStart(o, scene{work: 40 * time.Millisecond, talking: true})
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(o.Progress, "talking, 25 calls a second: all have their list after %.1f s by %.0f calls, %d watch; a drain is known to all after %.2f s, and after %.2f s with all watchers of a zone killed\n", talk.last, talk.calls, talk.watches, talk.drained, talk.watcher)
-	fmt.Printf("prove coldstart: processes=%d alone_last_s_100=%.1f alone_floor_s_100=%.1f alone_failed_100=%.2f alone_last_s_25=%.1f alone_floor_s_25=%.1f alone_failed_25=%.2f talk_last_s_25=%.1f talk_calls_25=%.0f talk_drain_s=%.2f talk_drain_killed_s=%.2f\n",
-		started, all[0].last, all[0].floor, all[0].failed, all[1].last, all[1].floor, all[1].failed, talk.last, talk.calls, talk.drained, talk.watcher)
+	fmt.Printf("prove coldstart: processes=%d alone_last_s_100=%.1f alone_floor_s_100=%.1f alone_failed_100=%.2f alone_last_s_25=%.1f alone_floor_s_25=%.1f alone_failed_25=%.2f talk_last_s_25=%.1f talk_calls_25=%.0f talk_drain_s=%.2f talk_drain_killed_s=%.2f outage_last_s=%.1f outage_floor_s=%.1f outage_failed=%.2f\n",
+		started, all[0].last, all[0].floor, all[0].failed, all[1].last, all[1].floor, all[1].failed, talk.last, talk.calls, talk.drained, talk.watcher, out.last, out.floor, out.failed)
 	var broken error
 	for _, f := range all {
 		if f.last > mostOfFloor*f.floor {
@@ -76,7 +81,15 @@
 // drainGrace is within what a drain that any daemon was told of is to hold at all.
 const drainGrace = 750 * time.Millisecond
 
-func coldStart(o Options, work time.Duration, talking bool) (f coldFigures, err error) {
+// scene is one cold start.
+type scene struct {
+	work    time.Duration // that a call costs the list service
+	outage  time.Duration // it dies in the middle for so long, and comes back at half its capacity
+	talking bool
+}
+
+func coldStart(o Options, c scene) (f coldFigures, err error) {
+	work, talking := c.work, c.talking
 	dir, err := os.MkdirTemp("", "winglb-prove-")
 	if err != nil {
 		return f, err
@@ -118,6 +131,19 @@
 			}
 		}
 	}
+	if c.outage > 0 {
+		for n := 0; n < started/6; n, _ = lists.Told() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		had, _ := lists.Told()
+		lists.Down(true)
+		time.Sleep(c.outage)
+		lists.Capacity(2 * work)
+		lists.Begin() // those who had it have lost their watch, and call again with all others
+		lists.Down(false)
+		began, work = time.Now(), 2*work
+		fmt.Fprintf(o.Progress, "  %d had their list when it died\n", had)
+	}
 	if talking {
 		_, err = all("a list", func(n int) bool { return r.Daemon(n).Figure("known_encoders") == 4 })
 		f.last = time.Since(began).Seconds()
