--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -34,6 +34,7 @@
 	doubtFor    = 30 * time.Second       // that whoever told nonsense is not listened to
 	mostAhead   = 5 * time.Second        // of our clock, that a source's may be
 	mostJump    = 1 << 20                // revisions at once
+	mostSources = 256                    // of which it is kept what was passed on: many more than there are watchers
 	fewMembers  = 4                      // of a table, under which half of it may go at once
 )
 
@@ -333,7 +334,12 @@
 }
 
 // Moved says that the list service is at another address from now on: its revisions say nothing of those before.
-func (s *State) Moved() { s.moved = true }
+// Whoever is not to watch does not begin to, as all that are told at once would.
+func (s *State) Moved() {
+	if s.moved = true; !s.wants {
+		s.do(Keep{false})
+	}
+}
 
 func (s *State) show() {
 	if s.watch != s.shown {
@@ -361,8 +367,8 @@
 	if !t.Answer {
 		s.do(Ack{from, t.Source, t.Mark})
 	}
-	if s.heardOf[t.Source] = now; t.Source == s.c.Name {
-		delete(s.heardOf, t.Source)
+	if _, lives := s.peers[t.Source]; lives {
+		s.heardOf[t.Source] = now
 	}
 	news := !s.has || s.mark.Before(t.Mark)
 	switch {
@@ -388,6 +394,7 @@
 		}
 		return
 	case news:
+		s.moved = s.moved && t.Mark.Term == s.mark.Term // else others have begun the new term
 		s.take(now, t, dispatch.List{Revision: t.Mark.Revision, Complete: t.Whole, Members: t.Members})
 		s.show()
 	case t.Beat && t.Mark.Before(s.mark) && from == t.Source && now.Sub(s.set) >= askEvery:
@@ -478,6 +485,9 @@
 
 // pass passes on what came down a source's tree, once.
 func (s *State) pass(now time.Time, t Told) {
+	if _, passed := s.passed[t.Source]; !passed && len(s.passed) >= mostSources {
+		return
+	}
 	if !t.Beat {
 		if last, passed := s.passed[t.Source]; passed && !last.Before(t.Mark) {
 			return
@@ -507,6 +517,7 @@
 func (s *State) Unreached(now time.Time, to string) {
 	w, ok := s.waiting[to]
 	if delete(s.waiting, to); ok {
+		w.Age += now.Sub(w.until.Add(-ackWithin))
 		s.say(now, s.children(w.Source, to), w.Told)
 	}
 }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -277,6 +277,33 @@
 	require.Len(t, d.notes, 1)
 }
 
+// The list service is elsewhere, at lower revisions: only those that watch call there, and all go over to it at once.
+func TestListServiceMoves(t *testing.T) {
+	f := newFleet(5, 40, 2)
+	f.service.Revision = 99
+	f.publish(8)
+	f.run(3 * time.Second)
+	f.service.Revision = 2
+	before := f.calls
+	for _, d := range f.nodes {
+		d.Moved()
+		if d.wants { // its watch ends, and it calls at the new address
+			d.Lost(f.now)
+		} else {
+			require.Contains(t, d.out, Action(Keep{false}), d.name)
+		}
+		f.act(d)
+	}
+	f.run(time.Second)
+	f.agree(t)
+	require.LessOrEqual(t, f.calls-before, 8)
+	require.Equal(t, 2, f.watchers("z0"))
+	for _, d := range f.nodes {
+		require.False(t, d.moved && d.watch)
+		require.EqualValues(t, 1, d.mark.Term, d.name)
+	}
+}
+
 // A service that tells an older list is not believed at once; one that goes on doing so has begun anew.
 func TestOlderListOfTheService(t *testing.T) {
 	f := newFleet(4, 8, 1)
--- a/internal/prove/coldstart.go
+++ b/internal/prove/coldstart.go
@@ -61,7 +61,7 @@
 	fmt.Printf("prove coldstart: processes=%d alone_last_s_100=%.1f alone_floor_s_100=%.1f alone_failed_100=%.2f alone_last_s_25=%.1f alone_floor_s_25=%.1f alone_failed_25=%.2f talk_last_s_25=%.1f talk_calls_25=%.0f talk_drain_s=%.2f talk_drain_killed_s=%.2f outage_last_s=%.1f outage_floor_s=%.1f outage_failed=%.2f\n",
 		started, all[0].last, all[0].floor, all[0].failed, all[1].last, all[1].floor, all[1].failed, talk.last, talk.calls, talk.drained, talk.watcher, out.last, out.floor, out.failed)
 	var broken error
-	for _, f := range all {
+	for _, f := range append(all[:], out) {
 		if f.last > mostOfFloor*f.floor {
 			broken = errors.Join(broken, fmt.Errorf("the last list came after %.1f s, %.1f times the floor", f.last, f.last/f.floor))
 		}
--- a/internal/rig/members_test.go
+++ b/internal/rig/members_test.go
@@ -68,13 +68,19 @@
 
 func talking(o *rig.Options) { o.Members = true }
 
-// Eight daemons start at once with no list: two a zone watch, the others are told by them. All watchers of a zone are
-// killed, and one of the other zone is stopped, which wakes believing that it watches: a drain is told all the same.
-func TestPeersTellEachOther(t *testing.T) {
+// eight is a town whose daemons have started at once with no list, and serve.
+func eight(t *testing.T) *town {
 	w := founded(t, town8, time.Millisecond, talking)
 	w.start(0, town8)
 	w.serves(0, town8)
 	w.settled()
+	return w
+}
+
+// Eight daemons start at once with no list: two a zone watch, the others are told by them. All watchers of a zone are
+// killed, and one of the other zone is stopped, which wakes believing that it watches: a drain is told all the same.
+func TestPeersTellEachOther(t *testing.T) {
+	w := eight(t)
 	require.LessOrEqual(t, w.lists.Ledger().Calls, 12)
 	w.drain(0)
 	w.leaves(1, all(town8)...)
@@ -102,10 +108,7 @@
 // A watcher is cut off from the list service only, another from its peers only; then the zones from each other, while a
 // drain is told on one side.
 func TestMembersCutOff(t *testing.T) {
-	w := founded(t, town8, time.Millisecond, talking)
-	w.start(0, town8)
-	w.serves(0, town8)
-	w.settled()
+	w := eight(t)
 	name := func(n int) string { return fmt.Sprint("n", n) }
 	off := w.watchers("a")[0]
 	w.net.Cut(true, []string{name(off)}, []string{"lists"})
@@ -195,10 +198,7 @@
 // A stranger among them tells garbage, half a list and a revision from the future; then the list service itself tells
 // some an older list. All keep the last good one.
 func TestNobodyIsMisled(t *testing.T) {
-	w := founded(t, town8, time.Millisecond, talking)
-	w.start(0, town8)
-	w.serves(0, town8)
-	w.settled()
+	w := eight(t)
 	c := memberlist.DefaultLocalConfig()
 	c.Name, c.BindAddr, c.BindPort, c.AdvertisePort, c.LogOutput = "stranger", "127.0.0.1", 0, 0, os.Stderr
 	if !testing.Verbose() {
