Play drawn deployments beside plain baselines: make prove-deployments

The module was tuned on a few sites; nothing of our own told whether it is fitted to them. internal/fleetmodel plays whole deployments in virtual time, without I/O: encoders with slots, bounded queues, hangs, slow spells and three meanings of a call-off, and 1 to 16 dispatchers that are the module or a plain baseline (random, two choices, least of its own out), on the same jobs.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 SHELL := /bin/bash
-.PHONY: build test lint fuzz run proto demo prove-plugin prove-import prove-memory prove-coldstart prove-mass
+.PHONY: build test lint fuzz run proto demo prove-plugin prove-import prove-memory prove-coldstart prove-mass prove-deployments
 
 # As deploy/balancer.toml spells it: against the C library, for the bench's large fleet.
 build:
@@ -35,6 +35,10 @@
 prove-mass:
 	go test ./decide -run TestColdEncodersOfManyFleets -mass -v -timeout 10m | sed -n 's/.*prove mass/prove mass/p; /FAIL/p; /met a window/p; /on a calm day/p'; exit $${PIPESTATUS[0]}
 
+# The decision module beside plain baselines, on drawn deployments in virtual time.
+prove-deployments: build
+	bin/winglb prove deployments
+
 run: build
 	exec bin/winglb
 
--- a/cmd/winglb-full/main.go
+++ b/cmd/winglb-full/main.go
@@ -97,7 +97,13 @@
 }
 
 type proof struct {
-	Name string `arg:"" enum:"plugin,memory,import,coldstart" help:"Which: plugin, memory, import or coldstart."`
+	Name string `arg:"" enum:"plugin,memory,import,coldstart,deployments" help:"Which: plugin, memory, import, coldstart or deployments."`
+
+	Seed  uint64 `default:"1" help:"Of deployments: the seed of the drawing."`
+	Drawn int    `default:"40" help:"Of deployments: how many are drawn."`
+	Only  int    `default:"-1" help:"Of deployments: replay this one alone, from 0."`
+	Tell  bool   `help:"Of deployments: with what dispatchers log."`
+	Small bool   `help:"Of deployments: instead, a table of one small deployment by ways of cancelling, days and start notes."`
 }
 
 func (p *proof) Run() error {
@@ -109,6 +115,8 @@
 		return prove.Import(o)
 	case "coldstart":
 		return prove.ColdStart(o)
+	case "deployments":
+		return prove.Deployments{Seed: p.Seed, Drawn: p.Drawn, Only: p.Only, Tell: p.Tell, Small: p.Small}.Run(o)
 	}
 	return prove.Plugin(o)
 }
