Promise jobs for good: the table of promises, who acts for it, and the change of owner explored

Need: a job may be handed in so that no machine's loss loses it, and what must not run twice does not. Change: internal/promise, no I/O: the replicated table (receipts, intents, ends; the first end stays; commands of an older owner are refused; ids, table, bytes and retention bounded) and the owner's part (an attempt's intent is committed before it goes, a job that may have run is repeated only where its class allows, the owner stops 20 ms before its lease ends, and what it proposed before it lost a lease counts no more when it has it again, also within one term).

--- /dev/null
+++ b/internal/promise/machine_test.go
@@ -0,0 +1,141 @@
+package promise
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func ask1(m *Machine, index uint64, at time.Duration, c Command) Answer {
+	a, err := ReadAnswer(m.Apply(index, at, c.Bytes()))
+	if err != nil {
+		panic(err)
+	}
+	return a
+}
+
+// Whatever is committed in whatever order: the same id has the same receipt, an end never changes while it is kept, a
+// table that was restored goes on as the one that was not, and what is counted is what is there.
+func TestAnyCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		receipts, ends := map[string]Receipt{}, map[string]End{}
+		at, gen := time.Duration(0), uint64(1)
+		for index := uint64(1); index < 30; index++ {
+			at += time.Duration(rapid.IntRange(0, 3).Draw(t, "later")) * time.Second
+			c := Command{
+				Op: rapid.SampledFrom([]Op{OpPromise, OpPromise, OpOwn, OpIntent, OpIntent, OpOver, OpEnd, OpWord, OpWord, OpForget, OpLook, "other"}).Draw(t, "op"),
+				ID: rapid.SampledFrom([]string{"a", "b", "c", ""}).Draw(t, "id"), Hand: rapid.IntRange(1, 2).Draw(t, "hand"),
+				Gen: gen - uint64(rapid.IntRange(0, 1).Draw(t, "stale")), N: rapid.IntRange(0, 1).Draw(t, "n"), Instance: "s-1",
+				Kind: rapid.SampledFrom([]Kind{Done, Failed, Refused}).Draw(t, "kind"), Reason: "for some reason", Result: []byte("result"),
+			}
+			switch c.Op {
+			case OpPromise:
+				c.Job = &Job{Class: "c", Payload: []byte("payload"), Within: time.Hour, Keep: 10 * time.Second}
+			case OpOwn:
+				gen++
+				c.Gen = gen
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				text, err := m.Snapshot()
+				require.NoError(t, err)
+				n := New()
+				require.NoError(t, n.Restore(text))
+				again, err := n.Snapshot()
+				require.NoError(t, err)
+				require.Equal(t, string(text), string(again))
+				require.Equal(t, string(m.Apply(index, at, c.Bytes())), string(n.Apply(index, at, c.Bytes())))
+				m = n
+				index++
+			}
+			a := ask1(m, index, at, c)
+			for id := range receipts {
+				if m.Entry(id) == nil {
+					delete(receipts, id)
+					delete(ends, id)
+				}
+			}
+			if a.Receipt != nil {
+				if before, ok := receipts[c.ID]; ok && a.Receipt.Index == index {
+					require.Contains(t, ends, c.ID)
+					require.LessOrEqual(t, ends[c.ID].At+10*time.Second, at, "its id is free again only then")
+					delete(ends, c.ID)
+				} else if ok {
+					require.Equal(t, before, *a.Receipt)
+				}
+				receipts[c.ID] = *a.Receipt
+			}
+			bytes, open := 0, 0
+			for id, e := range m.jobs {
+				if bytes += e.bytes(); e.End == nil {
+					open++
+				} else {
+					if before, ok := ends[id]; ok {
+						require.Equal(t, before, *e.End)
+					}
+					ends[id] = *e.End
+				}
+			}
+			jobs, o, b := m.Size()
+			require.Equal(t, []int{len(m.jobs), open, bytes}, []int{jobs, o, b})
+			require.Len(t, m.ended, jobs-open)
+		}
+	})
+}
+
+func TestTableIsBounded(t *testing.T) {
+	m := New()
+	job := &Job{Class: "c", Payload: make([]byte, MaxPayload), Within: time.Hour, Keep: time.Minute}
+	n := 0
+	for ; ; n++ {
+		a := ask1(m, uint64(n+1), 0, Command{Op: OpPromise, ID: fmt.Sprint("j", n), Job: job})
+		if !a.OK {
+			require.Equal(t, Full, a.Why)
+			require.Contains(t, a.Text, "promises")
+			break
+		}
+	}
+	require.Equal(t, MaxBytes/MaxPayload, n)
+	require.True(t, ask1(m, 5000, 0, Command{Op: OpPromise, ID: "j0", Job: job}).OK, "it has its receipt already")
+	require.True(t, ask1(m, 5001, 0, Command{Op: OpOwn, Gen: 7}).OK)
+	require.True(t, ask1(m, 5002, 0, Command{Op: OpEnd, ID: "j0", Gen: 7, Kind: Refused, Reason: strings.Repeat("x", 9999)}).OK)
+	require.Len(t, m.Entry("j0").End.Reason, MaxReason)
+	require.True(t, ask1(m, 5003, 0, Command{Op: OpPromise, ID: "fits", Job: job}).OK, "what has ended leaves its payload's room")
+	require.Equal(t, Unknown, ask1(m, 5004, time.Minute, Command{Op: OpLook, ID: "j0"}).Why, "its retention is over")
+	for _, garbage := range []string{"", "{", "null", `{"v":9}`, `{"v":1,"op":"promise","id":"a b"}`, `{"v":1,"op":"promise","id":"x","job":{}}`} {
+		a, err := ReadAnswer(m.Apply(6000, time.Minute, []byte(garbage)))
+		require.NoError(t, err)
+		require.Contains(t, []Why{Malformed, Unknown}, a.Why, garbage)
+	}
+}
+
+// The lease comes back to the same dispatcher in the same term: what it proposed before must not count.
+func TestLeaseLostAndBackInOneTerm(t *testing.T) {
+	m, o := New(), NewOwner(func(string) bool { return false })
+	ask1(m, 1, 0, Command{Op: OpPromise, ID: "j", Job: &Job{Class: "c", Within: time.Second, Keep: time.Hour}})
+	at := func(ms int) Clock {
+		return Clock{Mono: time.Duration(ms) * time.Millisecond, Unix: time.Duration(ms) * time.Millisecond}
+	}
+	take := func(c Clock) {
+		o.Look(c, m)
+		own := o.Actions()[0].(Propose)
+		o.Proposed(c, own.Seq, ask1(m, 2, 0, own.Command), false)
+		o.Look(c, m)
+	}
+	o.Lead(at(0), 3, 500*time.Millisecond, true)
+	take(at(0))
+	first := o.Actions()[0].(Start)
+	o.Answered(at(400), "j", first.Hand, TurnedAway, "", nil, 0, 0)
+	late := o.Actions()[0].(Propose)
+	require.Equal(t, OpEnd, late.Op)
+	o.Look(at(490), m)
+	require.Equal(t, []Action{Leave{"j", first.Hand}}, o.Actions())
+	o.Lead(at(600), 3, time.Second, true)
+	take(at(600))
+	require.IsType(t, Start{}, o.Actions()[0])
+	require.Equal(t, Stale, ask1(m, 9, 0, late.Command).Why)
+}
