Add replicated groups as a pure core: raft by a library, leases, moves, one write a pass

Promises need a record that outlives a daemon. An old copy of a disk is found out by what others have heard of it: its owner comes back as a new member. Tests in virtual time: crashes, lost disks, one-way cuts, losses, slow disks and clocks apart by the bound; logs agree, nothing confirmed is lost, one lease at a time by true time.

--- /dev/null
+++ b/internal/replica/found.go
@@ -0,0 +1,135 @@
+package replica
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"hash/fnv"
+	"maps"
+	"slices"
+)
+
+// Found is what daemons tell each other until all know what their groups begin with.
+type Found struct {
+	Member Member `json:"member"`
+	Table  *Table `json:"table,omitempty"`  // that lasts on the sender's disk
+	Active bool   `json:"active,omitempty"` // and that all of its members have on theirs
+}
+
+// Founder agrees on the table that the groups begin with. Nobody acts before all daemons of the file have met with
+// empty stores and have the same table on their disks: from then on a daemon whose disk is lost is a newcomer, who
+// never founds anything by himself. It is not safe for more than one goroutine.
+type Founder struct {
+	self   Member
+	names  []string // all of the file
+	groups uint32
+	copies int
+	table  *Table
+	lasts  bool
+	active bool
+	heard  map[string]Found
+}
+
+// NewFounder returns one. names are the other daemons of the file; table is what the store has, if any.
+func NewFounder(self Member, names []string, groups uint32, copies int, table *Table, active bool) *Founder {
+	return &Founder{self: self, names: names, groups: groups, copies: copies, table: table, lasts: table != nil, active: active, heard: map[string]Found{}}
+}
+
+// Tell is what the others are to be told.
+func (f *Founder) Tell() Found {
+	t := Found{Member: f.self, Active: f.active}
+	if f.lasts {
+		t.Table = f.table
+	}
+	return t
+}
+
+// Heard takes what another tells. A table that is to be stored before anything else is told is returned; a conflict is
+// a reason for the log.
+func (f *Founder) Heard(t Found) (store *Table, conflict string) {
+	if t.Member.Name == f.self.Name {
+		return nil, ""
+	}
+	f.heard[t.Member.Name] = t
+	switch {
+	case t.Table == nil:
+	case f.table == nil:
+		f.table = t.Table
+		return f.table, ""
+	case f.table.ID != t.Table.ID:
+		return nil, t.Member.Name + " has begun with other daemons, groups or copies than this one"
+	case t.Active && f.lasts:
+		f.active = true
+	}
+	return f.step(), ""
+}
+
+// Stored takes that the table lasts.
+func (f *Founder) Stored() {
+	f.lasts = true
+	for _, t := range f.heard {
+		f.active = f.active || t.Active && t.Table != nil && t.Table.ID == f.table.ID
+	}
+	f.step()
+}
+
+// Begin is to be called once at the start: it is what a daemon alone needs.
+func (f *Founder) Begin() (store *Table) { return f.step() }
+
+func (f *Founder) step() (store *Table) {
+	if f.table == nil {
+		all := []Member{f.self}
+		for _, name := range f.names {
+			t, ok := f.heard[name]
+			if !ok {
+				return nil
+			}
+			all = append(all, t.Member)
+		}
+		f.table = makeTable(all, f.groups, f.copies)
+		return f.table
+	}
+	if !f.lasts || f.active {
+		return nil
+	}
+	for _, m := range f.table.Members {
+		if t := f.heard[m.Name]; m.Name != f.self.Name && (t.Table == nil || t.Table.ID != f.table.ID) || m.Name == f.self.Name && m != f.self {
+			return nil
+		}
+	}
+	f.active = true
+	return nil
+}
+
+// Active is the table, once all have it.
+func (f *Founder) Active() (Table, bool) {
+	if !f.active {
+		return Table{}, false
+	}
+	return *f.table, true
+}
+
+// Missing is who has not been heard yet.
+func (f *Founder) Missing() (names []string) {
+	for _, name := range f.names {
+		if _, ok := f.heard[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Met is all that were heard.
+func (f *Founder) Met() []string { return slices.Sorted(maps.Keys(f.heard)) }
+
+// makeTable is the same at all who have heard the same.
+func makeTable(members []Member, groups uint32, copies int) *Table {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	t := &Table{Groups: groups, Copies: copies, Members: members}
+	text, _ := json.Marshal(t)
+	h := fnv.New64a()
+	h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
+	h.Write(text)
+	t.ID = mix(h.Sum64())
+	return t
+}
--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,458 @@
+package replica
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// book is a machine that keeps all that it was told.
+type book struct{ Lines []string }
+
+func (b *book) Apply(index uint64, at time.Duration, cmd []byte) []byte {
+	b.Lines = append(b.Lines, fmt.Sprintf("%d@%d %s", index, at, cmd))
+	return binary.BigEndian.AppendUint64(nil, index)
+}
+func (b *book) Snapshot() ([]byte, error) { return json.Marshal(b) }
+func (b *book) Restore(text []byte) error { *b = book{}; return json.Unmarshal(text, b) }
+
+// disk is what lasts of a daemon.
+type disk struct {
+	member  Member
+	written uint64
+	known   map[uint64]uint64
+	groups  map[uint32]Stored
+}
+
+func (d *disk) clone() *disk {
+	c := *d
+	c.known, c.groups = maps.Clone(d.known), maps.Clone(d.groups)
+	return &c
+}
+
+func (d *disk) write(w *Write) {
+	d.written = w.Number
+	if w.Known != nil {
+		d.known = w.Known
+	}
+	for _, p := range w.Groups {
+		s := d.groups[p.Group]
+		s.Entries = slices.Clone(s.Entries)
+		if p.Hard != nil {
+			s.Hard = p.Hard
+		}
+		if p.Snapshot != nil {
+			s.Snapshot = p.Snapshot
+		}
+		if p.Reset {
+			s.Entries = nil
+		}
+		s.Entries = slices.DeleteFunc(s.Entries, func(e *pb.Entry) bool {
+			return e.GetIndex() < p.Keep || len(p.Entries) > 0 && e.GetIndex() >= p.Entries[0].GetIndex()
+		})
+		s.Entries = append(s.Entries, p.Entries...)
+		d.groups[p.Group] = s
+	}
+}
+
+// load is what a daemon finds at its start: entries that a snapshot holds are not read.
+func (d *disk) load() map[uint32]Stored {
+	out := map[uint32]Stored{}
+	for n, s := range d.groups {
+		s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e *pb.Entry) bool { return e.GetIndex() <= s.Snapshot.GetMetadata().GetIndex() })
+		out[n] = s
+	}
+	return out
+}
+
+// world is daemons in virtual time, with clocks of their own.
+type world struct {
+	t       require.TestingT
+	rng     *rand.Rand
+	now     time.Duration
+	table   Table
+	nodes   []*daemon
+	cut     map[[2]int]bool
+	loss    float64
+	queue   []mail
+	oaths   map[string]string // what was confirmed, by group and index
+	holders map[uint32]holder
+	retired int
+	boots   uint64
+}
+
+type holder struct {
+	name  string
+	term  uint64
+	until time.Duration // in true time
+}
+
+type daemon struct {
+	name  string
+	rate  float64
+	disk  *disk
+	node  *Node // nil: it is down
+	began time.Duration
+	slow  time.Duration // of its disk
+	ends  time.Duration // of the write under way
+	write *Write
+	said  map[uint64]string
+}
+
+type mail struct {
+	at       time.Duration
+	to, from int
+	group    uint32
+	raft     *pb.Message
+	beat     *Beat
+}
+
+const groupsHere = 4
+
+func newWorld(t require.TestingT, seed uint64, daemons int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, oaths: map[string]string{}, holders: map[uint32]holder{}}
+	var all []Member
+	for i := range daemons {
+		m := Member{Name: fmt.Sprint("n", i), Machine: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%3), Incarnation: uint32(w.rng.Uint32() | 1)}
+		all = append(all, m)
+		// rates apart by the bound that the lease allows for
+		rate := 1 + (w.rng.Float64()-0.5)/MostDrift*0.95
+		w.nodes = append(w.nodes, &daemon{name: m.Name, rate: rate, disk: &disk{member: m, groups: map[uint32]Stored{}}, slow: time.Millisecond})
+	}
+	w.table = *makeTable(all, groupsHere, 3)
+	for i := range w.nodes {
+		w.start(i, true)
+	}
+	return w
+}
+
+// clock is a daemon's own.
+func (w *world) clock(d *daemon) time.Duration { return time.Duration(float64(w.now) * d.rate) }
+
+func (w *world) start(i int, fresh bool) {
+	d := w.nodes[i]
+	w.boots++
+	node, err := New(Config{
+		Self: d.disk.member, Table: w.table, Boot: w.boots, Written: d.disk.written, Known: d.disk.known, New: fresh, Gone: 5 * time.Second,
+		Machines: func(uint32) Mux { return Mux{0: &book{}} },
+	}, w.clock(d), d.disk.load())
+	require.NoError(w.t, err)
+	d.node, d.write, d.said = node, nil, map[uint64]string{}
+	for _, o := range w.nodes {
+		node.Meet(o.name)
+	}
+}
+
+func (w *world) kill(i int) { w.nodes[i].node, w.nodes[i].write = nil, nil }
+
+// lose has a daemon come back with nothing.
+func (w *world) lose(i int) {
+	w.kill(i)
+	m := w.nodes[i].disk.member
+	m.Incarnation = w.rng.Uint32() | 1
+	w.nodes[i].disk = &disk{member: m, groups: map[uint32]Stored{}}
+	w.start(i, true)
+}
+
+func (w *world) number(name string) int {
+	return slices.IndexFunc(w.nodes, func(d *daemon) bool { return d.name == name })
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	const step = 5 * time.Millisecond
+	for end := w.now + d; w.now < end; w.now += step {
+		queue := w.queue
+		w.queue = nil
+		for _, m := range queue {
+			to := w.nodes[m.to]
+			switch {
+			case m.at > w.now:
+				w.queue = append(w.queue, m)
+			case to.node == nil || w.cut[[2]int{m.from, m.to}]:
+			case m.beat != nil:
+				to.node.Beaten(w.clock(to), m.beat)
+			default:
+				to.node.Step(w.clock(to), m.group, m.raft)
+			}
+		}
+		for i, d := range w.nodes {
+			if d.node == nil {
+				continue
+			}
+			d.node.Tick(w.clock(d))
+			if d.write != nil && w.now >= d.ends {
+				d.disk.write(d.write)
+				n := d.write.Number
+				d.write = nil
+				d.node.Persisted(w.clock(d), n)
+			}
+			w.work(i)
+		}
+		w.leases()
+	}
+}
+
+func (w *world) work(i int) {
+	d := w.nodes[i]
+	k := d.node.Did(w.clock(d))
+	if k.Write != nil {
+		require.Nil(w.t, d.write)
+		d.write, d.ends = k.Write, w.now+d.slow
+	}
+	for _, s := range k.Sends {
+		if w.rng.Float64() < w.loss {
+			continue
+		}
+		m := mail{at: w.now + time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), to: w.number(s.To), from: i, group: s.Group, beat: s.Beat}
+		if s.Raft != nil {
+			m.raft = proto.Clone(s.Raft).(*pb.Message)
+		}
+		w.queue = append(w.queue, m)
+	}
+	for _, r := range k.Results {
+		if r.Err == nil {
+			w.oaths[d.said[r.Ref]] = fmt.Sprint(binary.BigEndian.Uint64(r.Result))
+		}
+	}
+	for _, n := range k.Notes {
+		w.t.Errorf("%s: %s", d.name, n)
+	}
+	if k.Retire != "" {
+		w.retired++
+		w.lose(i)
+	}
+}
+
+// leases checks that no two act at once for a group, by true time.
+func (w *world) leases() {
+	for _, d := range w.nodes {
+		if d.node == nil {
+			continue
+		}
+		for g := range uint32(groupsHere) {
+			term, until, ok := d.node.Lead(w.clock(d), g)
+			if !ok {
+				continue
+			}
+			h := w.holders[g]
+			if h.name != d.name {
+				require.Less(w.t, h.until, w.now, "group %d: %s holds it and %s does", g, h.name, d.name)
+				require.Greater(w.t, term, h.term)
+			}
+			w.holders[g] = holder{d.name, term, time.Duration(float64(until) / d.rate)}
+		}
+	}
+}
+
+// propose has whoever leads a group take a command; false: nobody does.
+func (w *world) propose(g uint32, cmd string) bool {
+	for i, d := range w.nodes {
+		if d.node == nil {
+			continue
+		}
+		if ref, err := d.node.Propose(w.clock(d), g, w.now, append([]byte{0}, cmd...)); err == nil {
+			d.said[ref] = fmt.Sprint(g, " ", cmd)
+			w.work(i)
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) lines(i int, g uint32) []string {
+	if w.nodes[i].node == nil {
+		return nil
+	}
+	m := w.nodes[i].node.View(g, 0)
+	if m == nil {
+		return nil
+	}
+	return m.(*book).Lines
+}
+
+// agree checks that all replicas tell the same, as far as they go.
+func (w *world) agree() {
+	for g := range uint32(groupsHere) {
+		longest := w.longest(g)
+		for i := range w.nodes {
+			l := w.lines(i, g)
+			require.True(w.t, slices.Equal(longest[:len(l)], l), "group %d at n%d: %v, and %v", g, i, l, longest)
+		}
+	}
+}
+
+func (w *world) longest(g uint32) (longest []string) {
+	for i := range w.nodes {
+		if l := w.lines(i, g); len(l) > len(longest) {
+			longest = l
+		}
+	}
+	return longest
+}
+
+// kept checks that nothing confirmed is lost; all daemons must be up.
+func (w *world) kept() {
+	w.agree()
+	for g := range uint32(groupsHere) {
+		longest := w.longest(g)
+		for cmd, index := range w.oaths {
+			if of, said, _ := strings.Cut(cmd, " "); of == fmt.Sprint(g) {
+				require.True(w.t, slices.ContainsFunc(longest, func(l string) bool {
+					return strings.HasPrefix(l, index+"@") && strings.HasSuffix(l, " "+said)
+				}), "%s at %s: %v", cmd, index, longest)
+			}
+		}
+	}
+}
+
+// led lets time pass until each group has a leader that acts.
+func (w *world) led(within time.Duration) {
+	for end := w.now + within; w.now < end; w.run(20 * time.Millisecond) {
+		n := 0
+		for g := range uint32(groupsHere) {
+			for _, d := range w.nodes {
+				if d.node != nil {
+					if _, _, ok := d.node.Lead(w.clock(d), g); ok {
+						n++
+					}
+				}
+			}
+		}
+		if n == groupsHere {
+			return
+		}
+	}
+	require.Fail(w.t, "not all groups are led", "%v", w.now)
+}
+
+// Daemons crash, lose their disks, are cut off one way and lose messages, with clocks that run apart.
+func TestNothingConfirmedIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), 5)
+		w.led(10 * time.Second)
+		lost := -1 // one disk at a time: until its replicas are back
+		n := 0
+		for range rapid.IntRange(3, 12).Draw(t, "steps") {
+			i, j := rapid.IntRange(0, 4).Draw(t, "who"), rapid.IntRange(0, 4).Draw(t, "whom")
+			switch what := rapid.IntRange(0, 6).Draw(t, "what"); {
+			case what == 0 && w.nodes[i].node != nil:
+				w.kill(i)
+			case what == 1 && w.nodes[i].node == nil:
+				w.start(i, false)
+			case what == 2 && lost < 0:
+				lost = i
+				w.lose(i)
+			case what == 3 && i != j:
+				w.cut[[2]int{i, j}] = true
+			case what == 4:
+				clear(w.cut)
+			case what == 5:
+				w.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+			default:
+				w.nodes[i].slow = time.Duration(rapid.IntRange(1, 200).Draw(t, "disk")) * time.Millisecond
+			}
+			for range rapid.IntRange(1, 10).Draw(t, "tells") {
+				w.propose(uint32(n%groupsHere), fmt.Sprintf("c%d;", n))
+				n++
+				w.run(time.Duration(rapid.IntRange(5, 300).Draw(t, "ms")) * time.Millisecond)
+			}
+			w.agree()
+		}
+		clear(w.cut)
+		w.loss = 0
+		for i, d := range w.nodes {
+			if d.slow = time.Millisecond; d.node == nil {
+				w.start(i, false)
+			}
+		}
+		w.led(20 * time.Second)
+		for g := range uint32(groupsHere) {
+			require.True(t, w.propose(g, "last;"))
+		}
+		w.run(time.Second)
+		w.kept()
+	})
+}
+
+// A daemon that comes back without its disk is somebody else: it learns, then votes, in each group that it held.
+func TestLostDiskComesBackAsNew(t *testing.T) {
+	w := newWorld(t, 7, 5)
+	w.led(5 * time.Second)
+	for i := range 40 {
+		w.propose(uint32(i%groupsHere), fmt.Sprintf("c%d;", i))
+		w.run(20 * time.Millisecond)
+	}
+	before := w.nodes[1].disk.member.ID()
+	w.lose(1)
+	now := w.nodes[1].disk.member.ID()
+	w.run(20 * time.Second)
+	w.led(5 * time.Second)
+	held := 0
+	for _, d := range w.nodes {
+		for _, g := range d.node.order {
+			if g.leader {
+				require.NotContains(t, g.conf.GetVoters(), before)
+				require.Len(t, g.conf.GetVoters(), 3)
+				require.Empty(t, g.conf.GetLearners())
+				if slices.Contains(g.conf.GetVoters(), now) {
+					held++
+				}
+			}
+		}
+	}
+	require.Positive(t, held)
+	w.kept()
+}
+
+// A disk is put back as it was a while ago: its owner is told so, votes for nobody by it and comes back as a new one.
+func TestOldCopyIsNotBelieved(t *testing.T) {
+	w := newWorld(t, 9, 3)
+	w.led(5 * time.Second)
+	old := w.nodes[2].disk.clone()
+	for i := range 40 {
+		w.propose(uint32(i%groupsHere), fmt.Sprintf("c%d;", i))
+		w.run(50 * time.Millisecond)
+	}
+	w.kill(2)
+	w.nodes[2].disk = old
+	w.start(2, false)
+	w.run(10 * time.Second)
+	require.Equal(t, 1, w.retired)
+	require.NotEqual(t, old.member, w.nodes[2].disk.member)
+	w.led(5 * time.Second)
+	w.kept()
+}
+
+// A long log is cut, and a daemon that was away all the while is sent a snapshot.
+func TestLateOneIsSentASnapshot(t *testing.T) {
+	w := newWorld(t, 11, 3)
+	w.led(5 * time.Second)
+	w.kill(0)
+	w.led(5 * time.Second)
+	for i := range 2 * mostEntries / 100 * 4 {
+		for k := range 100 {
+			if k%groupsHere == 0 {
+				w.propose(0, fmt.Sprintf("c%d.%d;", i, k))
+			}
+		}
+		w.run(5 * time.Millisecond)
+	}
+	w.run(time.Second)
+	require.Less(t, len(w.nodes[1].disk.groups[0].Entries), 2*mostEntries)
+	w.start(0, false)
+	w.run(3 * time.Second)
+	require.Equal(t, w.lines(1, 0), w.lines(0, 0))
+	w.kept()
+}
