Load policies of reruns strictly: TOML with CEL conditions of bounded cost, and a reckoned bound

Need: when a stage fails because an upstream output is spoilt, people must be able to say what is run again, where and how often at most, and hear at load what such a policy can never mean or cost. Refused with file, line, key and mend: unknown keys, bare numbers, cycles, stages nobody reaches, rules that can never hold (also by figures), two rules for one failure (with an example), a narrowing that leaves nobody, a rule that would run twice what must not, a rule without a bound.

--- /dev/null
+++ b/internal/rerun/policy/condition.go
@@ -0,0 +1,437 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/cel-go/cel"
+	"github.com/google/cel-go/checker"
+	"github.com/google/cel-go/common/ast"
+	"github.com/google/cel-go/common/operators"
+
+	"caperrelay/internal/siteconf"
+)
+
+const (
+	mostCost   = 500       // of a condition, in CEL's units: one comparison is about one
+	mostString = 128       // bytes of anything that a condition asks for
+	mostPoints = 20_000    // at which a condition is tried when it is loaded
+	someOther  = "\x00any" // a string that no condition names
+)
+
+// Facts is what a condition may ask for. All of it stands in the replicated state, so that all replicas judge alike.
+type Facts struct {
+	Kind       Cause
+	Input      string        // the stage whose output is bad or lost; empty: the cause names none
+	Generation int64         // of that output
+	Age        time.Duration // of that output
+	Ran        time.Duration // how long the run that failed took
+	At         Place         // where that was
+	Tenant     string
+	Runs       int64         // of the stage so far, this one included
+	Reruns     int64         // of all stages of the run so far
+	RunAge     time.Duration // of the pipeline's run
+	Left       time.Duration // until it must have ended
+}
+
+// variable is a name that conditions may use.
+type variable struct {
+	name string
+	kind *cel.Type
+	of   func(*Facts) any
+}
+
+var variables = []variable{
+	{"cause.kind", cel.StringType, func(f *Facts) any { return string(f.Kind) }},
+	{"cause.input.stage", cel.StringType, func(f *Facts) any { return f.Input }},
+	{"cause.input.generation", cel.IntType, func(f *Facts) any { return f.Generation }},
+	{"cause.input.age", cel.DurationType, func(f *Facts) any { return f.Age }},
+	{"cause.ran", cel.DurationType, func(f *Facts) any { return f.Ran }},
+	{"cause.worker", cel.StringType, func(f *Facts) any { return f.At.Worker }},
+	{"cause.worker_kind", cel.StringType, func(f *Facts) any { return f.At.Kind }},
+	{"cause.site", cel.StringType, func(f *Facts) any { return f.At.Site }},
+	{"cause.zone", cel.StringType, func(f *Facts) any { return f.At.Zone }},
+	{"run.tenant", cel.StringType, func(f *Facts) any { return f.Tenant }},
+	{"run.age", cel.DurationType, func(f *Facts) any { return f.RunAge }},
+	{"run.left", cel.DurationType, func(f *Facts) any { return f.Left }},
+	{"run.reruns", cel.IntType, func(f *Facts) any { return f.Reruns }},
+	{"stage.runs", cel.IntType, func(f *Facts) any { return f.Runs }},
+}
+
+// Condition is a rule's when, checked and ready.
+type Condition struct {
+	Text    string
+	Cost    uint64 // at most
+	program cel.Program
+	uses    []string // variables
+	exact   bool     // it compares variables with constants and nothing else, so that some points tell all of it
+	strings []string
+	// compared is the strings that each variable is compared with.
+	compared map[string][]string
+	ints     []int64
+	times    []time.Duration
+}
+
+// environment is the same for all conditions. Regular expressions are left out: their cost is not worth it.
+var environment = func() *cel.Env {
+	options := []cel.EnvOption{
+		cel.ParserExpressionSizeLimit(mostWhen), cel.ParserRecursionLimit(32), cel.ClearMacros(),
+		cel.ASTValidators(cel.ValidateDurationLiterals()),
+	}
+	for _, v := range variables {
+		options = append(options, cel.Variable(v.name, v.kind))
+	}
+	env, err := cel.NewEnv(options...)
+	if err != nil {
+		panic(err) // of constants: any test finds it
+	}
+	return env
+}()
+
+// sizes tells the reckoner of costs how long things are.
+type sizes struct{}
+
+func (sizes) EstimateSize(node checker.AstNode) *checker.SizeEstimate {
+	return &checker.SizeEstimate{Max: mostString}
+}
+
+func (sizes) EstimateCallCost(string, string, *checker.AstNode, []checker.AstNode) *checker.CallEstimate {
+	return nil
+}
+
+// compile reads a condition. Its error says what is wrong and what to write.
+func compile(text string) (*Condition, error) {
+	if len(text) > mostWhen {
+		return nil, fmt.Errorf("%d bytes: at most %d; write several rules", len(text), mostWhen)
+	}
+	checked, issues := environment.Compile(text)
+	if issues != nil && issues.Err() != nil {
+		e := issues.Errors()[0]
+		mend := ""
+		if _, rest, ok := strings.Cut(e.Message, "undeclared reference to '"); ok {
+			wrong, _, _ := strings.Cut(rest, "'")
+			if whole := longest(text, wrong); whole != "" {
+				wrong = whole
+			}
+			var names []string
+			for _, v := range variables {
+				names = append(names, v.name)
+			}
+			mend = siteconf.Nearest(wrong, names, "; the names are "+strings.Join(names, ", "))
+		} else {
+			mend = `; write such as cause.kind == "failed" && cause.ran < duration("10s")`
+		}
+		return nil, fmt.Errorf("column %d: %s%s", e.Location.Column()+1, strings.ReplaceAll(e.Message, "\n", " "), mend)
+	}
+	if checked.OutputType() != cel.BoolType {
+		return nil, fmt.Errorf(`it is no yes or no but %s: write such as cause.kind == "failed"`, checked.OutputType())
+	}
+	cost, err := environment.EstimateCost(checked, sizes{})
+	if err != nil {
+		return nil, fmt.Errorf("its cost cannot be told: %w; write it more simply", err)
+	}
+	if cost.Max > mostCost {
+		return nil, fmt.Errorf("it may cost %d, over %d: write it more simply, or as several rules", cost.Max, mostCost)
+	}
+	program, err := environment.Program(checked, cel.CostLimit(mostCost), cel.EvalOptions(cel.OptOptimize))
+	if err != nil {
+		return nil, fmt.Errorf("%w; write it more simply", err)
+	}
+	c := &Condition{Text: text, Cost: cost.Max, program: program, compared: map[string][]string{}}
+	c.exact = c.look(ast.NavigateAST(checked.NativeRep()))
+	slices.Sort(c.uses)
+	c.uses = slices.Compact(c.uses)
+	return c, nil
+}
+
+// longest is the whole dotted name in a text that begins with a word.
+func longest(text, word string) string {
+	at := strings.Index(text, word)
+	if at < 0 {
+		return ""
+	}
+	end := at
+	for end < len(text) && (text[end] == '.' || text[end] == '_' || text[end] >= 'a' && text[end] <= 'z') {
+		end++
+	}
+	return text[at:end]
+}
+
+// look walks a condition for its variables and constants, and tells whether those tell all of it.
+func (c *Condition) look(e ast.NavigableExpr) bool {
+	switch e.Kind() {
+	case ast.LiteralKind:
+		c.constant(e)
+		return e.Type().String() == "bool"
+	case ast.IdentKind:
+		c.uses = append(c.uses, e.AsIdent())
+		return e.Type().String() == "bool"
+	case ast.CallKind:
+		name, args := e.AsCall().FunctionName(), e.Children()
+		all := true
+		switch name {
+		case operators.LogicalAnd, operators.LogicalOr, operators.LogicalNot:
+			for _, a := range args {
+				all = c.look(a) && all
+			}
+			return all
+		case operators.Equals, operators.NotEquals, operators.Less, operators.LessEquals, operators.Greater, operators.GreaterEquals, operators.In:
+			named, constants, variable, before := 0, 0, "", len(c.strings)
+			for _, a := range args {
+				switch {
+				case a.Kind() == ast.IdentKind:
+					variable = a.AsIdent()
+					c.uses = append(c.uses, variable)
+					named++
+				case c.constant(a):
+					constants++
+				default:
+					c.look(a)
+				}
+			}
+			if named == 1 && constants == 1 {
+				c.compared[variable] = append(c.compared[variable], c.strings[before:]...)
+				return true
+			}
+			return false
+		}
+	}
+	for _, a := range e.Children() {
+		c.look(a)
+	}
+	return false
+}
+
+// constant takes a constant, and tells whether it is one.
+func (c *Condition) constant(e ast.NavigableExpr) bool {
+	switch e.Kind() {
+	case ast.LiteralKind:
+		switch v := e.AsLiteral().Value().(type) {
+		case string:
+			c.strings = append(c.strings, v)
+		case int64:
+			c.ints = append(c.ints, v)
+		default:
+			return e.Type().String() == "bool"
+		}
+		return true
+	case ast.ListKind:
+		for _, a := range e.Children() {
+			if !c.constant(a) {
+				return false
+			}
+		}
+		return true
+	case ast.CallKind:
+		if args := e.Children(); e.AsCall().FunctionName() == "duration" && len(args) == 1 && args[0].Kind() == ast.LiteralKind {
+			text, _ := args[0].AsLiteral().Value().(string)
+			d, err := time.ParseDuration(text)
+			c.times = append(c.times, d)
+			return err == nil
+		}
+	}
+	return false
+}
+
+// Holds tells whether the condition holds. What cannot be reckoned does not, and says why.
+func (c *Condition) Holds(f Facts) (bool, error) {
+	values := make(map[string]any, len(c.uses))
+	for _, v := range variables {
+		if slices.Contains(c.uses, v.name) {
+			values[v.name] = v.of(&f)
+		}
+	}
+	out, _, err := c.program.Eval(values)
+	if err != nil {
+		return false, err
+	}
+	holds, _ := out.Value().(bool)
+	return holds, nil
+}
+
+// condition reads a rule's when and finds what it can never mean.
+func (l *loader) condition(r *Rule, text string, at func(string) string) (err error) {
+	if r.When, err = compile(text); err != nil {
+		return l.doc.At(at("when"), "%v", err)
+	}
+	on := l.p.Stages[r.On]
+	var needs []string
+	for _, n := range on.Needs {
+		needs = append(needs, l.p.Stages[n].Name)
+	}
+	for _, k := range r.When.compared["cause.kind"] {
+		if !Cause(k).Known() {
+			return l.doc.At(at("when"), "%q is no cause%s", k, siteconf.Nearest(k, kinds(), "; the causes are "+strings.Join(kinds(), ", ")))
+		}
+	}
+	for _, s := range r.When.compared["cause.input.stage"] {
+		if !slices.Contains(needs, s) {
+			return l.doc.At(at("when"), "%q is no input of %q%s", s, on.Name, siteconf.Nearest(s, needs, "; it needs "+cmp.Or(strings.Join(needs, ", "), "nothing")))
+		}
+	}
+	var holds []Facts
+	whole := l.points(r.On, []*Condition{r.When}, func(f Facts) bool {
+		if yes, _ := r.When.Holds(f); yes {
+			holds = append(holds, f)
+		}
+		return true
+	})
+	if len(holds) == 0 {
+		if whole {
+			return l.doc.At(at("when"), "it can never hold for a failure of %q: the causes are %s, and only bad_input and output_lost name an input, one of its needs (%s); mend it or remove the rule", on.Name, strings.Join(kinds(), ", "), strings.Join(needs, ", "))
+		}
+		return l.doc.At(at("when"), "nothing was found for which it holds: compare each name with a constant, as in cause.kind == \"failed\"")
+	}
+	if r.Target == Input {
+		for _, f := range holds {
+			if f.Input == "" {
+				return l.doc.At(at("rerun"), `it holds also for %q, which names no input: add cause.kind in ["bad_input", "output_lost"] to when`, f.Kind)
+			}
+		}
+		if !slices.Contains(r.When.uses, "cause.kind") && !whole {
+			return l.doc.At(at("rerun"), `it might hold for a cause that names no input: add cause.kind in ["bad_input", "output_lost"] to when`)
+		}
+	}
+	if on.Once {
+		for _, f := range holds {
+			if f.Kind.Ran() {
+				return l.doc.At(at("when"), `%q must not run twice, and after %q it may have run: add cause.kind in ["never_ran", "refused"]; everything else goes to a person`, on.Name, f.Kind)
+			}
+		}
+	}
+	return nil
+}
+
+func kinds() (all []string) {
+	for _, k := range Causes {
+		all = append(all, string(k))
+	}
+	return all
+}
+
+// points has conditions tried at all that can differ for them: each cause with each input that it can name, and below,
+// at and above each constant. It tells whether that was all there is.
+func (l *loader) points(on int, cs []*Condition, try func(Facts) bool) (whole bool) {
+	whole = true
+	var uses, texts []string
+	ints, times := []int64{1}, []time.Duration{0}
+	for _, c := range cs {
+		whole = whole && c.exact
+		uses, texts = append(uses, c.uses...), append(texts, c.strings...)
+		for _, n := range c.ints {
+			ints = append(ints, n-1, n, n+1)
+		}
+		for _, t := range c.times {
+			times = append(times, t-1, t, t+1)
+		}
+	}
+	ints, times, texts = unique(ints), unique(times), unique(append(texts, someOther))
+	used := func(name string) bool { return slices.Contains(uses, name) }
+	all := []Facts{}
+	for _, k := range Causes {
+		if !k.NamesInput() {
+			all = append(all, Facts{Kind: k})
+			continue
+		}
+		for _, n := range l.p.Stages[on].Needs {
+			all = append(all, Facts{Kind: k, Input: l.p.Stages[n].Name, Generation: 1})
+		}
+	}
+	for i := range all {
+		all[i].Runs, all[i].Left = 1, l.p.Within
+	}
+	most := int64(mostRuns)
+	spread := func(name string, n int, set func(*Facts, int) bool) {
+		if !used(name) || !whole {
+			return
+		}
+		if len(all)*n > mostPoints {
+			whole = false
+			return
+		}
+		var next []Facts
+		for _, f := range all {
+			for i := range n {
+				if g := f; set(&g, i) {
+					next = append(next, g)
+				}
+			}
+			if f.Input == "" && strings.HasPrefix(name, "cause.input.") { // nothing to differ by
+				next = append(next, f)
+			}
+		}
+		all = next
+	}
+	between := func(t, most time.Duration) bool { return t >= 0 && t <= most }
+	spread("cause.input.generation", len(ints), func(f *Facts, i int) bool {
+		f.Generation = ints[i]
+		return f.Input != "" && ints[i] >= 1 && ints[i] <= most
+	})
+	spread("cause.input.age", len(times), func(f *Facts, i int) bool { f.Age = times[i]; return f.Input != "" && between(times[i], mostAge) })
+	spread("cause.ran", len(times), func(f *Facts, i int) bool { f.Ran = times[i]; return between(times[i], l.p.Within) })
+	spread("run.age", len(times), func(f *Facts, i int) bool { f.RunAge = times[i]; return between(times[i], l.p.Within) })
+	spread("run.left", len(times), func(f *Facts, i int) bool { f.Left = times[i]; return between(times[i], l.p.Within) })
+	ranges := append([]int64{0}, ints...)
+	spread("run.reruns", len(ranges), func(f *Facts, i int) bool { f.Reruns = ranges[i]; return ranges[i] >= 0 && ranges[i] <= most })
+	spread("stage.runs", len(ints), func(f *Facts, i int) bool { f.Runs = ints[i]; return ints[i] >= 1 && ints[i] <= most })
+	for name, of := range map[string]func(*Facts) *string{
+		"cause.worker": func(f *Facts) *string { return &f.At.Worker }, "cause.worker_kind": func(f *Facts) *string { return &f.At.Kind },
+		"cause.site": func(f *Facts) *string { return &f.At.Site }, "cause.zone": func(f *Facts) *string { return &f.At.Zone },
+		"run.tenant": func(f *Facts) *string { return &f.Tenant },
+	} {
+		spread(name, len(texts), func(f *Facts, i int) bool { *of(f) = texts[i]; return true })
+	}
+	for _, f := range all {
+		if !try(f) {
+			break
+		}
+	}
+	return whole
+}
+
+func unique[T cmp.Ordered](all []T) []T {
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// contradictions finds two rules that hold for one failure: which counts would be an accident of their order.
+func (l *loader) contradictions() error {
+	for i, b := range l.p.Rules {
+		for j, a := range l.p.Rules[:i] {
+			if a.On != b.On {
+				continue
+			}
+			var both *Facts
+			l.points(a.On, []*Condition{a.When, b.When}, func(f Facts) bool {
+				first, _ := a.When.Holds(f)
+				second, _ := b.When.Holds(f)
+				if first && second {
+					both = &f
+				}
+				return both == nil
+			})
+			if both == nil {
+				continue
+			}
+			example := fmt.Sprintf("cause.kind == %q", both.Kind)
+			if both.Input != "" {
+				example += fmt.Sprintf(" with cause.input.stage == %q", both.Input)
+			}
+			if l.same(i, j) {
+				return l.doc.At(l.ruleAt(i)+".when", "the rule of line %d says the same for %s: remove one of them", a.Line, example)
+			}
+			return l.doc.At(l.ruleAt(i)+".when", "it contradicts the rule of line %d: both hold for %s; narrow one of them", a.Line, example)
+		}
+	}
+	return nil
+}
+
+// same tells whether two rules differ in their conditions alone.
+func (l *loader) same(i, j int) bool {
+	a, b := l.text.Rules[i], l.text.Rules[j]
+	a.When = b.When
+	return a == b
+}
--- /dev/null
+++ b/internal/rerun/policy/policy.go
@@ -0,0 +1,581 @@
+package policy
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperrelay/internal/siteconf"
+)
+
+const (
+	mostPipelines = 64
+	mostStages    = 64 // of one pipeline
+	mostRules     = 64
+	mostTimes     = 16 // that one rule may rerun in one run of a pipeline
+	mostOthers    = 8
+	mostName      = 64               // bytes
+	mostRuns      = 4096             // of all stages in one run of a pipeline
+	mostWhen      = 1024             // bytes of a condition
+	mostText      = 1 << 20          // bytes of a file
+	mostAge       = 8760 * time.Hour // of anything that a condition asks for
+)
+
+// Site is what a policy is checked against: the classes that stages name, and how many zones there are.
+type Site struct {
+	Classes map[string]Class
+	Zones   []string
+	Tenants []string
+}
+
+// Class is one of the module's. By it goes who may run a stage.
+type Class struct {
+	Once bool   // must not run twice
+	Kind string // of worker; empty: any
+}
+
+// Policy is a file that was loaded whole. It does not change.
+type Policy struct {
+	Version   string
+	Fleet     float64       // share of the first runs' work that reruns may take, over all
+	Spare     time.Duration // of work that each account has from the start
+	Pipelines map[string]*Pipeline
+}
+
+// Pipeline is stages and what is rerun when they fail.
+type Pipeline struct {
+	Name   string
+	Within time.Duration // of a run
+	Others int           // times that reruns asked for by other pipelines may make stages of a run stale
+	Stages []*Stage      // each after all that it needs
+	Rules  []*Rule
+	Bound  Bound
+}
+
+// Stage is one step.
+type Stage struct {
+	Name, Class, Shared string
+	Work                time.Duration // that one run takes at most, of one slot
+	Once                bool          // must not run twice
+	Result              bool          // it is what the pipeline is for
+	Needs               []int         // indices of stages
+	Line                int
+	Above, Below        []int // all that it needs, and all that need it, by whatever way
+}
+
+// Self and Input are targets of a rule that are not stages by name.
+const (
+	Self  = -1
+	Input = -2
+)
+
+// Rule is what is done when a stage fails.
+type Rule struct {
+	Line     int
+	On       int
+	When     *Condition
+	Target   int // a stage above On, or Self, or Input: the input that the cause names
+	Where    Where
+	From, To time.Duration // of the wait before it; it doubles each time
+	Most     int
+	Tenant   float64 // share of its tenant's first runs' work; 0: only the fleet's counts
+	Keep     bool    // what used the old output and has ended well keeps it
+	Person   bool    // once this rule is used up, a person is asked; else the pipeline is dead
+}
+
+// Bound is what one run of a pipeline can cost at most.
+type Bound struct {
+	Runs []int // of each stage
+	All  int
+	Work time.Duration
+}
+
+type fileText struct {
+	Version   string         `toml:"version"`
+	Budget    budgetText     `toml:"budget"`
+	Pipelines []pipelineText `toml:"pipeline"`
+}
+
+type budgetText struct {
+	Fleet siteconf.Percent  `toml:"fleet"`
+	Spare siteconf.Duration `toml:"spare"`
+}
+
+type pipelineText struct {
+	Name   string            `toml:"name"`
+	Result []string          `toml:"result"`
+	Within siteconf.Duration `toml:"within"`
+	Work   siteconf.Duration `toml:"most_work"`
+	Others int               `toml:"others"`
+	Stages []stageText       `toml:"stage"`
+	Rules  []ruleText        `toml:"rerun"`
+}
+
+type stageText struct {
+	Name   string            `toml:"name"`
+	Class  string            `toml:"class"`
+	Work   siteconf.Duration `toml:"work"`
+	Needs  []string          `toml:"needs"`
+	Shared string            `toml:"shared"`
+}
+
+type ruleText struct {
+	On     string `toml:"on"`
+	When   string `toml:"when"`
+	Rerun  string `toml:"rerun"`
+	Where  string `toml:"where"`
+	After  string `toml:"after"`
+	Most   int    `toml:"most"`
+	Budget string `toml:"budget"`
+	Stale  string `toml:"stale"`
+	Else   string `toml:"else"`
+}
+
+var (
+	words = strings.Fields("version budget fleet spare pipeline name result within most_work others stage class work needs shared rerun on when where after most stale else")
+	units = map[string]string{
+		"fleet": `write "%s%%"`, "spare": `write "%[1]sm" or "%[1]ss"`, "within": `write "%[1]sm" or "%[1]sh"`, "most_work": `write "%[1]sm" or "%[1]sh"`,
+		"work": `write "%[1]ss" or "%[1]sm"`, "after": `write "%[1]ss" or "%[1]ss..30s"`, "budget": `write "tenant:%s%%"`,
+	}
+)
+
+// Load reads a file.
+func Load(path string, site Site) (*Policy, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text, site)
+}
+
+// Parse reads a file's text. Its error is a *siteconf.Error, with line, key and mend, for the first fault.
+func Parse(path string, text []byte, site Site) (*Policy, error) {
+	if len(text) > mostText {
+		return nil, &siteconf.Error{File: path, Text: fmt.Sprintf("%d bytes: at most %d", len(text), mostText)}
+	}
+	var f fileText
+	doc, err := siteconf.ReadStrict(path, text, &f, units, words)
+	if err != nil {
+		return nil, err
+	}
+	p := &Policy{Version: f.Version, Fleet: float64(f.Budget.Fleet), Spare: time.Duration(f.Budget.Spare), Pipelines: map[string]*Pipeline{}}
+	switch {
+	case f.Version == "" || len(f.Version) > mostName:
+		return nil, doc.At("version", `missing or over %d bytes: write version = "1"; runs keep the version that they began under`, mostName)
+	case f.Budget.Fleet == 0:
+		return nil, doc.At("budget.fleet", `missing: write fleet = "5%%", the share of the first runs' work that all reruns together may take`)
+	case len(f.Pipelines) == 0 || len(f.Pipelines) > mostPipelines:
+		return nil, doc.At("pipeline", "%d: from 1 to %d [[pipeline]] are needed", len(f.Pipelines), mostPipelines)
+	}
+	stages, rules := 0, 0
+	for i, t := range f.Pipelines {
+		l := loader{doc: doc, at: fmt.Sprintf("pipeline[%d]", i), stage0: stages, rule0: rules, text: t, site: site}
+		stages, rules = stages+len(t.Stages), rules+len(t.Rules)
+		one, err := l.load()
+		if err != nil {
+			return nil, err
+		}
+		if p.Pipelines[one.Name] != nil {
+			return nil, doc.At(l.at+".name", "%q is there twice: give one of them another name", one.Name)
+		}
+		p.Pipelines[one.Name] = one
+	}
+	return p, nil
+}
+
+// loader reads one pipeline.
+type loader struct {
+	doc           *siteconf.Strict
+	at            string
+	stage0, rule0 int // of the file's, that come before this one's
+	text          pipelineText
+	site          Site
+	order         []int // of the stages in the file, each after its needs
+	p             *Pipeline
+}
+
+func (l *loader) fault(key, format string, args ...any) error {
+	return l.doc.At(l.at+"."+key, format, args...)
+}
+
+func (l *loader) stageAt(i int) string { return fmt.Sprintf("pipeline.stage[%d]", l.stage0+i) }
+func (l *loader) ruleAt(i int) string  { return fmt.Sprintf("pipeline.rerun[%d]", l.rule0+i) }
+
+func (l *loader) load() (*Pipeline, error) {
+	t := l.text
+	switch {
+	case t.Name == "" || len(t.Name) > mostName:
+		return nil, l.fault("name", `missing or over %d bytes: write name = "lecture"`, mostName)
+	case len(t.Stages) == 0 || len(t.Stages) > mostStages:
+		return nil, l.fault("stage", "%d: from 1 to %d [[pipeline.stage]] are needed", len(t.Stages), mostStages)
+	case len(t.Rules) > mostRules:
+		return nil, l.fault("rerun", "%d: at most %d", len(t.Rules), mostRules)
+	case t.Within <= 0:
+		return nil, l.fault("within", `missing: write within = "2h", after which a run ends whatever it waits for`)
+	case t.Others < 0 || t.Others > mostOthers:
+		return nil, l.fault("others", "%d: from 0 to %d times that other pipelines' reruns may make this one's stages stale", t.Others, mostOthers)
+	}
+	l.p = &Pipeline{Name: t.Name, Within: time.Duration(t.Within), Others: t.Others}
+	for _, step := range []func() error{l.stages, l.sort, l.results, l.shared, l.rules, l.contradictions, l.bound} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return l.p, nil
+}
+
+// index is a stage of the file by its name; -1: there is none.
+func (l *loader) index(name string) int {
+	return slices.IndexFunc(l.text.Stages, func(s stageText) bool { return s.Name == name })
+}
+
+func (l *loader) names() (all []string) {
+	for _, s := range l.text.Stages {
+		all = append(all, s.Name)
+	}
+	return all
+}
+
+func (l *loader) stages() error {
+	for i, s := range l.text.Stages {
+		at := l.stageAt(i)
+		class, known := l.site.Classes[s.Class]
+		var classes []string
+		for name := range l.site.Classes {
+			classes = append(classes, name)
+		}
+		slices.Sort(classes)
+		switch {
+		case s.Name == "" || len(s.Name) > mostName || strings.ContainsAny(s.Name, " /@"):
+			return l.doc.At(at+".name", `%q: write a name of up to %d bytes without spaces, "/" and "@"`, s.Name, mostName)
+		case s.Name == "self" || s.Name == "cause.input":
+			return l.doc.At(at+".name", "%q means something else in rules: give it another name", s.Name)
+		case l.index(s.Name) != i:
+			return l.doc.At(at+".name", "%q is there twice: give one of them another name", s.Name)
+		case s.Class == "":
+			return l.doc.At(at+".class", "missing: write the class of commands by which its workers are chosen, one of %s", strings.Join(classes, ", "))
+		case !known:
+			return l.doc.At(at+".class", "%q is no [[class]]%s", s.Class, siteconf.Nearest(s.Class, classes, ": write one of "+strings.Join(classes, ", ")))
+		case s.Work <= 0:
+			return l.doc.At(at+".work", `missing: write work = "2m", what one run of it takes at most`)
+		}
+		for _, n := range s.Needs {
+			if l.index(n) < 0 {
+				return l.doc.At(at+".needs", "%q is no stage of %q%s", n, l.text.Name, siteconf.Nearest(n, l.names(), "; remove it"))
+			}
+		}
+		l.p.Stages = append(l.p.Stages, &Stage{
+			Name: s.Name, Class: s.Class, Shared: s.Shared, Work: time.Duration(s.Work), Once: class.Once, Line: l.doc.Line(at),
+		})
+	}
+	return nil
+}
+
+// sort puts each stage after what it needs, and finds cycles.
+func (l *loader) sort() error {
+	state := make([]int, len(l.text.Stages)) // 1: being visited, 2: done
+	var path []string
+	var visit func(i int) error
+	visit = func(i int) error {
+		s := l.text.Stages[i]
+		path = append(path, s.Name)
+		defer func() { path = path[:len(path)-1] }()
+		if state[i] == 2 {
+			return nil
+		}
+		if state[i] == 1 {
+			cycle := path[slices.Index(path, s.Name):]
+			return l.doc.At(l.stageAt(i)+".needs", "a cycle: %s; remove one of these needs", strings.Join(cycle, " needs "))
+		}
+		state[i] = 1
+		for _, n := range s.Needs {
+			if err := visit(l.index(n)); err != nil {
+				return err
+			}
+		}
+		state[i] = 2
+		l.order = append(l.order, i)
+		return nil
+	}
+	for i := range l.text.Stages {
+		if err := visit(i); err != nil {
+			return err
+		}
+	}
+	sorted := make([]*Stage, len(l.order))
+	for place, i := range l.order {
+		sorted[place] = l.p.Stages[i]
+	}
+	l.p.Stages = sorted
+	for place, i := range l.order {
+		s := sorted[place]
+		for _, name := range l.text.Stages[i].Needs {
+			n := l.p.Stage(name)
+			if !slices.Contains(s.Needs, n) {
+				s.Needs = append(s.Needs, n)
+			}
+			for _, above := range append([]int{n}, sorted[n].Above...) {
+				if !slices.Contains(s.Above, above) {
+					s.Above = append(s.Above, above)
+				}
+			}
+		}
+		slices.Sort(s.Needs)
+		slices.Sort(s.Above)
+		for _, above := range s.Above {
+			sorted[above].Below = append(sorted[above].Below, place)
+		}
+	}
+	return nil
+}
+
+// Stage is the index of a stage by its name; -1: there is none.
+func (p *Pipeline) Stage(name string) int {
+	return slices.IndexFunc(p.Stages, func(s *Stage) bool { return s.Name == name })
+}
+
+// results finds stages that nothing which is wanted needs.
+func (l *loader) results() error {
+	if len(l.text.Result) == 0 {
+		return l.fault("result", `missing: write result = ["publish"], the stages that the pipeline is for`)
+	}
+	wanted := map[int]bool{}
+	for _, name := range l.text.Result {
+		i := l.p.Stage(name)
+		if i < 0 {
+			return l.fault("result", "%q is no stage%s", name, siteconf.Nearest(name, l.names(), "; remove it"))
+		}
+		l.p.Stages[i].Result, wanted[i] = true, true
+		for _, above := range l.p.Stages[i].Above {
+			wanted[above] = true
+		}
+	}
+	for i := range l.text.Stages {
+		if name := l.text.Stages[i].Name; !wanted[l.p.Stage(name)] {
+			return l.doc.At(l.stageAt(i), "nobody reaches %q: nothing in result needs it; have a stage need it, name it in result, or remove it", name)
+		}
+	}
+	return nil
+}
+
+// shared finds shared stages that depend on what is not.
+func (l *loader) shared() error {
+	for i, t := range l.text.Stages {
+		if t.Shared == "" {
+			continue
+		}
+		s := l.p.Stages[l.p.Stage(t.Name)]
+		if s.Once {
+			return l.doc.At(l.stageAt(i)+".shared", "%q must not run twice, so nobody else can have its output made anew: remove shared", t.Name)
+		}
+		for _, n := range s.Needs {
+			if l.p.Stages[n].Shared != t.Shared {
+				return l.doc.At(l.stageAt(i)+".shared", "it needs %q, which is not shared by %q: its output would not be the same for all; share that too", l.p.Stages[n].Name, t.Shared)
+			}
+		}
+	}
+	return nil
+}
+
+func (l *loader) rules() error {
+	for i, t := range l.text.Rules {
+		at := func(key string) string { return l.ruleAt(i) + "." + key }
+		r := &Rule{Line: l.doc.Line(l.ruleAt(i)), On: l.p.Stage(t.On), Where: Where(t.Where), Most: t.Most, Keep: t.Stale == "keep", Person: t.Else == "person"}
+		var wheres []string
+		for _, w := range Wheres {
+			wheres = append(wheres, string(w))
+		}
+		switch {
+		case t.On == "":
+			return l.doc.At(at("on"), "missing: write the stage whose failure it is about, one of %s", strings.Join(l.names(), ", "))
+		case r.On < 0:
+			return l.doc.At(at("on"), "%q is no stage%s", t.On, siteconf.Nearest(t.On, l.names(), ": write one of "+strings.Join(l.names(), ", ")))
+		case t.When == "":
+			return l.doc.At(at("when"), `missing: write when = 'cause.kind == "failed"'`)
+		case t.Most < 1 || t.Most > mostTimes:
+			return l.doc.At(at("most"), "%d: without it a run has no bound; write most = 2, from 1 to %d", t.Most, mostTimes)
+		case !slices.Contains([]string{"", "rerun", "keep"}, t.Stale):
+			return l.doc.At(at("stale"), `%q: write "rerun" (what used the old output runs again) or "keep"`, t.Stale)
+		case !slices.Contains([]string{"", "dead", "person"}, t.Else):
+			return l.doc.At(at("else"), `%q: write "dead" or "person"`, t.Else)
+		case t.Where != "" && !slices.Contains(Wheres, r.Where):
+			return l.doc.At(at("where"), "%q%s", t.Where, siteconf.Nearest(t.Where, wheres, ": write one of "+strings.Join(wheres, ", ")))
+		}
+		if r.Where == "" {
+			r.Where = Anywhere
+		}
+		var err error
+		if r.From, r.To, err = spread(t.After); err != nil {
+			return l.doc.At(at("after"), "%v", err)
+		}
+		if r.To > l.p.Within {
+			return l.doc.At(at("after"), "%v is longer than the pipeline's within, %v: it would never come to that", r.To, l.p.Within)
+		}
+		if r.Tenant, err = budget(t.Budget); err != nil {
+			return l.doc.At(at("budget"), "%v", err)
+		}
+		switch t.Rerun {
+		case "":
+			return l.doc.At(at("rerun"), `missing: write rerun = "self", "cause.input" or a stage that %q needs`, t.On)
+		case "self", t.On:
+			r.Target = Self
+		case "cause.input":
+			if r.Target = Input; len(l.p.Stages[r.On].Needs) == 0 {
+				return l.doc.At(at("rerun"), `%q has no input: write rerun = "self"`, t.On)
+			}
+		default:
+			if r.Target = l.p.Stage(t.Rerun); !slices.Contains(l.p.Stages[r.On].Above, r.Target) {
+				var above []string
+				for _, n := range l.p.Stages[r.On].Above {
+					above = append(above, l.p.Stages[n].Name)
+				}
+				return l.doc.At(at("rerun"), `%q is not above %q, so it mends nothing: write "self", "cause.input"%s`, t.Rerun, t.On, list(above))
+			}
+		}
+		if err := l.possible(r, at); err != nil {
+			return err
+		}
+		if err := l.condition(r, t.When, at); err != nil {
+			return err
+		}
+		l.p.Rules = append(l.p.Rules, r)
+	}
+	return nil
+}
+
+func list(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return " or one of " + strings.Join(names, ", ")
+}
+
+// targets is all stages that a rule may rerun first.
+func (p *Pipeline) targets(r *Rule) []int {
+	switch r.Target {
+	case Self:
+		return []int{r.On}
+	case Input:
+		return p.Stages[r.On].Needs
+	}
+	return []int{r.Target}
+}
+
+// possible finds narrowings that leave nobody, by what the module allows.
+func (l *loader) possible(r *Rule, at func(string) string) error {
+	for _, i := range l.p.targets(r) {
+		class := l.site.Classes[l.p.Stages[i].Class]
+		if r.Where == OtherKind && class.Kind != "" {
+			return l.doc.At(at("where"), `class %q allows only kind %q, so no other kind can have it: write "other-worker" or "other-site"`, l.p.Stages[i].Class, class.Kind)
+		}
+		if r.Where == OtherZone && len(l.site.Zones) < 2 {
+			return l.doc.At(at("where"), `there is one zone: write "other-worker" or "other-site"`)
+		}
+	}
+	return nil
+}
+
+// spread reads "2s..30s", or "2s", or nothing: one second to thirty.
+func spread(text string) (from, to time.Duration, err error) {
+	if text == "" {
+		return time.Second, 30 * time.Second, nil
+	}
+	a, b, two := strings.Cut(text, "..")
+	if !two {
+		b = a
+	}
+	for _, part := range []struct {
+		text string
+		into *time.Duration
+	}{{a, &from}, {b, &to}} {
+		var d siteconf.Duration
+		if err := d.UnmarshalText([]byte(strings.TrimSpace(part.text))); err != nil {
+			return 0, 0, err
+		}
+		*part.into = time.Duration(d)
+	}
+	if to < from || from < 10*time.Millisecond || to > 24*time.Hour {
+		return 0, 0, fmt.Errorf(`%q: write the shorter time first, such as "2s..30s", from "10ms" to "24h"`, text)
+	}
+	return from, to, nil
+}
+
+// budget reads "tenant:3%" or "fleet".
+func budget(text string) (float64, error) {
+	switch share, tenant := strings.CutPrefix(text, "tenant:"); {
+	case text == "fleet":
+		return 0, nil
+	case tenant:
+		var p siteconf.Percent
+		if err := p.UnmarshalText([]byte(share)); err != nil {
+			return 0, err
+		} else if p == 0 {
+			return 0, fmt.Errorf(`0%%: no rerun could ever be; write "tenant:3%%" or remove the rule`)
+		}
+		return float64(p), nil
+	case text == "":
+		return 0, fmt.Errorf(`missing: write budget = "tenant:3%%", or "fleet"`)
+	}
+	return 0, fmt.Errorf(`%s: write "tenant:3%%" (of its tenant's first runs) or "fleet"`, strconv.Quote(text))
+}
+
+// Affected is what may run anew by one use of a rule whose target is a stage: the target, what uses it by whatever way
+// (or, where old outputs are kept, only what lies between), and the stage that failed.
+func (p *Pipeline) Affected(r *Rule, target int) (all []int) {
+	for i, s := range p.Stages {
+		below := i == target || slices.Contains(s.Above, target)
+		if below && (!r.Keep || i == target || i == r.On || slices.Contains(p.Stages[r.On].Above, i)) {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+// bound reckons the most that one run can cost: each stage once, and once more for each use of a rule that can reach
+// it, and for each rerun by others of what it uses.
+func (l *loader) bound() error {
+	p := l.p
+	b := Bound{Runs: make([]int, len(p.Stages))}
+	for i := range p.Stages {
+		b.Runs[i] = 1
+	}
+	for _, r := range p.Rules {
+		reached := map[int]bool{}
+		for _, t := range p.targets(r) {
+			for _, i := range p.Affected(r, t) {
+				reached[i] = true
+			}
+		}
+		for i := range reached {
+			b.Runs[i] += r.Most
+		}
+	}
+	for i, s := range p.Stages {
+		if s.Shared != "" || slices.ContainsFunc(s.Above, func(a int) bool { return p.Stages[a].Shared != "" }) {
+			b.Runs[i] += p.Others
+		}
+		b.All += b.Runs[i]
+		b.Work += time.Duration(b.Runs[i]) * s.Work
+	}
+	p.Bound = b
+	switch {
+	case b.All > mostRuns:
+		return l.fault("name", "a run could take %d runs of stages, over %d: lower the most of its rules", b.All, mostRuns)
+	case l.text.Work > 0 && b.Work > time.Duration(l.text.Work):
+		return l.fault("most_work", "a run could take %v of work: lower the most of its rules, or write most_work = %q", b.Work, b.Work)
+	}
+	return nil
+}
+
+// String is the bound in words, for operators.
+func (p *Pipeline) String() string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "pipeline %s: at most %d runs, %v of work, within %v:", p.Name, p.Bound.All, p.Bound.Work, p.Within)
+	for i, stage := range p.Stages {
+		fmt.Fprintf(&s, " %s %d", stage.Name, p.Bound.Runs[i])
+	}
+	return s.String()
+}
