Decide about gangs: holds over several groups committed in a replicated log, and starts together or not at all

Cause: members of a gang at partners' sites must start together or none, though whoever coordinates may die at any step and slots of different encoders, and what a partner lends, are accounted in different groups. Change: package internal/gang, without I/O. A Machine (of a replicated group) has the accounts and the gangs whose home it is. Holds are a two-phase commitment: the last group's yes, a command in the home's log, is the decision, at no other place; no hold expires by itself. Moves are a further round in which the holds before stay in force.

--- /dev/null
+++ b/internal/gang/gang_test.go
@@ -0,0 +1,450 @@
+package gang
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// The same verdict every time, unless told otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		f.Value.Set("20261202")
+	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == "100" { // each is minutes of virtual time
+		f.Value.Set("15")
+	}
+	os.Exit(m.Run())
+}
+
+const unix = 1_700_000_000 * time.Second
+
+// world is groups with their logs, coordinators that come and go, dispatchers with clocks of their own, encoders, and a
+// network with faults, in virtual time. Daemon i leads group i and those whose daemons are down.
+type world struct {
+	t require.TestingT
+	*rand.Rand
+	now     time.Duration
+	groups  []*Machine
+	daemons []*daemon
+	enc     []Encoder
+	lenders map[string]LenderAt
+	mail    []post
+	loss    float64
+	cut     map[[2]int]bool // from one daemon to another
+	runs    map[string]*run // by key
+	sent    map[string]int  // by gang and member: how often
+	killed  map[string]bool // gangs a dispatcher of which died around the start: nobody can call its members off
+	stats   map[string]int
+	skew    time.Duration
+	waited  time.Duration
+	specs   map[string]Spec
+}
+
+type daemon struct {
+	n    int
+	name string
+	up   bool
+	*Coordinator
+	*Starter
+	offset time.Duration
+	rate   float64
+	leads  map[int]bool
+}
+
+type run struct {
+	gang      string
+	round     uint64
+	member    int
+	encoder   string
+	at, until time.Duration
+	slots     int
+	ends      time.Duration
+}
+
+type post struct {
+	at time.Duration
+	do func()
+}
+
+func (d *daemon) clock(now time.Duration) time.Duration {
+	return now + d.offset + time.Duration(float64(now-unix)*d.rate)
+}
+
+func newWorld(t require.TestingT, seed uint64, groups, daemons, encoders int) *world {
+	w := &world{
+		t: t, Rand: rand.New(rand.NewPCG(seed, 7)), now: unix, lenders: map[string]LenderAt{}, cut: map[[2]int]bool{}, runs: map[string]*run{},
+		sent: map[string]int{}, killed: map[string]bool{}, stats: map[string]int{}, specs: map[string]Spec{},
+	}
+	for range groups {
+		w.groups = append(w.groups, New())
+	}
+	for n := range daemons {
+		d := &daemon{n: n, name: fmt.Sprint("n", n), offset: time.Duration(w.Int64N(int64(80*ms))) - 40*ms, rate: (w.Float64() - 0.5) * 1e-4}
+		w.daemons = append(w.daemons, d)
+		w.boot(d)
+	}
+	for i := range encoders {
+		e := Encoder{ID: fmt.Sprint("s-", i), Site: []string{"a", "b"}[i%2], Kind: "m2", Slots: 4, Gen: 1, Group: uint32(i % groups), Partner: []string{"", "tuk"}[i%2]}
+		w.enc = append(w.enc, e)
+		w.do(e.Group, Command{Op: "set", Resource: &Resource{ID: e.Account(), Slots: e.Slots, Gen: 1}})
+	}
+	w.lend(6, 1)
+	return w
+}
+
+func (w *world) lend(slots int, gen uint64) {
+	g := uint32(len(w.groups) - 1)
+	w.lenders["tuk"] = LenderAt{g}
+	w.do(g, Command{Op: "set", Resource: &Resource{ID: Lender("tuk"), Slots: slots, Gen: gen}})
+}
+
+func (w *world) boot(d *daemon) {
+	d.up, d.Coordinator, d.Starter = true, NewCoordinator(), NewStarter()
+	d.leads = map[int]bool{}
+}
+
+// do applies a command: what a group's majority does at once.
+func (w *world) do(group uint32, c Command) Result {
+	m := w.groups[group]
+	r, err := Decode(m.Apply(0, w.now, c.Encode()))
+	require.NoError(w.t, err)
+	if c.Op == "prepare" && r.OK {
+		w.sums(m, c.Standing.Gang)
+	}
+	return r
+}
+
+// sums checks the accounts that a gang has just got room of, at each moment at which anything begins to be held.
+func (w *world) sums(m *Machine, gang string) {
+	for _, mine := range m.Standing {
+		for _, h := range mine.Holds {
+			for _, o := range m.Standing {
+				for _, at := range o.Holds {
+					if mine.Gang != gang || at.Resource != h.Resource || at.From < h.From || at.From >= h.Until {
+						continue
+					}
+					if n := slotsAt(m, h.Resource, at.From); n > m.Resources[h.Resource].Slots {
+						w.t.Errorf("%s: %d of %d slots", h.Resource, n, m.Resources[h.Resource].Slots)
+						w.t.FailNow()
+					}
+				}
+			}
+		}
+	}
+}
+
+// slotsAt is what is held of a resource at a moment; of a gang's rounds, the larger.
+func slotsAt(m *Machine, id string, at time.Duration) (all int) {
+	sum := map[string]int{}
+	for _, s := range m.Standing {
+		n := 0
+		for _, o := range s.Holds {
+			if o.Resource == id && o.From <= at && at < o.Until {
+				n += o.Slots
+			}
+		}
+		sum[s.Gang] = max(sum[s.Gang], n)
+	}
+	for _, n := range sum {
+		all += n
+	}
+	return all
+}
+
+func (w *world) post(after time.Duration, do func()) {
+	w.mail = append(w.mail, post{w.now + after, do})
+}
+
+// send is a message from one daemon to another.
+func (w *world) send(from, to *daemon, do func()) {
+	if from == to || w.Float64() >= w.loss && !w.cut[[2]int{from.n, to.n}] {
+		w.post(time.Duration(1+w.IntN(8))*ms, func() {
+			if to.up {
+				do()
+			}
+		})
+	}
+}
+
+func (w *world) leader(group int) *daemon {
+	for i := range w.daemons {
+		if d := w.daemons[(group+i)%len(w.daemons)]; d.up {
+			return d
+		}
+	}
+	return nil
+}
+
+func (w *world) act(d *daemon) {
+	c := d.Coordinator
+	for _, a := range c.Did() {
+		switch a := a.(type) {
+		case Propose:
+			lost := w.Float64() < w.loss // the word, or the answer
+			w.post(time.Duration(1+w.IntN(6))*ms, func() {
+				if lost && w.IntN(2) == 0 {
+					w.post(200*ms, func() { c.Answered(d.clock(w.now), a.Key, Result{}, false) })
+					return
+				}
+				r := w.do(a.Group, a.Command)
+				w.post(time.Duration(1+w.IntN(6))*ms, func() { c.Answered(d.clock(w.now), a.Key, r, !lost) })
+			})
+		case Look:
+			v := View{Lenders: w.lenders, Accounts: map[string]Resource{}}
+			for _, m := range w.groups {
+				maps.Copy(v.Accounts, m.Resources)
+				text, _ := json.Marshal(m.Standing)
+				var s []Standing
+				json.Unmarshal(text, &s)
+				v.Standing = append(v.Standing, s...)
+			}
+			for _, o := range w.daemons {
+				if o.up {
+					v.Starters = append(v.Starters, Dispatcher{o.name, []string{"a", "b"}[o.n%2]})
+				}
+			}
+			w.post(3*ms, func() { c.Viewed(d.clock(w.now), v) })
+		case Tell:
+			to, sent := w.daemons[slices.IndexFunc(w.daemons, func(o *daemon) bool { return o.name == a.To })], d.clock(w.now)
+			home := w.home(a.Gang)
+			w.send(d, to, func() {
+				said := to.Starter.Word(to.clock(w.now), a.Word)
+				w.begin(to)
+				w.send(to, d, func() { c.Said(d.clock(w.now), sent, a.To, a.Word, said, home) })
+			})
+		}
+	}
+}
+
+func (w *world) home(gang string) uint32 {
+	for g, m := range w.groups {
+		if m.Gangs[gang] != nil {
+			return uint32(g)
+		}
+	}
+	return 0
+}
+
+// begin has encoders take what a dispatcher sends, and drop what it gives up.
+func (w *world) begin(d *daemon) {
+	s := d.Starter
+	for _, a := range s.Did() {
+		var p run
+		if a.Do != Launch {
+			w.post(ms, func() {
+				if r := w.runs[a.Key]; r != nil {
+					r.until = min(r.until, w.now)
+				}
+			})
+			continue
+		}
+		part := s.parts[a.Key]
+		p = run{gang: part.gang, round: part.round, member: part.Member, encoder: a.Encoder, slots: a.Member.Slots}
+		i := slices.IndexFunc(w.enc, func(e Encoder) bool { return e.ID == a.Encoder })
+		w.post(2*ms, func() {
+			used := 0
+			for _, r := range w.runs {
+				if r.encoder == p.encoder && r.until > w.now {
+					used += r.slots
+				}
+			}
+			require.LessOrEqual(w.t, used, w.enc[i].Slots)
+			if w.enc[i].Out || used+p.slots > w.enc[i].Slots {
+				w.stats["refused"]++
+				w.post(2*ms, func() { s.Over(d.clock(w.now), a.Key, NeverRan, "refused") })
+				return
+			}
+			p.at, p.until = w.now, w.now+a.Member.Work
+			w.runs[a.Key] = &p
+			w.sent[fmt.Sprint(p.gang, "/", p.member)]++
+			w.post(2*ms, func() { s.Began(d.clock(w.now), a.Key) })
+			w.post(a.Member.Work+2*ms, func() { s.Over(d.clock(w.now), a.Key, Done, "") })
+		})
+	}
+}
+
+func (w *world) run(long time.Duration) {
+	for end := w.now + long; w.now < end; w.now += 5 * ms {
+		due := w.mail
+		w.mail = nil
+		slices.SortStableFunc(due, func(a, b post) int { return int(a.at - b.at) })
+		for _, p := range due {
+			if p.at <= w.now {
+				p.do()
+			} else {
+				w.mail = append(w.mail, p)
+			}
+		}
+		for g, m := range w.groups {
+			if d := w.leader(g); d != nil {
+				d.Coordinator.Step(d.clock(w.now), uint32(g), m, w.enc)
+				w.act(d)
+			}
+		}
+		for _, d := range w.daemons {
+			if d.up {
+				d.Starter.Tick(d.clock(w.now))
+				w.begin(d)
+			}
+		}
+		w.check()
+	}
+}
+
+// check looks for starts by halves: half a second and what clocks may be off after the first member's start, all run, or
+// have been done, or none does.
+func (w *world) check() {
+	first := map[string]*run{}
+	for _, r := range w.runs {
+		id := fmt.Sprint(r.gang, "/", r.round)
+		if f := first[id]; f == nil || r.at < f.at {
+			first[id] = r
+		}
+	}
+	for _, f := range first {
+		if w.now-f.at < 560*ms || w.killed[f.gang] {
+			continue
+		}
+		n, last := 0, f.at
+		for _, r := range w.runs {
+			if r.gang == f.gang && r.round == f.round {
+				n++
+				last = max(last, r.at)
+			}
+		}
+		switch all := len(w.specs[f.gang].Members); {
+		case n == all:
+			w.skew = max(w.skew, last-f.at)
+			if last-f.at > w.specs[f.gang].Skew {
+				w.t.Errorf("%s: members start %v apart", f.gang, last-f.at)
+			}
+		default:
+			for _, r := range w.runs {
+				if r.gang == f.gang && r.round == f.round && r.until > f.at+560*ms {
+					w.t.Errorf("%s round %d: %d of %d run", f.gang, f.round, n, all)
+					w.t.FailNow()
+				}
+			}
+		}
+	}
+	for _, r := range w.runs {
+		if w.specs[r.gang].Members[r.member].Once && w.sent[fmt.Sprint(r.gang, "/", r.member)] > 1 {
+			w.t.Errorf("%s: member %d ran twice", r.gang, r.member)
+			w.t.FailNow()
+		}
+	}
+}
+
+func (w *world) submit(id string, window time.Duration, members ...Member) {
+	s := Spec{ID: id, Members: members, NotBefore: w.now, LatestStart: w.now + window}
+	r := w.do(uint32(len(id)+int(id[len(id)-1]))%uint32(len(w.groups)), Command{Op: "submit", Spec: &s})
+	require.True(w.t, r.OK, r.Err)
+	w.specs[id] = r.Entry.Spec
+}
+
+func (w *world) entries() (all []*Entry) {
+	for _, m := range w.groups {
+		for _, e := range m.Gangs {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+func (w *world) open() (n int) {
+	for _, e := range w.entries() {
+		if e.State != Ended || len(e.Due) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Whatever is lost, cut, killed, drained or lent less: no account is passed, no gang runs by halves beyond half a second,
+// members that must not run twice do not, and every gang ends, with nothing left held.
+func TestTogetherOrNotAtAll(t *testing.T) {
+	total, worst := map[string]int{}, time.Duration(0)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4, 6)
+		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		trouble := rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "trouble")
+		gen := uint64(1)
+		for i := range 14 {
+			var members []Member
+			for range 2 + w.IntN(3) {
+				members = append(members, Member{Site: []string{"a", "b", ""}[w.IntN(3)], Kind: "m2", Slots: 1 + w.IntN(3), Work: time.Duration(500+w.IntN(1500)) * ms, Class: "live", Once: w.IntN(2) == 0})
+			}
+			w.submit(fmt.Sprint("g", i), time.Duration(3+w.IntN(12))*time.Second, members...)
+			for range 10 {
+				w.run(50 * ms)
+				if w.Float64() >= trouble {
+					continue
+				}
+				d := w.daemons[w.IntN(len(w.daemons))]
+				switch w.IntN(5) {
+				case 0: // its members run on where they are: nobody can call them off
+					for _, e := range w.entries() {
+						if e.Plan != nil && slices.Contains(e.Plan.Starters, d.name) && w.now > e.Plan.Start-100*ms {
+							w.killed[e.Spec.ID] = true
+						}
+					}
+					w.boot(d)
+				case 1, 2:
+					w.cut[[2]int{d.n, w.IntN(4)}] = true
+				case 3:
+					w.cut = map[[2]int]bool{}
+				case 4:
+					x := &w.enc[w.IntN(len(w.enc))]
+					if x.Out = !x.Out; w.IntN(3) == 0 {
+						gen++
+						w.lend(3+w.IntN(4), gen)
+					}
+				}
+			}
+		}
+		w.loss, w.cut = 0, map[[2]int]bool{}
+		for range 60 {
+			if w.run(500 * ms); w.open() == 0 {
+				break
+			}
+		}
+		for _, e := range w.entries() {
+			if e.State != Ended || len(e.Due) > 0 {
+				t.Fatalf("%s: %s, due %v: %s", e.Spec.ID, e.State, e.Due, e.Why)
+			}
+			total[e.Verdict]++
+			total["moves"] += e.Moves
+			total["plans"] += e.Plans
+			for _, r := range w.runs {
+				if r.gang == e.Spec.ID && e.Verdict == Completed && r.until != r.at+e.Spec.Members[r.member].Work && r.round == e.Round {
+					t.Fatalf("%s is done, and member %d was cut short", e.Spec.ID, r.member)
+				}
+			}
+		}
+		for g, m := range w.groups {
+			m.past(w.now)
+			require.Empty(t, m.Standing, g)
+		}
+		for k, n := range w.stats {
+			total[k] += n
+		}
+		worst = max(worst, w.skew)
+	})
+	t.Log(total, "worst skew", worst)
+	for _, what := range []string{Completed, NotStarted, "moves", "refused"} {
+		require.NotZero(t, total[what], what)
+	}
+}
--- /dev/null
+++ b/internal/gang/keeper.go
@@ -0,0 +1,222 @@
+package gang
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+func search(a []uint32, x uint32) (int, bool) { return slices.BinarySearch(a, x) }
+
+func insert(a []uint32, i int, x uint32) []uint32 { return slices.Insert(a, i, x) }
+
+// Resource is an account: an encoder's slots, or what a partner lends.
+type Resource struct {
+	ID    string  `json:"id"`
+	Slots int     `json:"slots"`           // at once
+	Hours float64 `json:"hours,omitempty"` // slot-hours in a day of UTC; 0: no bound
+	Gen   uint64  `json:"gen"`             // a hold for another is refused; it only grows
+}
+
+// Standing is what a gang has of this group's accounts in one round of planning.
+type Standing struct {
+	Gang      string        `json:"gang"`
+	Round     uint64        `json:"round"`
+	Home      uint32        `json:"home"`
+	Age       time.Duration `json:"age"` // when the gang was submitted
+	Holds     []Hold        `json:"holds"`
+	Committed bool          `json:"committed,omitempty"`
+}
+
+// keeper is the accounts of a group. A hold stays until the gang's home says otherwise, or its time is past: nothing
+// here lets go of one that may be committed.
+type keeper struct {
+	Resources map[string]Resource `json:"resources"`
+	Standing  []Standing          `json:"standing"` // by gang and round
+	Over      map[string]over     `json:"over"`     // rounds that are over, lest one of their messages come late
+}
+
+type over struct {
+	Round uint64        `json:"round"`
+	At    time.Duration `json:"at"`
+}
+
+func (k *keeper) find(gang string, round uint64) (int, bool) {
+	return slices.BinarySearchFunc(k.Standing, Standing{Gang: gang, Round: round}, func(a, b Standing) int {
+		return cmp.Or(cmp.Compare(a.Gang, b.Gang), cmp.Compare(a.Round, b.Round))
+	})
+}
+
+// past drops holds whose time is over, and forgets old rounds.
+func (k *keeper) past(at time.Duration) {
+	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool {
+		return !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at })
+	})
+	if len(k.Over) > mostHolds {
+		maps.DeleteFunc(k.Over, func(_ string, o over) bool { return o.At < at-keepOver })
+	}
+}
+
+// set opens or changes an account. What is held stays, also beyond a lower bound: a partner that lends less recalls
+// nothing by itself, the gangs' homes do.
+func (k *keeper) set(r Resource) Result {
+	before, known := k.Resources[r.ID]
+	switch {
+	case r.ID == "" || len(r.ID) > 2*mostName || r.Slots < 0 || r.Slots > 1<<20 || !(r.Hours >= 0):
+		return Result{Err: "not a resource"}
+	case known && r.Gen < before.Gen:
+		return Result{Err: "an older one", Gen: before.Gen}
+	case !known && len(k.Resources) >= mostHolds:
+		return Result{Err: "too many resources"}
+	}
+	k.Resources[r.ID] = r
+	return Result{OK: true}
+}
+
+// prepare takes holds, all or none. Those of the gang's other rounds count once with them, whichever is larger.
+func (k *keeper) prepare(at time.Duration, s Standing) Result {
+	i, have := k.find(s.Gang, s.Round)
+	switch {
+	case have:
+		return Result{OK: true}
+	case k.Over[s.Gang].Round >= s.Round:
+		return Result{Err: "the round is over"}
+	case len(s.Holds) == 0 || len(s.Holds) > 2*MostMembers:
+		return Result{Err: "no holds, or too many"}
+	case len(k.Standing) >= mostHolds:
+		return Result{Full: true, Err: "too many holds"}
+	}
+	for _, h := range s.Holds {
+		r, known := k.Resources[h.Resource]
+		switch {
+		case !known || r.Gen != h.Gen:
+			return Result{Stale: true, Err: fmt.Sprintf("%s is not what it was", h.Resource), Gen: r.Gen}
+		case h.Until <= h.From || h.Until <= at || h.Slots < 1 || h.Until-h.From > 2*mostWork:
+			return Result{Err: "not a hold"}
+		}
+	}
+	s.Committed = false
+	with := slices.Insert(slices.Clone(k.Standing), i, s)
+	if h, fits := k.fits(with, s.Holds); !fits {
+		res := Result{Full: true, Err: h.Resource + " is full"}
+		firm := slices.DeleteFunc(slices.Clone(with), func(o Standing) bool { return !o.Committed && o.Gang != s.Gang })
+		if _, fits := k.fits(firm, s.Holds); fits { // only such are in the way that may yet give way
+			for _, o := range with {
+				if !o.Committed && o.Gang != s.Gang && overlap(o.Holds, s.Holds) {
+					res.With = append(res.With, Rival{o.Gang, o.Round, o.Home, o.Age})
+				}
+			}
+		}
+		return res
+	}
+	k.Standing = with
+	return Result{OK: true}
+}
+
+func overlap(a, b []Hold) bool {
+	for _, x := range a {
+		for _, y := range b {
+			if x.Resource == y.Resource && x.From < y.Until && y.From < x.Until {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fits tells whether no account that the holds touch is passed at any time of theirs, and if one is, for which hold.
+func (k *keeper) fits(all []Standing, holds []Hold) (Hold, bool) {
+	for _, h := range holds {
+		r := k.Resources[h.Resource]
+		at := []time.Duration{h.From}
+		for _, s := range all {
+			for _, o := range s.Holds {
+				if o.Resource == h.Resource && o.From > h.From && o.From < h.Until {
+					at = append(at, o.From)
+				}
+			}
+		}
+		for _, t := range at {
+			if used(all, h.Resource, func(o Hold) float64 {
+				if o.From <= t && t < o.Until {
+					return float64(o.Slots)
+				}
+				return 0
+			}) > float64(r.Slots) {
+				return h, false
+			}
+		}
+		if r.Hours == 0 {
+			continue
+		}
+		for d := day(h.From); d < h.Until; d += 24 * time.Hour {
+			if used(all, h.Resource, func(o Hold) float64 {
+				return float64(o.Slots) * max(0, min(o.Until, d+24*time.Hour)-max(o.From, d)).Hours()
+			}) > r.Hours {
+				return h, false
+			}
+		}
+	}
+	return Hold{}, true
+}
+
+func day(t time.Duration) time.Duration { return t - t%(24*time.Hour) }
+
+// used sums up what gangs have of a resource; of a gang with several rounds only one will count, the larger is taken.
+func used(all []Standing, resource string, of func(Hold) float64) (sum float64) {
+	for i := 0; i < len(all); {
+		most := 0.0
+		for gang := all[i].Gang; i < len(all) && all[i].Gang == gang; i++ {
+			n := 0.0
+			for _, h := range all[i].Holds {
+				if h.Resource == resource {
+					n += of(h)
+				}
+			}
+			most = max(most, n)
+		}
+		sum += most
+	}
+	return sum
+}
+
+// commit makes a round's holds firm; those of the gang's earlier rounds are over with it.
+func (k *keeper) commit(at time.Duration, gang string, round uint64) Result {
+	i, have := k.find(gang, round)
+	if !have {
+		if k.Over[gang].Round >= round {
+			return Result{OK: true} // and released since
+		}
+		return Result{Err: "there is no such hold"} // its time is past
+	}
+	k.Standing[i].Committed = true
+	k.end(at, gang, round-1)
+	return Result{OK: true}
+}
+
+// abort drops a round's holds that were not committed.
+func (k *keeper) abort(at time.Duration, gang string, round uint64) Result {
+	i, have := k.find(gang, round)
+	switch {
+	case have && k.Standing[i].Committed:
+		return Result{Err: "it is committed"}
+	case have:
+		k.Standing = slices.Delete(k.Standing, i, i+1)
+	}
+	// An earlier round may be in force, in a move: it stays. But nothing of this one, which may come late, is taken.
+	if k.Over[gang].Round < round {
+		k.Over[gang] = over{round, at}
+	}
+	return Result{OK: true}
+}
+
+// end drops all of a gang's holds up to a round: its home has so decided after it committed them.
+func (k *keeper) end(at time.Duration, gang string, round uint64) Result {
+	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool { return s.Gang == gang && s.Round <= round })
+	if k.Over[gang].Round < round {
+		k.Over[gang] = over{round, at}
+	}
+	return Result{OK: true}
+}
