Ask for the list by one pure clock, after silence too, and read lists that come indented

Change: internal/listclock, a clock without I/O (when last told, by when to ask, when to ask, from when not to send), has all these moments; nametable has its deadlines from it and calls itself after silence and moves: 3 to 5 s after the last sign of life, spread over the fleet (20 ms a dispatcher, 2 s at most); silent agents after half of the grace; moves over 3 s with the old watch read until then; at the latest 38 to 39 s after a failed call. Lists are JSON values in any pieces. A silent watch is told to a sharer (members) as lost, and not to the module, which would begin a turn of its own.

--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -2,27 +2,28 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
 	"time"
 
+	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
+	"caperrelay/internal/listclock"
 	"caperrelay/internal/net/http1"
 )
 
-// The patience with discovery. It is one service for all dispatchers: a call may wait in
-// its queue, but a watch says something every 2 s, if only an empty line.
 const (
-	answerPatience = 5 * time.Second
-	agentPatience  = time.Second             // with an agent on this machine, which answers at once or is down
-	quietest       = 3200 * time.Millisecond // what is told counts as told after 6 s, heard or not
-	jitter         = 400 * time.Millisecond  // of the first call after a move
-	maxObject      = 4 << 20                 // one line of a watch
+	maxObject = 4 << 20               // bytes of one list, with the blanks before it
+	pace      = 20 * time.Millisecond // a dispatcher, at which the fleet's calls for one cause are spread; as in decide
+	slack     = 10 * time.Millisecond // by which a timer may be early
 )
 
 // ErrNobody says that a call has reached nobody: it has cost the service nothing.
@@ -34,31 +35,41 @@
 	Listed(dispatch.List)
 	// Alive: the watch is on, and nothing has changed.
 	Alive()
+	// Silent: the watch, or the call for one, has fallen silent, for the nth time in a row from 1, and is made anew
+	// right now.
+	Silent(n int, err error)
 	// Lost: the watch, or the call for one, has failed. The table stays as it was.
 	Lost(error)
 }
 
-// Watcher keeps a watch on the name table's changes.
+// Watcher keeps a watch on the name table's changes. When it calls goes by its [listclock.Clock], and by Subscribe.
 type Watcher struct {
-	silence time.Duration // after which a watch counts as lost
-	wanted  chan struct{}
+	start  time.Time // of the clock
+	wanted chan struct{}
+	nudged chan struct{} // the clock tells another time than before
+	dial   func(ctx context.Context, address string, by time.Time) (net.Conn, error)
 
 	mu       sync.Mutex
+	clock    *listclock.Clock
 	address  string
 	revision int64
 	leave    context.CancelFunc // ends the watch that is on
-	moved    bool               // since that watch began
-	patience time.Duration      // with a call's answer
+	rested   bool               // the watch that is on was ended by Rest
+	answered bool               // the call for it succeeded
 }
 
-// NewWatcher watches from the given revision on.
-func NewWatcher(address string, revision int64) *Watcher {
+// NewWatcher watches from the given revision on, as the settings say.
+func NewWatcher(address string, revision int64, s decide.Settings) *Watcher {
 	return &Watcher{
-		address: address, revision: revision, silence: quietest, wanted: make(chan struct{}, 1), leave: func() {},
-		patience: answerPatience,
+		address: address, revision: revision, start: time.Now(), wanted: make(chan struct{}, 1), nudged: make(chan struct{}, 1),
+		leave: func() {}, clock: listclock.New(terms(s), 0), dial: dial,
 	}
 }
 
+func dial(ctx context.Context, address string, by time.Time) (net.Conn, error) {
+	return (&net.Dialer{Deadline: by}).DialContext(ctx, "tcp", address)
+}
+
 // From has the first watch be at an address, from a revision on. It must come before Run.
 func (w *Watcher) From(address string, revision int64) {
 	w.mu.Lock()
@@ -66,104 +77,206 @@
 	w.address, w.revision = address, revision
 }
 
-// AtAgent says whether the name table's peer is an agent on this machine, which has been sent the table, and
-// no service that many call.
-func (w *Watcher) AtAgent(yes bool) {
+// Retune has other settings count from now on.
+func (w *Watcher) Retune(s decide.Settings) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.patience = answerPatience; yes {
-		w.patience = agentPatience
+	w.clock.Retune(terms(s))
+	nudge(w.nudged)
+}
+
+// terms is what the settings say of the list. A pushed one comes by an agent on this machine, which has been sent it;
+// else by a service that many call.
+func terms(s decide.Settings) listclock.Terms {
+	t := listclock.Terms{Way: listclock.Watched, Within: s.Rules.MustAskIn, Grace: s.Rules.DrainGrace, Spread: time.Duration(s.Dispatchers) * pace}
+	if s.Pushed {
+		t.Way = listclock.Pushed
 	}
+	return t
 }
 
-// Subscribe asks for a watch. It never blocks; while one is on, it does nothing.
-func (w *Watcher) Subscribe() {
+func (w *Watcher) now() time.Duration { return time.Since(w.start) }
+
+func nudge(c chan struct{}) {
 	select {
-	case w.wanted <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// Move has the name table at another address from now on. The watch there begins with the
-// whole table: revisions told by another peer say nothing of what this one has told.
+// Subscribe asks for a watch. It never blocks; while one is on, it does nothing.
+func (w *Watcher) Subscribe() { nudge(w.wanted) }
+
+// Move has the name table at another address from now on. The watch there begins with the whole table: revisions told
+// by another peer say nothing of what this one has told. Until the clock has it begin, the watch that is on stays.
 func (w *Watcher) Move(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.address, w.revision, w.moved = address, 0, true
-	w.leave()
-	w.Subscribe()
+	w.address, w.revision = address, 0
+	w.clock.Moved(w.now())
+	nudge(w.nudged)
+	if ask, ok := w.clock.Ask(); ok {
+		time.AfterFunc(ask-w.now(), w.follow)
+	}
+}
+
+// Moving tells whether what is told still comes from an address that the name table has left.
+func (w *Watcher) Moving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Moving()
+}
+
+// follow ends the watch at an address that the name table has left.
+func (w *Watcher) follow() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.clock.Moving() {
+		w.leave()
+	}
 }
 
 // Rest ends the watch that is on, and what is asked for: others tell of changes. The next Subscribe begins one again.
 func (w *Watcher) Rest() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.forget()
+	w.clock.Rest(w.now())
+	w.rested = true
+	w.leave()
+}
+
+// forget drops what was asked for.
+func (w *Watcher) forget() {
 	select {
 	case <-w.wanted:
 	default:
 	}
-	w.leave()
 }
 
-// Run serves subscriptions until the context ends. When to ask again after a loss is
-// the decision of whoever subscribes.
+// Run serves subscriptions until the context ends. When to ask again after a loss is the decision of whoever
+// subscribes, and at the latest the clock's; after silence, and after a move, it is the clock's alone.
 func (w *Watcher) Run(ctx context.Context, sink Sink) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-w.wanted:
-		}
+	silent := 0 // calls and watches in a row
+	for again := false; again || w.wait(ctx); {
 		on, leave := context.WithCancel(ctx)
-		w.mu.Lock()
-		address, revision, moved, patience := w.address, w.revision, w.moved, w.patience
-		w.leave, w.moved = leave, false
-		w.mu.Unlock()
-		if moved { // all dispatchers are told at once; discovery works through calls in turn
-			select {
-			case <-on.Done():
-			case <-time.After(rand.N(jitter)):
-			}
+		address, revision, ok := w.call(leave, again)
+		if again = false; !ok {
+			leave()
+			continue
 		}
-		err := w.watch(on, sink, address, revision, time.Now().Add(patience))
+		err := w.watch(on, sink, address, revision)
 		leave()
 		if ctx.Err() != nil {
 			return
 		}
-		w.mu.Lock()
-		moved = w.moved
-		if !moved {
-			select { // what was asked for while this watch was on is answered with it
-			case <-w.wanted:
-			default:
-			}
+		how, answered := w.over(err)
+		if answered {
+			silent = 0
 		}
-		w.mu.Unlock()
-		if !moved { // else it was not lost: the next is wanted already
+		switch again = how == anew || how == left; how {
+		case anew:
+			silent++
+			sink.Silent(silent, err)
+		case lost:
 			sink.Lost(err)
 		}
 	}
 }
 
-// told keeps the revision from which a later watch goes on; false: the table has moved.
-func (w *Watcher) told(revision int64) bool {
+// wait waits until a watch is wanted, or the clock says so; false: the context has ended.
+func (w *Watcher) wait(ctx context.Context) bool {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		w.mu.Lock()
+		ask, goes := w.clock.Ask()
+		w.mu.Unlock()
+		if alarm.Stop(); goes {
+			alarm.Reset(ask - w.now())
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-w.wanted:
+			return true
+		case <-w.nudged:
+		case <-alarm.C:
+			return true
+		}
+	}
+}
+
+// call tells the clock of a call, and says where; false: it is not to be made, since others tell of changes meanwhile.
+func (w *Watcher) call(leave context.CancelFunc, again bool) (address string, revision int64, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.moved {
+	if again && w.rested {
+		return "", 0, false
+	}
+	w.clock.Called(w.now(), 0, rand.Float64())
+	w.leave, w.rested, w.answered = leave, false, false
+	return w.address, w.revision, true
+}
+
+// ending is how a watch ended.
+type ending int
+
+const (
+	lost  ending = iota // and others say when to ask again
+	anew                // it fell silent: it is opened anew now
+	left                // for another address, now
+	moves               // its address was left anyway, and the clock says when to call the other
+)
+
+// over takes the end of a watch.
+func (w *Watcher) over(err error) (how ending, answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rested { // what was asked for since then stands
+		return lost, w.answered
+	}
+	w.forget() // what was asked for while the watch was on is answered with it
+	ask, goes := w.clock.Ask()
+	due, moving := goes && w.now() > ask-slack, w.clock.Moving()
+	var timeout net.Error
+	switch {
+	case due && moving:
+		return left, w.answered
+	case due && errors.As(err, &timeout) && timeout.Timeout():
+		return anew, w.answered
+	}
+	if w.clock.Ended(w.now(), !w.answered); moving {
+		return moves, w.answered
+	}
+	return lost, w.answered
+}
+
+// told keeps the revision from which a later watch goes on.
+func (w *Watcher) told(revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.clock.Told(w.now()); !w.clock.Moving() {
 		w.revision = revision
 	}
-	return !w.moved
 }
 
-func (w *Watcher) watch(ctx context.Context, sink Sink, address string, revision int64, answered time.Time) error {
-	dialer := net.Dialer{Deadline: answered}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+// deadline is when what is open has been silent for too long.
+func (w *Watcher) deadline() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ask, _ := w.clock.Ask()
+	return w.start.Add(ask)
+}
+
+func (w *Watcher) watch(ctx context.Context, sink Sink, address string, revision int64) error {
+	conn, err := w.dial(ctx, address, w.deadline())
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNobody, err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if err := conn.SetDeadline(answered); err != nil {
+	if err := conn.SetWriteDeadline(w.deadline()); err != nil {
 		return err
 	}
 	target := "/catalog/members?stream=1&index=" + strconv.FormatInt(revision, 10)
@@ -171,7 +284,7 @@
 	if _, err := conn.Write(ask); err != nil {
 		return err
 	}
-	br := bufio.NewReaderSize(conn, http1.MaxLine)
+	br := bufio.NewReaderSize(signs{conn, w}, http1.MaxLine)
 	p, body, err := http1.ReadStream(br)
 	if err != nil {
 		return err
@@ -179,31 +292,86 @@
 	if p.Status != 200 {
 		return fmt.Errorf("discovery answered %d", p.Status)
 	}
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxObject)
-	for {
-		// Guards against a watch that has gone silent with its machine: a lost line would
-		// otherwise leave draining instances in use.
-		if err := conn.SetReadDeadline(time.Now().Add(w.silence)); err != nil {
-			return err
-		}
-		if !lines.Scan() {
-			if lines.Err() != nil {
-				return lines.Err()
-			}
+	w.mu.Lock()
+	w.answered = true
+	w.mu.Unlock()
+	return w.read(sink, body)
+}
+
+// read reads lists until the watch ends. Each is a JSON value, on one line or on many.
+func (w *Watcher) read(sink Sink, body io.Reader) error {
+	in := &objects{in: body, w: w, sink: sink}
+	for values := json.NewDecoder(in); ; {
+		var text json.RawMessage
+		if err := values.Decode(&text); errors.Is(err, io.EOF) {
 			return errors.New("the watch ended")
+		} else if err != nil {
+			return err
 		}
-		if len(lines.Bytes()) == 0 {
-			sink.Alive()
-			continue
-		}
-		l, err := ParseList(lines.Bytes())
+		l, err := ParseList(text)
 		if err != nil {
 			return err
 		}
-		if !w.told(l.Revision) {
-			return errors.New("the name table has moved")
+		w.told(l.Revision)
+		rest, err := io.ReadAll(values.Buffered())
+		if err != nil {
+			return err
 		}
+		in.next(rest)
 		sink.Listed(l)
 	}
 }
+
+// signs tells the clock of each sign of life on a connection, and goes by its patience.
+type signs struct {
+	net.Conn
+	w *Watcher
+}
+
+func (s signs) Read(p []byte) (int, error) {
+	// Guards against a watch that has gone silent with its machine: a lost line would otherwise leave draining
+	// instances in use.
+	if err := s.SetReadDeadline(s.w.deadline()); err != nil {
+		return 0, err
+	}
+	n, err := s.Conn.Read(p)
+	if n > 0 {
+		s.w.mu.Lock()
+		s.w.clock.Heard(s.w.now())
+		s.w.mu.Unlock()
+	}
+	return n, err
+}
+
+// objects passes a watch's body on and tells blanks between lists, which are its beat, from those inside.
+type objects struct {
+	in   io.Reader
+	w    *Watcher
+	sink Sink
+	size int // of the list that has begun; 0: none has
+}
+
+func (o *objects) Read(p []byte) (int, error) {
+	n, err := o.in.Read(p)
+	if o.take(p[:n]); n > 0 && o.size == 0 {
+		o.sink.Alive()
+	}
+	if o.size > maxObject {
+		return 0, fmt.Errorf("a list of over %d bytes", maxObject)
+	}
+	return n, err
+}
+
+// next says that a list is whole, and what came with it of the next.
+func (o *objects) next(rest []byte) { o.size = 0; o.take(rest) }
+
+func (o *objects) take(text []byte) {
+	if o.size == 0 {
+		if text = bytes.TrimLeft(text, " \t\r\n"); len(text) > 0 {
+			o.w.mu.Lock()
+			o.w.clock.Begun(o.w.now())
+			o.w.mu.Unlock()
+		}
+	}
+	o.size += len(text)
+}
--- a/internal/net/nametable/watch_test.go
+++ b/internal/net/nametable/watch_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
+	"slices"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -17,89 +19,308 @@
 )
 
 type sink struct {
-	listed chan dispatch.List
-	lost   chan error
+	listed       chan dispatch.List
+	alive        chan struct{}
+	silent, lost chan error
 }
 
-func (s sink) Listed(l dispatch.List) { s.listed <- l }
-func (s sink) Alive()                 {}
-func (s sink) Lost(err error)         { s.lost <- err }
+func newSink() sink {
+	return sink{make(chan dispatch.List, 99), make(chan struct{}, 999), make(chan error, 99), make(chan error, 99)}
+}
+
+func (s sink) Listed(l dispatch.List)  { s.listed <- l }
+func (s sink) Alive()                  { s.alive <- struct{}{} }
+func (s sink) Silent(_ int, err error) { s.silent <- err }
+func (s sink) Lost(err error)          { s.lost <- err }
+
+func of(dispatchers int, pushed bool) decide.Settings {
+	return decide.Settings{Dispatchers: dispatchers, Pushed: pushed, Rules: decide.Rules{MustAskIn: 10 * time.Second, DrainGrace: 500 * time.Millisecond}}
+}
+
+const (
+	head    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	drained = `{"revision":43,"complete":false,"members":[{"id":"s-5","host_port":"h:1","locality":"a","flavor":"m2","cell":3,"phase":"terminating","size":1.0,"up_since_ms":2000}]}`
+)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// call is one that the name table's peer took.
+type call struct {
+	net.Conn
+	target, address string
+	at              time.Time
+}
+
+// table has a watcher call here, on pipes, so that its time may be a test's.
+func table(t *testing.T, w *Watcher) chan call {
+	calls := make(chan call, 99)
+	w.dial = func(_ context.Context, address string, _ time.Time) (net.Conn, error) {
+		here, there := net.Pipe()
+		t.Cleanup(func() { there.Close() })
+		go func() {
+			if q, err := http1.ReadRequest(bufio.NewReader(there), nil); err == nil {
+				calls <- call{there, q.Target, address, time.Now()}
+			}
+		}()
+		return here, nil
+	}
+	return calls
+}
+
+func run(t *testing.T, w *Watcher) sink {
+	s := newSink()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.Run(ctx, s)
+	return s
+}
 
 // Whatever way a watch ends, it is told once, and the next one goes on from the last revision.
 func TestEveryEndOfAWatchIsTold(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	s := sink{make(chan dispatch.List, 9), make(chan error, 9)}
-	w := NewWatcher(l.Addr().String(), 41)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go w.Run(ctx, s)
-	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	line := `{"revision":43,"complete":false,"members":[{"id":"s-5","host_port":"h:1","locality":"a","flavor":"m2","cell":3,"phase":"terminating","size":1.0,"up_since_ms":2000}]}` + "\n"
-	for i, story := range []struct {
-		text   string
-		silent bool // the connection stays open
-	}{
-		{fmt.Sprintf("%s%x\r\n%s\r\n", head, len(line), line), false},
-		{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", false},
-		{head + "3\r\n{x\n\r\n", false},
-		{head + "3\r\n{}\n\r\n", false},
-		{"", false},
-		{head + "1\r\n\n\r\n", true},
+	w := NewWatcher(l.Addr().String(), 41, of(1, false))
+	s := run(t, w)
+	for i, text := range []string{
+		head + chunk(drained+"\n"),
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		head + "3\r\n{x\n\r\n",
+		head + "3\r\n{}\n\r\n",
+		head + chunk(drained[:60]),
+		"",
 	} {
-		if story.silent { // only there, or a slow machine would make the others silent too
-			w.silence = 50 * time.Millisecond
-		}
 		w.Subscribe()
 		c, err := l.Accept()
 		require.NoError(t, err)
 		q, err := http1.ReadRequest(bufio.NewReader(c), nil)
 		require.NoError(t, err)
 		require.Equal(t, fmt.Sprint("/catalog/members?stream=1&index=", map[bool]int{true: 41, false: 43}[i == 0]), q.Target)
-		fmt.Fprint(c, story.text)
-		if !story.silent {
-			c.Close()
-		}
-		require.Error(t, <-s.lost)
+		fmt.Fprint(c, text)
 		c.Close()
+		require.Error(t, <-s.lost)
 	}
 	got := <-s.listed
 	require.Equal(t, dispatch.Member{ID: "s-5", Address: "h:1", Zone: "a", Kind: "m2", Cell: 3, State: decide.Draining,
 		Size: 1, Started: time.UnixMilli(2000)}, got.Members[0])
 	require.Empty(t, s.listed)
+	require.Empty(t, s.silent)
 }
 
-// An agent on the machine answers at once or is down: silence there is no queue to wait in. Once it speaks again
-// what was missed comes first.
-func TestSilentAgentIsAskedAgain(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	s := sink{make(chan dispatch.List, 9), make(chan error, 9)}
-	w, service := NewWatcher(l.Addr().String(), 41), NewWatcher(l.Addr().String(), 41)
-	w.AtAgent(true)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	waits := sink{make(chan dispatch.List, 9), make(chan error, 9)}
-	go w.Run(ctx, s)
-	go service.Run(ctx, waits)
-	for _, watcher := range []*Watcher{service, w} {
-		watcher.Subscribe()
-		silent, err := l.Accept()
-		require.NoError(t, err)
-		t.Cleanup(func() { silent.Close() })
+// Silence of any sort has the next call made on a new connection before what was missed counts as told, without a word
+// from whoever subscribes, and again for as long as it lasts. Bytes that never become a list are no news.
+func TestSilenceIsAskedAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		dispatchers int
+		pushed      bool
+		text        []string      // a second apart
+		from, to    time.Duration // after the last of it
+	}{
+		{"nothing after the connection", 300, false, nil, 3 * time.Second, 5 * time.Second},
+		{"nothing after the head", 300, false, []string{head}, 3 * time.Second, 5 * time.Second},
+		{"nothing after an empty line", 300, false, []string{head, chunk("\n")}, 3 * time.Second, 5 * time.Second},
+		{"half a line", 300, false, []string{head + chunk("\n"), chunk(drained[:40])}, 3 * time.Second, 5 * time.Second},
+		{"a list in crumbs", 300, false, append([]string{head}, strings.Split(chunk("[")+strings.Repeat("\x00"+chunk(" "), 4), "\x00")...), time.Second, time.Second},
+		{"of a few", 3, false, []string{head, chunk("\n")}, 3 * time.Second, 3060 * time.Millisecond},
+		{"agent's watch", 300, true, []string{head, chunk("\n")}, 3 * time.Second, 3 * time.Second},
+		{"agent", 300, true, nil, 250 * time.Millisecond, 250 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWatcher("h:1", 41, of(tt.dispatchers, tt.pushed))
+				calls := table(t, w)
+				s := run(t, w)
+				w.Subscribe()
+				c := <-calls
+				for n := range 3 {
+					last := c.at
+					for i, text := range tt.text {
+						if i > 0 {
+							time.Sleep(time.Second)
+						}
+						_, err := c.Write([]byte(text))
+						require.NoError(t, err)
+						last = time.Now()
+					}
+					c = <-calls
+					require.Equal(t, "/catalog/members?stream=1&index=41", c.target)
+					require.GreaterOrEqual(t, c.at.Sub(last), tt.from, n)
+					require.LessOrEqual(t, c.at.Sub(last), tt.to, n)
+				}
+				c.Write([]byte(head + chunk(drained+"\n")))
+				require.EqualValues(t, 43, (<-s.listed).Revision)
+				require.Empty(t, s.lost)
+			})
+		})
 	}
-	require.ErrorIs(t, <-s.lost, os.ErrDeadlineExceeded)
-	require.Empty(t, waits.lost, "a service may have many to answer first")
-	w.Subscribe()
-	c, err := l.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() { c.Close() })
-	q, err := http1.ReadRequest(bufio.NewReader(c), nil)
-	require.NoError(t, err)
-	require.Equal(t, "/catalog/members?stream=1&index=41", q.Target)
-	line := `{"revision":44,"complete":false,"members":[]}` + "\n"
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
-	require.EqualValues(t, 44, (<-s.listed).Revision)
+}
+
+// What falls silent at all dispatchers at once is not asked for by all at once, and by none too late.
+func TestSilenceOfAFleetIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var all []time.Duration
+		began := time.Now()
+		calls := make(chan call, 999)
+		for range 300 {
+			w := NewWatcher("h:1", 41, of(300, false))
+			own := table(t, w)
+			run(t, w)
+			w.Subscribe()
+			go func() {
+				c := <-own
+				c.Write([]byte(head + chunk("\n")))
+				calls <- <-own
+			}()
+		}
+		for range 300 {
+			all = append(all, (<-calls).at.Sub(began))
+		}
+		slices.Sort(all)
+		require.GreaterOrEqual(t, all[0], 3*time.Second)
+		require.Less(t, all[299], 5*time.Second)
+		for i := 60; i < 300; i++ {
+			require.Greater(t, all[i]-all[i-60], 200*time.Millisecond, "60 calls in so little time")
+		}
+	})
+}
+
+// Lists come on one line or on many, in any pieces. Blanks between them are the beat of the watch, those inside are not.
+func TestListsMayComeIndented(t *testing.T) {
+	wide := strings.NewReplacer("{", "{\n\n  ", ",", ",\r\n\t  ", "[", "[\n ", "}", "\n}").Replace(drained)
+	for _, tt := range []struct {
+		name  string
+		text  string
+		lists int
+		beats int // in single bytes
+	}{
+		{"on a line", drained + "\n", 1, 1},
+		{"no end of line", drained, 1, 0},
+		{"indented", wide + "\n", 1, 1},
+		{"blanks first", " \t\r\n   " + wide + "\r\n\n", 1, 10},
+		{"one after the other", wide + wide + "\n" + drained, 3, 1},
+		{"beats", "\n \n\r\n" + wide, 1, 5},
+	} {
+		for _, size := range []int{1, 7, 4096} {
+			t.Run(fmt.Sprint(tt.name, " by ", size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := NewWatcher("h:1", 41, of(1, false))
+					calls := table(t, w)
+					s := run(t, w)
+					w.Subscribe()
+					c := <-calls
+					c.Write([]byte(head))
+					for piece := range slices.Chunk([]byte(tt.text), size) {
+						c.Write([]byte(chunk(string(piece))))
+						synctest.Wait()
+						time.Sleep(10 * time.Millisecond) // virtual: pieces arrive apart
+					}
+					require.Len(t, s.listed, tt.lists)
+					for range tt.lists {
+						require.Equal(t, "s-5", (<-s.listed).Members[0].ID)
+					}
+					if size == 1 {
+						require.Len(t, s.alive, tt.beats)
+					}
+					require.Empty(t, s.lost)
+				})
+			})
+		}
+	}
+}
+
+// A move takes its turn among the fleet's, within 3 s, and the watch at the old address tells until then. A watch that
+// ends there is no loss. An agent is called at once.
+func TestMovesTakeTurns(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := NewWatcher("h:1", 41, of(300, false))
+			calls := table(t, w)
+			s := run(t, w)
+			w.Subscribe()
+			c := <-calls
+			c.Write([]byte(head))
+			synctest.Wait()
+			began := time.Now()
+			w.Move("h:2")
+			c.Write([]byte(chunk(drained)))
+			require.EqualValues(t, 43, (<-s.listed).Revision)
+			require.True(t, w.Moving(), "whoever goes by revisions must know whose that was")
+			if ends {
+				c.Close()
+			}
+			next := <-calls
+			require.False(t, w.Moving())
+			require.Equal(t, []string{"h:2", "/catalog/members?stream=1&index=0"}, []string{next.address, next.target})
+			require.Less(t, next.at.Sub(began), 3*time.Second)
+			require.Empty(t, s.lost)
+			require.Empty(t, s.silent)
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWatcher("h:1", 41, of(300, true))
+		calls := table(t, w)
+		run(t, w)
+		c := <-calls // and at its start without being asked to
+		c.Write([]byte(head))
+		synctest.Wait()
+		began := time.Now()
+		w.Move("h:2")
+		require.Equal(t, began, (<-calls).at)
+	})
+}
+
+// Turns may be longer than a list is good for: the clock calls before that is over. While others tell of the list it
+// does not, and a watch asked for right after a rest is begun.
+func TestClockCallsWhereNobodyAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWatcher("h:1", 41, of(300, false))
+		calls := table(t, w)
+		s := run(t, w)
+		w.Subscribe()
+		for range 3 {
+			c := <-calls
+			c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+			require.Error(t, <-s.lost)
+			next := <-calls
+			require.GreaterOrEqual(t, next.at.Sub(c.at), 38*time.Second)
+			require.Less(t, next.at.Sub(c.at), 39*time.Second)
+			next.Close()
+			require.Error(t, <-s.lost)
+			next = <-calls
+			next.Write([]byte(head + chunk("\n")))
+			synctest.Wait()
+			next.Close() // a watch that ends is no failed call
+			require.Error(t, <-s.lost)
+			ended := time.Now()
+			next = <-calls
+			require.Less(t, next.at.Sub(ended), 9*time.Second)
+			w.Rest()
+			require.Error(t, <-s.lost)
+			time.Sleep(time.Hour)
+			synctest.Wait()
+			require.Empty(t, calls)
+			w.Subscribe()
+			<-calls
+			w.Rest()
+			w.Subscribe()
+			require.Error(t, <-s.lost)
+		}
+	})
+}
+
+// A list without an end is not read on.
+func TestListsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWatcher("h:1", 41, of(1, false))
+		calls := table(t, w)
+		s := run(t, w)
+		w.Subscribe()
+		c := <-calls
+		fmt.Fprint(c, head, chunk("["))
+		for err := error(nil); err == nil; {
+			_, err = fmt.Fprint(c, chunk(strings.Repeat(" ", 64<<10)))
+		}
+		require.ErrorContains(t, <-s.lost, "over")
+	})
 }
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/nametable"
@@ -56,18 +57,26 @@
 
 // Listed takes the name table's news.
 func (p *Program) Listed(l dispatch.List) {
-	if p.shared() {
+	switch {
+	case !p.shared():
+		p.told(l)
+	case !p.watcher.Moving(): // others go by revisions, and those of the old address say nothing at the new one
 		p.sharer.Listed(l)
-		return
 	}
-	p.told(l)
 }
 
-// told takes a list that counts, from wherever.
+// told takes a list that counts, from wherever but another process. The other processes hear of it: what the name table
+// tells one of them holds for all, whichever of them sends.
 func (p *Program) told(l dispatch.List) {
 	p.telling.Lock()
 	defer p.telling.Unlock()
-	p.take(l, false)
+	if l.Complete {
+		p.ahead = 0
+	}
+	if p.ahead == 0 || l.Revision > p.ahead {
+		p.take(l, false)
+		p.pass(true, true)
+	}
 	select {
 	case <-p.fresh:
 	default:
@@ -75,6 +84,46 @@
 	}
 }
 
+// heard takes another process's list, if it is newer than ours. The own watch goes on from where it was: changes that
+// it tells once more would take the list back.
+func (p *Program) heard(l listing, fromOlder bool) {
+	p.telling.Lock()
+	defer p.telling.Unlock()
+	p.mu.Lock()
+	newer := l.Discovery == p.discovery && l.Revision > p.table.Revision()
+	p.mu.Unlock()
+	if newer {
+		p.ahead = l.Revision
+		p.take(l.List, true)
+		p.pass(!fromOlder, fromOlder)
+	}
+}
+
+// known takes the list that there is before any watch, unless the older process has told of a newer one by now.
+func (p *Program) known(l dispatch.List) {
+	p.telling.Lock()
+	defer p.telling.Unlock()
+	if p.ahead == 0 {
+		p.take(l, true)
+	}
+}
+
+// pass tells other processes, if there are any, of the list as it is.
+func (p *Program) pass(older, newer bool) {
+	if p.watcher.Moving() { // revisions of the old address say nothing at the new one
+		return
+	}
+	p.mu.Lock()
+	alone, l := p.older == nil && p.newer == nil, listing{Discovery: p.discovery}
+	if !alone {
+		l.List = p.table.List()
+	}
+	p.mu.Unlock()
+	if !alone {
+		others{p}.tell(listed, l, older, newer)
+	}
+}
+
 // Alive takes that the watch is on.
 func (p *Program) Alive() {
 	if p.shared() {
@@ -82,6 +131,18 @@
 	}
 }
 
+// Silent takes that the watch, or the call for one, has fallen silent and is made anew. A sharer is told, lest others
+// count on a watch that tells nothing.
+func (p *Program) Silent(n int, err error) {
+	level := slog.LevelDebug
+	if n == 1 {
+		level = slog.LevelWarn
+	}
+	if p.log.Log(p.context, level, "name table silent", "err", err); p.shared() {
+		p.sharer.Lost()
+	}
+}
+
 // Lost takes the end of a watch.
 func (p *Program) Lost(err error) {
 	if p.shared() {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -54,6 +54,8 @@
 	// A service client's connection that has been idle for so long is closed then.
 	quiet = 200 * time.Millisecond
 	check = 10 * time.Millisecond
+	// Who had begun to connect is through by then.
+	barred = 2 * check
 
 	reservedSockets = 64  // standard files, the poller, the listener, the name table, some to spare
 	memoryShare     = 0.7 // of the limit that the heap may take before collecting harder
@@ -76,13 +78,17 @@
 	fresh   chan struct{} // closed once discovery has told of the list
 	parts   []Part
 	sharer  Sharer          // nil: the list comes from the own watch alone
+	mute    bool            // who is at the door tells nothing
 	telling sync.Mutex      // of a list: one at a time
+	ahead   int64           // of what the own watch has told: the revision of another process's list, under telling
 	context context.Context // of the program's run
 
 	mu           sync.Mutex
 	phase        Phase
 	since        time.Time // of the phase
 	ending       bool      // told to end while relieving
+	last         time.Time // told to end: when all has to be answered; zero: not told
+	barred       time.Time // since when nobody can connect any more
 	listener     *net.TCPListener
 	table        dispatch.Table
 	discovery    string
@@ -99,14 +105,13 @@
 func New(c *config.Config, logger *slog.Logger, parts ...NewPart) (*Program, error) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetGCPercent(collectAt)
-	p := &Program{config: c, log: logger, fresh: make(chan struct{}), cordons: cordons{out: map[string]bool{}}, discovery: c.Discovery, since: time.Now()}
+	p := &Program{config: c, log: logger, fresh: make(chan struct{}), cordons: cordons{out: map[string]bool{}, write: replace}, discovery: c.Discovery, since: time.Now()}
 	sockets := c.Limits.Sockets - reservedSockets
 	p.bounds.pool = sockets * 2 / 5
 	p.pool = instances.NewPool(instances.Limits{
 		Connections: p.bounds.pool, Connect: c.Settings.Limits.ConnectTimeout, Idle: c.Settings.Limits.ConnIdle,
 	})
-	p.watcher = nametable.NewWatcher(c.Discovery, c.Known.Revision)
-	p.watcher.AtAgent(c.Settings.Pushed)
+	p.watcher = nametable.NewWatcher(c.Discovery, c.Known.Revision, c.Settings)
 	p.bounds.listener = sockets - p.bounds.pool
 	s := p.bound(c.Settings)
 	var err error
@@ -118,6 +123,7 @@
 	p.pool.ReadBy(p.loads)
 	p.server = clients.New(p.loop, s, c.Names, p.bounds.listener, p.counters, logger)
 	p.server.ReadBy(p.loads)
+	p.server.CountIn(&p.loop.Books)
 	if c.Admin != "" {
 		p.parts = append(p.parts, &admin{program: p, address: c.Admin})
 	}
@@ -151,6 +157,7 @@
 	if !p.change(next, from) {
 		return false
 	}
+	p.log.Info(next.String(), "held", p.loop.Holding()) // without the lock: the log may wait for whoever reads it
 	p.each(func(t Part) {
 		if err := t.Phase(p.context, next); err != nil {
 			p.log.Error("part", "name", t.Name(), "phase", next.String(), "err", err)
@@ -167,7 +174,6 @@
 	}
 	p.phase, p.since = next, time.Now()
 	p.server.Away(next > Serving)
-	p.log.Info(next.String(), "held", p.loop.Holding())
 	return true
 }
 
@@ -190,7 +196,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer p.listener.Close()
-	p.take(known, true)
+	p.known(known)
 	go p.loop.Run(ctx)
 	go p.watcher.Run(ctx, p)
 	go p.obey(ctx, signals)
@@ -205,8 +211,13 @@
 // advance does what time brings about in a phase.
 func (p *Program) advance(ctx context.Context, now time.Time) {
 	p.mu.Lock()
-	phase, since := p.phase, p.since
+	phase, since, last := p.phase, p.since, p.last
 	p.mu.Unlock()
+	if late := !last.IsZero() && now.After(last); late && (phase == Departing || phase == Draining) && !p.server.Yielded() {
+		p.bar(now)
+		p.server.Finish(now)
+		p.loop.Finish()
+	}
 	switch moved := now.Sub(since) >= departure; phase {
 	case Starting, Relieving:
 		p.relieve(ctx, now)
@@ -223,12 +234,28 @@
 	case Draining:
 		p.server.CloseIdle(now.Add(-quiet))
 		// Give-ups that are on their way spare instances work for nobody; each ends within a second.
-		if p.loop.Holding() == 0 && !p.pool.Busy() && p.server.Quiet() && !slices.ContainsFunc(p.parts, func(t Part) bool { return !t.Quiet() }) {
+		if p.loop.Holding() == 0 && !p.pool.Busy() && p.server.Quiet() && !slices.ContainsFunc(p.parts, func(t Part) bool { return !t.Quiet() }) && p.bar(now) {
 			p.enter(Stopped, Draining)
 		}
 	}
 }
 
+// bar has nobody connect any more, and tells whether those who had begun to by then are through.
+func (p *Program) bar(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.newer != nil { // it takes them
+		return true
+	}
+	if p.barred.IsZero() {
+		p.barred = now
+		if err := clients.Bar(p.listener); err != nil {
+			p.log.Debug("listener not barred", "err", err)
+		}
+	}
+	return now.Sub(p.barred) >= barred
+}
+
 // obey takes signals: SIGHUP reads the configuration anew, in every phase, any other ends the program.
 func (p *Program) obey(ctx context.Context, signals <-chan os.Signal) {
 	for {
@@ -273,7 +300,7 @@
 	}
 	p.server.Retune(next.Settings, next.Names)
 	p.loads.Retune(next.Names.Reports)
-	p.watcher.AtAgent(next.Settings.Pushed)
+	p.watcher.Retune(next.Settings)
 	p.pool.Retune(next.Settings.Limits.ConnectTimeout, next.Settings.Limits.ConnIdle)
 	if keys := p.config.AtRestart(next); len(keys) > 0 {
 		p.log.Warn("configuration: counts from the next start on", "keys", keys)
@@ -298,6 +325,7 @@
 func (p *Program) end() {
 	p.mu.Lock()
 	p.ending = true // while relieving: the older process may have yielded already
+	p.last = p.server.End(time.Now())
 	p.mu.Unlock()
 	_ = p.enter(Stopped, Starting) || p.enter(Departing, Serving, Quiescing, Quiesced) || p.enter(Draining, Yielded)
 }
