Answer every request that comes after SIGTERM before SIGKILL may come, or refuse it

Checked: what may be asked late. Ruled out: the front (new connections end 0.4 s after SIGTERM) and exits of our own (`Stopped` is entered only with nothing held). Other ends without an answer, found by reading and each shown by a test: - `conn.run` closed right after an answer with `Connection: close`. What came behind it unread reset the connection, and the answer could go with it (`conn.go`, the deferred `nc.Close`); only malformed requests were lingered over. - `conn.reply` closed after the first of several requests that had come behind one another while clients are sent away. - a request half there kept its 2 or 5 s of patience, beyond SIGKILL. - `Program.Run` closed the listener with connections in its queue that nobody had accepted: reset, unanswered. - `Expect: 100-continue` on a connection that had been answered over 5 s before: the write deadline of that answer had passed, 408. - `Server.Adopt` closed, unanswered, a connection for which there was no place, or whose command had been lost.

Change: `Server.End` fixes at SIGTERM by when all has to be answered: the least wait for SIGKILL (the longest deadline of a class, 3 s at most, and 0.7 s) less 0.2 s. Commands that come later on get that as their deadline, so the module refuses or fails them in time by itself. At that moment `Loop.Finish` answers what is left, 503 where the command was never sent or its class may repeat, else 502, and has instances give it up; `Server.Finish` refuses whatever still comes and tells who has sent half a request; nobody can connect any more (`clients.Bar`: a socket filter that passes over SYNs, so that nothing is left in the queue to be reset; it needs a listener without MPTCP, which Go turns on by default). Each connection that this side ends is ended by half and read until the peer's end (0.5 s at most, 50 ms where others want the place or the time is over). Requests behind one another are all answered, sixteen at most after the end was due. Counters `closed_*` and `ending_*` (unanswered, cut, crossed) and `ending_refused` are among the operators' figures and in the log at exit.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"caperrelay/decide"
@@ -36,6 +38,33 @@
 	})
 }
 
+// Repeater is a client that may try its command again even when that may have run: as the settings were when it came.
+type Repeater interface{ Repeats() bool }
+
+// Repeats tells whether that is so of a class.
+func Repeats(c decide.Class) bool {
+	return c.Effect == decide.Safe || c.Effect == decide.Keyed && c.Scope == decide.ScopeAll
+}
+
+// Finish answers all that is in hand: the process may be killed from now on, and whoever waits would learn nothing. What
+// a client may try again is refused, all else has failed, and what instances still do for it is given up.
+func (l *Loop) Finish() {
+	l.post(func(l *Loop) {
+		for _, r := range slices.Sorted(maps.Keys(l.requests)) {
+			h := l.requests[r]
+			if h.answered {
+				continue
+			}
+			v := Failed
+			if r, ok := h.Client.(Repeater); len(h.attempts) == 0 || ok && r.Repeats() {
+				v = Nacked
+			}
+			l.tell(decide.RequestLapsed{Request: r})
+			l.answer(h, Answer{Verdict: v})
+		}
+	})
+}
+
 // newID is a number for a command that no other in hand has.
 func (l *Loop) newID() uint32 {
 	for l.lastID++; l.lastID == 0 || l.requests[l.lastID] != nil; l.lastID++ {
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -19,11 +19,48 @@
 	holding                                atomic.Int64 // commands taken and not answered
 	answers                                [numVerdicts]atomic.Int64
 	outcomes                               [decide.Moot + 1]atomic.Int64
+	ends, ending                           [numEnds]atomic.Int64 // of clients' connections, and of those the ones since the process was told to end
+	late                                   atomic.Int64          // commands refused unasked: the process's time was over
 
 	mu      sync.Mutex
 	classes []*classBook // by class; one that the settings no longer have stays
 }
 
+// End is a way in which this process ends a client's connection, other than after an answer or between two requests.
+type End int
+
+// The ends.
+const (
+	Unanswered End = iota // nothing was ever answered on it
+	Cut                   // under a request, without a whole answer
+	Crossed               // between two requests, the next of which was on its way: its client sends it again
+	numEnds
+)
+
+var endNames = [...]string{Unanswered: "unanswered", Cut: "cut", Crossed: "crossed"}
+
+// Ended books the end of a client's connection; ending: the process has been told to end.
+func (b *Books) Ended(e End, ending bool) {
+	b.ends[e].Add(1)
+	if ending {
+		b.ending[e].Add(1)
+	}
+}
+
+// Refused books a command that was refused before the module was asked.
+func (b *Books) Refused(class string) {
+	b.Taken.Add(1)
+	b.late.Add(1)
+	b.answers[Nacked].Add(1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.classes {
+		if c.name == class {
+			c.answers[Nacked].Add(1)
+		}
+	}
+}
+
 // classBook is how the commands of one class were answered.
 type classBook struct {
 	name    string
@@ -72,6 +109,11 @@
 	line("skipped_encoders", b.avoided.Load())
 	line("loads", b.Loads.Load())
 	line("load_errors", b.LoadErrors.Load())
+	for e, name := range endNames {
+		line("closed_"+name, b.ends[e].Load())
+		line("ending_"+name, b.ending[e].Load())
+	}
+	line("ending_refused", b.late.Load())
 	return all
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -37,6 +37,13 @@
 func (c *client) Answer(a Answer)  { c.answers = append(c.answers, a) }
 func (c *client) Pass(handed bool) { c.passed = append(c.passed, handed) }
 
+type repeater struct {
+	client
+	repeats bool
+}
+
+func (r *repeater) Repeats() bool { return r.repeats }
+
 // begin returns a loop that has taken one command of a safe class and sent it to s-1.
 func begin(t *testing.T) (*Loop, *fleet, *client) {
 	f, c := &fleet{}, &client{}
@@ -102,6 +109,32 @@
 	}
 }
 
+// When the process's time is over nothing waits on: what may have run twice without harm, or was never sent, is refused,
+// all else has failed, and instances are told to leave it.
+func TestFinishAnswersAll(t *testing.T) {
+	for repeats, want := range map[bool]Verdict{true: Nacked, false: Failed} {
+		f, c := &fleet{}, &repeater{repeats: repeats}
+		l := loop(t, f)
+		l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, true)
+		l.Take(&Command{ID: "c1", Class: "safe", Deadline: time.Now().Add(time.Hour), Client: c})
+		l.batch()
+		require.Len(t, f.sent, 1)
+		l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Draining}}}, true)
+		waits := &client{}
+		l.Take(&Command{ID: "c2", Class: "safe", Deadline: time.Now().Add(time.Hour), Client: waits})
+		l.batch()
+		for range 2 {
+			l.Finish()
+			l.batch()
+		}
+		require.Equal(t, []Answer{{Verdict: want}}, c.answers)
+		require.Equal(t, []Verdict{Nacked}, []Verdict{waits.answers[0].Verdict})
+		require.Equal(t, f.sent, f.givenUp)
+		require.Empty(t, l.requests)
+		require.Zero(t, l.Holding())
+	}
+}
+
 // What one process hands over another goes on with: each outcome is booked there, once, also that
 // of a sending which no instance had confirmed, whether the older process tells of it or dies.
 func TestHandedOver(t *testing.T) {
--- /dev/null
+++ b/internal/net/clients/bar.go
@@ -0,0 +1,30 @@
+package clients
+
+import (
+	"net"
+	"syscall"
+)
+
+// Bar has a listener pass over whoever begins to connect: they are refused once it is closed. Those who had begun before
+// still come in. Closing it at once would reset what nobody has accepted yet, requests included.
+func Bar(l *net.TCPListener) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	const flags, syn, ack = 13, 0x02, 0x10         // of a TCP header, which is where filters of a TCP socket begin
+	stmt, jump := syscall.LsfStmt, syscall.LsfJump //lint:ignore SA1019 what x/net has is not worth a library for five lines
+	program := []syscall.SockFilter{
+		*stmt(syscall.BPF_LD|syscall.BPF_B|syscall.BPF_ABS, flags),
+		*stmt(syscall.BPF_ALU|syscall.BPF_AND|syscall.BPF_K, syn|ack),
+		*jump(syscall.BPF_JMP|syscall.BPF_JEQ|syscall.BPF_K, syn, 0, 1),
+		*stmt(syscall.BPF_RET|syscall.BPF_K, 0),
+		*stmt(syscall.BPF_RET|syscall.BPF_K, 0xffff),
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = syscall.AttachLsf(int(fd), program) })
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -26,7 +26,7 @@
 	waiting   state = iota // for a request's first byte
 	reading                // from that byte to the request's last
 	handling               // a request, to its answer's last byte
-	lingering              // after the answer to what cannot be read
+	lingering              // after this side's end, until the other's
 )
 
 // conn is one connection that was accepted and, through run, its goroutine.
@@ -38,6 +38,10 @@
 	rest   []byte      // of a connection that was passed here: to be read first
 	first  func() bool // and to be done first; false: it is to end
 
+	gone  bool // the peer has ended it, or does not take its answer
+	more  int  // requests answered since its end was due
+	parts bool // a request has come, whole or not, and has no answer
+
 	// Under the server's lock.
 	state    state
 	since    time.Time // of the state; before the first answer since it was accepted
@@ -79,25 +83,21 @@
 	c.nc.SetReadDeadline(past)
 }
 
-// enter takes the connection into a state in which reads may last until a moment; false: it
-// is to end.
-func (c *conn) enter(next state, until time.Time) bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.state = next
-	if c.answered {
-		c.since = time.Now()
+func (c *conn) run() {
+	defer c.server.ended(c)
+	c.serve()
+	if c.passed {
+		return
+	}
+	if !c.gone {
+		c.linger()
 	}
-	return !c.evicted && c.nc.SetReadDeadline(until) == nil
+	c.nc.Close()
 }
 
-func (c *conn) run() {
-	defer c.server.ended(c)
-	defer func() {
-		if !c.passed {
-			c.nc.Close()
-		}
-	}()
+// serve answers what is asked until the connection is to end. Whatever has come by then has its answer, unless the
+// peer itself has ended the connection.
+func (c *conn) serve() {
 	var from io.Reader = c.nc
 	if len(c.rest) > 0 {
 		from = io.MultiReader(bytes.NewReader(c.rest), c.nc)
@@ -114,12 +114,16 @@
 			return
 		case errors.As(err, &m):
 			c.reply(m.Status, nil, m.Text+"\n", true)
-			c.linger()
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.tooSlow()
 			return
-		case err != nil || !c.handle(q):
+		case errors.Is(err, errIdle):
+			return
+		case err != nil:
+			c.gone = true
+			return
+		case !c.handle(q):
 			return
 		}
 	}
@@ -130,8 +134,12 @@
 	if err := c.await(); err != nil {
 		return nil, err
 	}
+	c.parts = true
 	return http1.ReadRequest(c.br, func() error {
-		_, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		err := c.nc.SetWriteDeadline(time.Now().Add(writePatience)) // that of the last answer may have passed
+		if err == nil {
+			_, err = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
 		return err
 	})
 }
@@ -149,6 +157,9 @@
 	c.reply(408, nil, "the request did not come in time\n", true)
 }
 
+// errIdle says that a connection is ended by this side between two requests.
+var errIdle = errors.New("idle")
+
 // errPassed says that a connection is another process's now.
 var errPassed = errors.New("passed on")
 
@@ -166,8 +177,8 @@
 	return true
 }
 
-// await waits for a request's first byte. The end of a connection between two requests is
-// io.EOF, whoever ends it.
+// await waits for a request's first byte. The end of a connection between two requests is io.EOF, or errIdle where it
+// is this side that ends it.
 func (c *conn) await() error {
 	s := c.server
 	s.mu.Lock()
@@ -197,7 +208,10 @@
 	}
 	// A request may cross the end of the connection: one that has come is taken.
 	if err != nil && (!late || c.nc.SetReadDeadline(time.Time{}) != nil || sock.Look(c.nc) != sock.Data) {
-		if !first {
+		switch {
+		case !first && late:
+			return errIdle
+		case !first:
 			return io.EOF
 		}
 		return err
@@ -209,6 +223,9 @@
 	if late || c.evicted {
 		until = now.Add(s.patience.halting)
 	}
+	if s.over {
+		until = now.Add(s.patience.last)
+	}
 	return c.nc.SetReadDeadline(until)
 }
 
@@ -243,8 +260,12 @@
 func (c *conn) reply(status int, h http1.Header, body string, end bool) bool {
 	c.server.mu.Lock()
 	c.answered = true
-	end = end || c.evicted || c.server.crowded || c.server.draining && c.server.heir == nil && !c.instance
+	due := c.evicted || c.server.crowded || c.server.draining && c.server.heir == nil && !c.instance
 	c.server.mu.Unlock()
+	if due && !end {
+		end = c.more >= mostMore || !c.another()
+		c.more++
+	}
 	if end {
 		h = append(h, http1.Field{Name: "Connection", Value: "close"})
 	}
@@ -256,19 +277,48 @@
 	if c.out = text; cap(text) > http1.MaxLine { // kept for the next answer, but for a large one
 		c.out = nil
 	}
+	if err != nil { // a peer that has gone owes nothing; one that only did not read in time is cut
+		c.gone = true
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.server.count(dispatch.Cut)
+		}
+	}
+	c.parts = false
 	return err == nil && !end
 }
 
-// linger reads on for a moment after the answer to a malformed request: closing over bytes
-// unread would reset the connection, and the answer could be lost with it.
+// another tells whether the next request has come, at least in part: it gets its answer before the connection ends.
+func (c *conn) another() bool {
+	return c.br.Buffered() > 0 || c.nc.SetReadDeadline(time.Time{}) == nil && sock.Look(c.nc) == sock.Data
+}
+
+// linger ends this side's half and reads on until the peer ends the other, for a moment: closing over bytes unread would
+// reset the connection, and an answer could be lost with it. Where others want the place and nothing has come, it is
+// theirs at once.
 func (c *conn) linger() {
+	s := c.server
+	s.mu.Lock()
+	crowded := s.crowded
+	s.mu.Unlock()
 	tcp, ok := c.nc.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil || !c.enter(lingering, time.Now().Add(lingerPatience)) {
+	if !ok || crowded && !c.another() || tcp.CloseWrite() != nil {
+		return
+	}
+	s.mu.Lock()
+	between := c.answered && c.state == waiting
+	c.state, c.since, c.evicted = lingering, time.Now(), false
+	err := c.nc.SetReadDeadline(c.since.Add(lingerPatience))
+	s.mu.Unlock()
+	if err != nil {
 		return
 	}
-	rest := make([]byte, 4096)
+	var rest [512]byte // most say nothing more
 	for left := 4 * http1.MaxBody; left > 0; {
-		n, err := c.nc.Read(rest)
+		n, err := c.nc.Read(rest[:])
+		if n > 0 && between {
+			s.count(dispatch.Crossed)
+			between = false
+		}
 		if err != nil {
 			return
 		}
@@ -278,9 +328,10 @@
 
 // waiter is the service client of one command.
 type waiter struct {
-	cmd    *dispatch.Command
-	end    bool      // the connection is to end with the answer
-	answer chan word // holds one
+	cmd     *dispatch.Command
+	end     bool      // the connection is to end with the answer
+	repeats bool      // it may be tried again even when it may have run
+	answer  chan word // holds one
 
 	mu sync.Mutex
 	nc net.Conn // nil: on its way from an older process
@@ -295,6 +346,9 @@
 // Answer wakes the connection's goroutine, which watches for the client's leaving.
 func (w *waiter) Answer(a dispatch.Answer) { w.say(word{Answer: a}) }
 
+// Repeats tells whether its command may be tried again even when it may have run.
+func (w *waiter) Repeats() bool { return w.repeats }
+
 // Pass wakes it likewise.
 func (w *waiter) Pass(handed bool) { w.say(word{passed: true, handed: handed}) }
 
@@ -322,14 +376,22 @@
 // command hands a command in and waits for its answer; false: the connection is to end. The
 // deadline is given where another process has read it.
 func (c *conn) command(q *http1.Request, deadline time.Time) bool {
-	cmd, err := c.server.parse(q, time.Now())
+	cmd, repeats, err := c.server.parse(q, time.Now())
 	if err != nil {
 		return c.reply(400, nil, err.Error()+"\n", q.Close)
 	}
 	if !deadline.IsZero() {
 		cmd.Deadline = deadline
 	}
-	w := &waiter{cmd: cmd, end: q.Close, answer: make(chan word, 1)}
+	last, over := c.server.last()
+	if over {
+		c.server.books.Refused(cmd.Class)
+		return c.relay(dispatch.Answer{Verdict: dispatch.Nacked}, q.Close)
+	}
+	if !last.IsZero() && cmd.Deadline.After(last) {
+		cmd.Deadline = last
+	}
+	w := &waiter{cmd: cmd, end: q.Close, repeats: repeats, answer: make(chan word, 1)}
 	cmd.Client = w
 	c.server.core.Take(cmd)
 	return c.wait(w)
@@ -338,10 +400,12 @@
 // wait waits for a command's answer and writes it; false: the connection is to end.
 func (c *conn) wait(w *waiter) bool {
 	if w.join(c.nc) != nil {
+		c.gone = true
 		c.server.core.Lapse(w.cmd)
 		return false
 	}
 	if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gone = true
 		c.server.core.Lapse(w.cmd)
 		return false
 	}
--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -34,12 +34,13 @@
 	maxLeft = 24 * time.Hour
 )
 
-// parse reads a command's fields. The time that it leaves becomes a deadline here.
-func (s *Server) parse(q *http1.Request, now time.Time) (*dispatch.Command, error) {
+// parse reads a command's fields. The time that it leaves becomes a deadline here. The other result tells whether it
+// may be tried again even when it may have run.
+func (s *Server) parse(q *http1.Request, now time.Time) (*dispatch.Command, bool, error) {
 	h := q.Header
 	for _, name := range commandFields {
 		if h.Conflicts(name) { // an instance might read another of them than we do
-			return nil, errors.New(name + ": more than one")
+			return nil, false, errors.New(name + ": more than one")
 		}
 	}
 	c := &dispatch.Command{
@@ -48,27 +49,27 @@
 	}
 	// The id goes into lines and targets that are written on.
 	if !http1.Visible(c.ID) || len(c.ID) > maxID || strings.ContainsAny(c.ID, "/?#%") {
-		return nil, errors.New("X-Correlation-Id: missing or malformed")
+		return nil, false, errors.New("X-Correlation-Id: missing or malformed")
 	}
 	if strings.Contains(q.Target, "#") { // no part of a target that is sent
-		return nil, errors.New("target: malformed")
+		return nil, false, errors.New("target: malformed")
 	}
 	class, ok := (*s.classes.Load())[c.Class]
 	if !ok {
-		return nil, errors.New("X-Service-Class: missing or unknown")
+		return nil, false, errors.New("X-Service-Class: missing or unknown")
 	}
 	left := class.Deadline
 	if h.Given("X-Time-Left") {
 		var err error
 		if left, err = span(h.Get("X-Time-Left")); err != nil {
-			return nil, fmt.Errorf("X-Time-Left: %w", err)
+			return nil, false, fmt.Errorf("X-Time-Left: %w", err)
 		}
 	}
 	c.Deadline = now.Add(left)
 	if text := h.Get("X-Weight-Hint"); text != "" {
 		var err error
 		if c.Work, err = span(text); err != nil {
-			return nil, fmt.Errorf("X-Weight-Hint: %w", err)
+			return nil, false, fmt.Errorf("X-Weight-Hint: %w", err)
 		}
 	}
 	if user := cookie(h, "user"); user != "" {
@@ -80,7 +81,7 @@
 		}
 		c.Key = max(key, 1) // 0 is none
 	}
-	return c, facts(h.Get("X-Facts"), map[string]*float64{"slots": &c.Slots, "memory": &c.Memory})
+	return c, dispatch.Repeats(class), facts(h.Get("X-Facts"), map[string]*float64{"slots": &c.Slots, "memory": &c.Memory})
 }
 
 // span reads a number with its unit, m for milliseconds or u for microseconds.
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -3,6 +3,7 @@
 package clients
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"log/slog"
@@ -25,8 +26,18 @@
 	idlePatience   = 2 * time.Minute        // between requests
 	readPatience   = 5 * time.Second        // from a later request's first byte to its last
 	writePatience  = 5 * time.Second        // for an answer
-	lingerPatience = 500 * time.Millisecond // after the answer to what can't be read
+	lingerPatience = 500 * time.Millisecond // after this side's end, for the other's
 	acceptPause    = 5 * time.Millisecond
+
+	mostMore = 16 // requests that come behind one another before a connection ends all the same
+)
+
+// How long clients are answered once the process is told to end, by the protocol's page: it is killed no sooner than
+// killed after the longest time that the settings leave a class, longest at most.
+const (
+	killed  = 700 * time.Millisecond
+	longest = 3 * time.Second
+	margin  = 200 * time.Millisecond // before that: for the answers' way, on a machine that is short of CPU
 )
 
 // patience is how long a peer that owes us something keeps its place: in any case, and while
@@ -35,11 +46,13 @@
 	first    time.Duration // for the whole of the first request
 	mute     time.Duration // while others wait, for its first byte,
 	halting  time.Duration // for the rest of a request
-	lingerer time.Duration // and for reading the answer to what can't be read
+	lingerer time.Duration // and for ending its half
+	last     time.Duration // for the rest of a request, or for ending its half, once this process's time is over
 }
 
 var usual = patience{
 	first: 2 * time.Second, mute: 100 * time.Millisecond, halting: 500 * time.Millisecond, lingerer: 50 * time.Millisecond,
+	last: 50 * time.Millisecond,
 }
 
 // Core is where commands and call-backs go.
@@ -58,10 +71,13 @@
 	reports  *loadreport.Reader // of instances; nil: none come
 	patience patience
 	slots    chan struct{} // one for each connection; bounds the descriptors used here
+	books    *dispatch.Books
 
 	mu       sync.Mutex
 	draining bool
-	crowded  bool // somebody waits for a connection: answers close theirs
+	by       time.Time // commands are to be answered by then; zero: as their clients say
+	over     bool      // then has come
+	crowded  bool      // somebody waits for a connection: answers close theirs
 	conns    map[*conn]struct{}
 	heir     Heir               // takes over; nil: nobody
 	lent     int                // slots that connections of an older process still take
@@ -90,7 +106,7 @@
 func New(core Core, s decide.Settings, n wire.Names, most int, counters func() string, logger *slog.Logger) *Server {
 	server := &Server{
 		core: core, counters: counters, log: logger, patience: usual, slots: make(chan struct{}, most),
-		conns: map[*conn]struct{}{}, expected: map[string]*waiter{},
+		conns: map[*conn]struct{}{}, expected: map[string]*waiter{}, books: new(dispatch.Books),
 	}
 	server.Retune(s, n)
 	return server
@@ -99,6 +115,16 @@
 // ReadBy says who reads instances' load reports. It must come before Serve.
 func (s *Server) ReadBy(r *loadreport.Reader) { s.reports = r }
 
+// CountIn says in which books the ends of connections are counted. It must come before Serve.
+func (s *Server) CountIn(b *dispatch.Books) { s.books = b }
+
+// count counts the end of a connection.
+func (s *Server) count(e dispatch.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.books.Ended(e, !s.by.IsZero())
+}
+
 // Retune has commands read by other settings from now on.
 func (s *Server) Retune(settings decide.Settings, n wire.Names) {
 	classes := map[string]decide.Class{}
@@ -178,6 +204,12 @@
 
 func (s *Server) ended(c *conn) {
 	s.mu.Lock()
+	switch ours := !c.passed && !c.gone; {
+	case ours && c.parts:
+		s.books.Ended(dispatch.Cut, !s.by.IsZero())
+	case ours && !c.answered:
+		s.books.Ended(dispatch.Unanswered, !s.by.IsZero())
+	}
 	delete(s.conns, c)
 	if s.heir != nil && !c.passed {
 		s.heir.Left()
@@ -238,7 +270,7 @@
 		select {
 		case s.slots <- struct{}{}:
 		default:
-			nc.Close()
+			go s.turnAway(nc, p, w)
 			return
 		}
 	}
@@ -248,12 +280,30 @@
 		c.state, c.first = handling, func() bool { return c.command(p.Request, p.Deadline) }
 	case w != nil:
 		c.state, c.first = handling, func() bool { return c.wait(w) }
-	case p.ID != "": // nobody will answer it
-		c.first = func() bool { return false }
+	case p.ID != "": // what was in hand is lost
+		c.state, c.first = handling, func() bool { return c.relay(dispatch.Answer{Verdict: dispatch.Failed}, true) }
 	}
+	c.parts = c.first != nil
 	s.run(c)
 }
 
+// turnAway ends a connection for which there is no place here, with an answer where one is owed.
+func (s *Server) turnAway(nc net.Conn, p Passed, w *waiter) {
+	c := &conn{server: s, nc: nc, since: time.Now(), answered: p.Answered, br: bufio.NewReader(nc)}
+	verdict := dispatch.Failed
+	if p.Request != nil { // nobody has taken it
+		verdict = dispatch.Nacked
+	}
+	if w != nil {
+		s.core.Lapse(w.cmd)
+	}
+	if p.ID != "" || p.Request != nil {
+		c.relay(dispatch.Answer{Verdict: verdict}, true)
+	}
+	c.linger()
+	nc.Close()
+}
+
 // Lend leaves an older process so many slots for the connections that it still holds.
 func (s *Server) Lend(n int) {
 	for range n {
@@ -307,6 +357,45 @@
 	s.mu.Unlock()
 }
 
+// End says that the process has been told to end: whatever is asked from now on is answered before it may be killed, and
+// is refused unasked after the moment that End returns.
+func (s *Server) End(told time.Time) time.Time {
+	var most time.Duration
+	for _, c := range *s.classes.Load() {
+		most = max(most, c.Deadline)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.by.IsZero() {
+		s.by = told.Add(min(most, longest) + killed - margin)
+	}
+	return s.by
+}
+
+// Finish has that moment come: requests that are on their way are refused, and connections without any are ended. It is
+// called again until none is left.
+func (s *Server) Finish(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heir != nil {
+		return
+	}
+	s.over = true
+	for c := range s.conns {
+		asks := (c.state == waiting || c.state == reading) && !c.instance
+		if told := c.state == lingering && now.Sub(c.since) >= s.patience.last; (asks || told) && !c.evicted {
+			c.evict()
+		}
+	}
+}
+
+// last is by when a command must have its answer, if the process has been told to end, and whether it is too late for that.
+func (s *Server) last() (by time.Time, over bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.by, s.over && s.heir == nil
+}
+
 func (s *Server) leaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -226,3 +227,121 @@
 		require.Equal(t, want, <-c.told)
 	}
 }
+
+// shown is one of the figures that the server keeps.
+func shown(t *testing.T, s *Server, name string) (n int) {
+	_, rest, ok := strings.Cut(s.books.Figures(), "proxy."+name+"=")
+	require.True(t, ok, name)
+	fmt.Sscan(rest, &n)
+	return n
+}
+
+// Requests that came behind one another had one answer while clients are sent away, and the others were reset with it.
+func TestAllThatCameIsAnswered(t *testing.T) {
+	_, s, dial := serve(t, 2, 0)
+	s.Away(true)
+	c := dial()
+	fmt.Fprint(c, ready+ready+ready)
+	br := bufio.NewReader(c)
+	for n := range 3 {
+		p, err := http1.ReadResponse(br, "GET")
+		require.NoError(t, err)
+		require.Equal(t, []any{503, n == 2}, []any{p.Status, p.Close})
+	}
+	_, err := br.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Bytes that nobody reads any more reset the connection, and the answer with it.
+func TestAnswerSurvivesWhatComesBehindIt(t *testing.T) {
+	_, _, dial := serve(t, 2, 0)
+	c := dial()
+	go fmt.Fprint(c, "GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n"+strings.Repeat("more", 1<<15))
+	br := bufio.NewReader(c)
+	p, err := http1.ReadResponse(br, "GET")
+	require.NoError(t, err)
+	require.Equal(t, 200, p.Status)
+	_, err = br.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// A request may cross the end of a kept connection: that is counted, since its client has to send it again.
+func TestCrossedEndsAreCounted(t *testing.T) {
+	_, s, dial := serve(t, 2, 0)
+	c := dial()
+	require.Equal(t, 200, ask(t, c, ready).Status)
+	until(t, s, func(c *conn) bool { return c.state == waiting })
+	s.CloseIdle(time.Now().Add(time.Hour))
+	_, err := c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	fmt.Fprint(c, ready)
+	require.Eventually(t, func() bool { return shown(t, s, "closed_crossed") == 1 }, 20*time.Second, time.Millisecond)
+	require.Zero(t, shown(t, s, "ending_crossed"))
+}
+
+// Told to end, the program took commands for as long as their clients would wait, and was killed over them. It has them end
+// in time; from then on a command is refused unasked, and who has sent none, or half of one, is told too.
+func TestNothingOutlastsTheEnd(t *testing.T) {
+	c, s, dial := serve(t, 9, 0)
+	told := time.Now()
+	by := s.End(told)
+	require.Equal(t, told.Add(3500*time.Millisecond), by)
+	require.Equal(t, by, s.End(told.Add(time.Second)), "told again")
+	command := "POST /api HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Service-Class: safe\r\nContent-Length: 0\r\n\r\n"
+	held := dial()
+	fmt.Fprintf(held, command, "1")
+	require.Equal(t, by, c.next(t).Deadline)
+	mute, half, kept := dial(), dial(), dial()
+	fmt.Fprint(half, ready[:9])
+	until(t, s, func(c *conn) bool { return c.state == reading })
+	require.Equal(t, 200, ask(t, kept, ready).Status)
+	require.Eventually(t, func() bool { return s.Connections() == 4 }, 20*time.Second, time.Millisecond)
+	s.Finish(time.Now())
+	for _, c := range []net.Conn{mute, half} {
+		p := ask(t, c, "")
+		require.Equal(t, []any{503, true}, []any{p.Status, p.Close})
+	}
+	_, err := kept.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, 503, ask(t, dial(), fmt.Sprintf(command, "2")).Status)
+	require.Equal(t, 1, shown(t, s, "ending_refused"))
+	for _, name := range []string{"unanswered", "cut"} {
+		require.Zero(t, shown(t, s, "ending_"+name))
+	}
+}
+
+// A connection of the older process for which there is no place, or whose command went with that process, was closed under
+// its client.
+func TestPassedConnectionsAreAnswered(t *testing.T) {
+	for _, one := range []struct {
+		most, status int
+		p            Passed
+	}{
+		{0, 503, Passed{Answered: true, ID: "1", Request: &http1.Request{Method: "POST", Target: "/api"}}},
+		{0, 502, Passed{Answered: true, ID: "1"}},
+		{1, 502, Passed{Answered: true, ID: "1"}},
+	} {
+		s := New(&core{}, decide.Settings{}, wire.Names{}, one.most, nil, slog.New(slog.DiscardHandler))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		nc, err := l.Accept()
+		require.NoError(t, err)
+		s.Adopt(nc, one.p)
+		require.Equal(t, one.status, ask(t, c, "").Status)
+	}
+}
+
+// Whoever waited to be told to go on, on a connection that had been answered some seconds before, was told 408.
+func TestGoesOnAfterAWhile(t *testing.T) {
+	c, s, dial := serve(t, 2, 0)
+	kept := dial()
+	require.Equal(t, 200, ask(t, kept, ready).Status)
+	until(t, s, func(c *conn) bool { return c.state == waiting && c.nc.SetWriteDeadline(past) == nil })
+	fmt.Fprint(kept, "POST /api HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: safe\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nx")
+	c.next(t)
+}
--- a/internal/net/sock/listen.go
+++ b/internal/net/sock/listen.go
@@ -17,5 +17,6 @@
 		err2 := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, ReusePort, 1) })
 		return cmp.Or(err, err2)
 	}}
+	shared.SetMultipathTCP(false) // its sockets take no filter
 	return shared.Listen(context.Background(), "tcp", address)
 }
