--- /dev/null
+++ b/internal/net/replicas/cost_test.go
@@ -0,0 +1,102 @@
+package replicas
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func cpu(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// led waits until each group has been led.
+func (w *town) led() {
+	w.Helper()
+	seen := map[uint32]bool{}
+	w.await("all groups are led", func() bool {
+		for _, s := range w.hosts {
+			for g := range w.groups {
+				if _, _, ok := s.Lead(g); ok {
+					seen[g] = true
+				}
+			}
+		}
+		return len(seen) == int(w.groups)
+	})
+}
+
+// calm is which part of the replicas takes no ticks.
+func (w *town) calm() float64 {
+	n, all := 0, 0
+	for _, s := range w.hosts {
+		for _, g := range s.Standing().Groups {
+			if all++; g.Calm {
+				n++
+			}
+		}
+	}
+	return float64(n) / float64(all)
+}
+
+// What ten daemons with a thousand groups cost while nothing is told: parts of a core for each daemon.
+func BenchmarkIdle(b *testing.B) {
+	for _, groups := range []uint32{10, 100, 1000} {
+		b.Run(fmt.Sprint("groups=", groups), func(b *testing.B) {
+			w := newTown(b, 10, groups)
+			w.led()
+			const settle, over = 5 * time.Second, 5 * time.Second
+			<-time.After(settle)
+			for b.Loop() {
+				before, writes := cpu(b), w.writes()
+				<-time.After(over)
+				b.ReportMetric(100*float64(cpu(b)-before)/float64(over)/10, "%core/daemon")
+				b.ReportMetric(100*w.calm(), "%calm")
+				b.ReportMetric(float64(w.writes()-writes)/over.Seconds()/10, "writes/s/daemon")
+			}
+		})
+	}
+}
+
+// How many batches, of two calls of fdatasync each, a thousand commands told by so many at once take.
+func BenchmarkCommit(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			w := newTown(b, 3, 16)
+			w.led()
+			writes, n := w.writes(), 0
+			began := time.Now()
+			for b.Loop() {
+				var all sync.WaitGroup
+				for c := range callers {
+					all.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+						defer cancel()
+						_, err := w.hosts[c%3].Propose(ctx, 1+uint32(c)%15, 0, []byte("a command of some length, as a promise has"))
+						require.NoError(b, err)
+					})
+				}
+				all.Wait()
+				n += callers
+			}
+			b.ReportMetric(float64(w.writes()-writes)/3/float64(n), "batches/command/daemon")
+			b.ReportMetric(float64(n)/time.Since(began).Seconds(), "commands/s")
+		})
+	}
+}
+
+func (w *town) writes() (n int64) {
+	for _, s := range w.hosts {
+		s.mu.Lock()
+		n += s.store.writes.Load()
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/net/replicas/server.go
@@ -0,0 +1,709 @@
+package replicas
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	replicav1 "caperrelay/proto/winglb/replica/v1"
+
+	"caperrelay/internal/replica"
+)
+
+const (
+	version    = 1
+	mostInbox  = 4096 // events that wait for the loop
+	mostPass   = 512  // of them in one pass
+	tickEach   = replica.Tick / 2
+	foundEach  = 200 * time.Millisecond
+	openEach   = 100 * time.Millisecond // while an older process has the store
+	mostDaemon = 1024
+	retryFirst = 5 * time.Millisecond // a proposal, while there is no leader
+	retryMost  = 100 * time.Millisecond
+	mostName   = 128
+)
+
+// Options of a host.
+type Options struct {
+	Self    replica.Member // its incarnation comes from the store
+	Dir     string
+	Address string            // where others reach this daemon, if their files do not say
+	Peers   map[string]string // all others' addresses by name
+	Through map[string]string // where named ones are reached from here, where those are not
+	Groups  uint32
+	Copies  int
+	// Repair is how often a lost majority is to have been given up, and Survivors who are left then: replica.Repair.
+	Repair    uint32
+	Survivors []string
+	Gone      time.Duration // after which a daemon's replicas are moved; 0: replica.GoneAfter
+	// Machines makes a group's.
+	Machines func(group uint32) replica.Mux
+	// Dial has the keys; nil: plain text.
+	Dial func(name string) credentials.TransportCredentials
+}
+
+// Server is a host whose groups are held by several daemons. It is safe for use by several goroutines.
+type Server struct {
+	replicav1.UnimplementedReplicasServer
+	o       Options
+	log     *slog.Logger
+	inbox   chan func(now time.Duration)
+	saved   chan saved
+	changed chan struct{}
+	table   atomic.Uint64 // its ID; 0: not yet active
+
+	mu      sync.Mutex // held by the loop for a pass
+	cancel  context.CancelFunc
+	lines   context.Context // of the lines to others; nil: not open
+	ended   chan struct{}
+	store   *store
+	founder *replica.Founder
+	node    *replica.Node // nil: nothing is held yet
+	saving  bool
+	peers   map[string]*line
+	waits   map[uint64]func([]byte, error)
+	fault   string // why the store takes nothing
+	refused string // why the last store was put aside
+	counts  struct{ proposed, forwarded, retired, dropped int64 }
+}
+
+var _ Host = (*Server)(nil)
+
+// saved is the end of a write.
+type saved struct {
+	number uint64 // 0: the table
+	err    error
+}
+
+// New returns a host that holds nothing yet.
+func New(o Options, logger *slog.Logger) (*Server, error) {
+	names := []string{o.Self.Name}
+	for name := range o.Peers {
+		names = append(names, name)
+	}
+	if a, b := replica.Collide(names); a != "" {
+		return nil, fmt.Errorf("replicas: %q and %q may not be names among the same daemons: give one another", a, b)
+	}
+	return &Server{
+		o: o, log: logger, inbox: make(chan func(time.Duration), mostInbox), saved: make(chan saved, 1), changed: make(chan struct{}, 1),
+		peers: map[string]*line{}, waits: map[uint64]func([]byte, error){},
+	}, nil
+}
+
+// Logged has it log there; before Open only.
+func (s *Server) Logged(l *slog.Logger) { s.log = l }
+
+// Register has a listener serve the others' calls.
+func (s *Server) Register(r grpc.ServiceRegistrar) { replicav1.RegisterReplicasServer(r, s) }
+
+// Open begins: it reads the store as soon as that is free, which an older process may still have.
+func (s *Server) Open(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		return
+	}
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.ended = make(chan struct{})
+	go s.run(ctx, s.ended)
+}
+
+// Close ends it. The store is free once it has returned.
+func (s *Server) Close() {
+	s.mu.Lock()
+	cancel, ended := s.cancel, s.ended
+	s.cancel = nil
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+		<-ended
+	}
+}
+
+// Groups is their number, as the file says.
+func (s *Server) Groups() uint32 { return s.o.Groups }
+
+// Changed tells of changes.
+func (s *Server) Changed() <-chan struct{} { return s.changed }
+
+func (s *Server) change() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// View shows a machine's state.
+func (s *Server) View(group uint32, machine byte, f func(replica.Machine)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.node == nil {
+		return false
+	}
+	m := s.node.View(group, machine)
+	if m != nil {
+		f(m)
+	}
+	return m != nil
+}
+
+// Lead tells whether this daemon acts for a group.
+func (s *Server) Lead(group uint32) (term uint64, until time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.node == nil {
+		return 0, 0, false
+	}
+	return s.node.Lead(Now(), group)
+}
+
+// Propose has a command taken in, by whichever daemon acts for the group. It tries until the context ends while nobody
+// does.
+func (s *Server) Propose(ctx context.Context, group uint32, machine byte, cmd []byte) ([]byte, error) {
+	cmd = append([]byte{machine}, cmd...)
+	at := wall()
+	for wait := retryFirst; ; wait = min(retryMost, 2*wait) {
+		result, err := s.propose(ctx, group, at, cmd)
+		if err == nil || !errors.Is(err, replica.ErrNoLeader) {
+			return result, err
+		}
+		t := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, replica.ErrNoLeader
+		case <-t.C:
+		}
+	}
+}
+
+// propose tries once.
+func (s *Server) propose(ctx context.Context, group uint32, at time.Duration, cmd []byte) ([]byte, error) {
+	done := make(chan answer, 1)
+	f := func(now time.Duration) {
+		s.take(now, group, at, cmd, true, func(r []byte, err error) { done <- answer{r, err} })
+	}
+	select {
+	case s.inbox <- f:
+	case <-ctx.Done():
+		return nil, replica.ErrNoLeader
+	}
+	select {
+	case a := <-done:
+		return a.result, a.err
+	case <-ctx.Done():
+		return nil, replica.ErrUnknown
+	}
+}
+
+type answer struct {
+	result []byte
+	err    error
+}
+
+// take proposes, or passes on to who leads. done is called once, from the loop or a line; it must not block.
+func (s *Server) take(now time.Duration, group uint32, at time.Duration, cmd []byte, pass bool, done func([]byte, error)) {
+	if group >= s.o.Groups {
+		done(nil, replica.ErrNoGroup)
+		return
+	}
+	if s.node == nil {
+		done(nil, replica.ErrNoLeader)
+		return
+	}
+	ref, err := s.node.Propose(now, group, at, cmd)
+	switch {
+	case err == nil:
+		s.counts.proposed++
+		s.waits[ref] = done
+	case errors.Is(err, replica.ErrNoLeader) && pass:
+		if l := s.peers[s.node.Leader(group)]; l != nil {
+			s.counts.forwarded++
+			l.propose(group, at, cmd, done)
+			return
+		}
+		done(nil, err)
+	default:
+		done(nil, err)
+	}
+}
+
+// event has the loop do something; false: it has ended, or ctx has.
+func (s *Server) event(ctx context.Context, f func(now time.Duration)) bool {
+	select {
+	case s.inbox <- f:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run is the loop.
+func (s *Server) run(ctx context.Context, ended chan struct{}) {
+	defer close(ended)
+	for !s.open() {
+		t := time.NewTimer(openEach)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+	s.mu.Lock()
+	s.lines = ctx
+	for name, at := range s.o.Peers {
+		s.meet(ctx, name, at)
+	}
+	s.mu.Unlock()
+	every := time.NewTicker(tickEach)
+	defer every.Stop()
+	told := Now() - foundEach
+	for {
+		var first func(time.Duration)
+		var end *saved
+		select {
+		case <-ctx.Done():
+			s.shut()
+			return
+		case f := <-s.inbox:
+			first = f
+		case e := <-s.saved:
+			end = &e
+		case <-every.C:
+		}
+		s.mu.Lock()
+		now := Now()
+		if first != nil {
+			first(now)
+		}
+		for range mostPass {
+			if len(s.inbox) == 0 {
+				break
+			}
+			(<-s.inbox)(now)
+		}
+		if end != nil {
+			s.save(now, *end)
+		}
+		if s.node != nil {
+			s.node.Tick(now)
+		}
+		if now-told >= foundEach {
+			told = now
+			s.tell()
+		}
+		s.work(now)
+		s.mu.Unlock()
+	}
+}
+
+// open reads the store; false: it is not free, or cannot be read now.
+func (s *Server) open() bool {
+	st, groups, refused, err := openStore(s.o.Dir, s.o.Self)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		if text := err.Error(); text != s.fault {
+			s.fault = text
+			s.log.Warn("replicas: store not open", "dir", s.o.Dir, "err", err)
+		}
+		return false
+	}
+	if refused != "" {
+		s.counts.retired++
+		s.refused = refused
+		s.log.Error("replicas: the store cannot be vouched for; this daemon is a new member from now on", "why", refused)
+	}
+	s.fault, s.store = "", st
+	if t := st.meta.Table; t != nil && st.meta.Active && s.o.Repair > t.Generation {
+		if groups, err = s.repair(groups); err != nil {
+			s.fault = err.Error()
+			s.log.Error("replicas: not repaired", "err", err)
+			return true
+		}
+		st = s.store
+	}
+	var names []string
+	for name := range s.o.Peers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	s.founder = replica.NewFounder(st.meta.Member, names, s.o.Groups, s.o.Copies, st.meta.Table, st.meta.Active)
+	s.keep(s.founder.Begin())
+	s.begin(groups)
+	return true
+}
+
+// repair gives up a majority that is lost.
+func (s *Server) repair(groups map[uint32]replica.Stored) (map[uint32]replica.Stored, error) {
+	if !slices.Contains(s.o.Survivors, s.o.Self.Name) {
+		s.store.close()
+		if err := putAside(s.o.Dir); err != nil {
+			return nil, err
+		}
+		st, err := makeStore(s.o.Dir, s.o.Self)
+		s.store, s.refused = st, "this daemon is none of the survivors"
+		return nil, err
+	}
+	t := s.store.meta.Table.Repaired(s.o.Repair)
+	w, err := replica.Repair(replica.Config{Self: s.store.meta.Member, Table: t, Machines: s.o.Machines}, groups, s.o.Survivors, s.store.last.written+1)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.store.save(w); err != nil {
+		return nil, err
+	}
+	s.store.meta.Table = &t
+	if err := s.store.update(); err != nil {
+		return nil, err
+	}
+	for _, p := range w.Groups {
+		if delete(groups, p.Group); !p.Drop {
+			groups[p.Group] = replica.Stored{Hard: p.Hard, Snapshot: p.Snapshot}
+		}
+	}
+	s.log.Warn("replicas: a lost majority is given up", "generation", t.Generation, "groups", len(w.Groups))
+	return groups, nil
+}
+
+// keep has a table last.
+func (s *Server) keep(t *replica.Table) {
+	if t == nil || s.store == nil {
+		return
+	}
+	s.store.meta.Table = t
+	if err := s.store.update(); err != nil {
+		s.fail(err)
+		return
+	}
+	s.founder.Stored()
+}
+
+// begin makes the node, once all know what they begin with.
+func (s *Server) begin(groups map[uint32]replica.Stored) {
+	t, ok := s.founder.Active()
+	if !ok || s.node != nil || s.fault != "" {
+		return
+	}
+	fresh := s.store.meta.Starts == 1
+	if !s.store.meta.Active {
+		s.store.meta.Active = true
+		if err := s.store.update(); err != nil {
+			s.fail(err)
+			return
+		}
+	}
+	node, err := replica.New(replica.Config{
+		Self: s.store.meta.Member, Table: t, Boot: uint64(rand.Uint32()), Machines: s.o.Machines, Gone: s.o.Gone,
+		Written: s.store.last.written, Known: s.store.meta.Known, New: fresh,
+	}, Now(), groups)
+	if err != nil {
+		s.fault = err.Error()
+		s.log.Error("replicas: not begun", "err", err)
+		return
+	}
+	if t.Groups != s.o.Groups {
+		s.log.Warn("replicas: the number of groups cannot be changed", "file", s.o.Groups, "groups", t.Groups)
+	}
+	for name := range s.peers {
+		node.Meet(name)
+	}
+	s.node = node
+	s.table.Store(t.Mark())
+	s.change()
+	s.log.Info("replicas: held", "groups", len(node.Status()), "incarnation", fmt.Sprintf("%08x", s.store.meta.Member.Incarnation))
+}
+
+// tell tells those who have not begun.
+func (s *Server) tell() {
+	if s.founder == nil || s.node != nil || s.store == nil {
+		return
+	}
+	for _, l := range s.peers {
+		l.found(foundOut(s.founder.Tell()))
+	}
+}
+
+// founding takes what one tells who may not have begun.
+func (s *Server) founding(f *replicav1.Found) {
+	if s.founder == nil || s.store == nil || s.fault != "" {
+		return
+	}
+	in := foundIn(f)
+	if s.founder.Outdated(in) {
+		s.retire("the record was repaired without this daemon")
+		return
+	}
+	t, conflict := s.founder.Heard(in)
+	if conflict != "" && s.fault == "" {
+		s.log.Error("replicas: " + conflict)
+	}
+	s.keep(t)
+	if l := s.peers[in.Member.Name]; l != nil && s.node != nil && (!in.Active || in.Table != nil && in.Table.Generation < s.store.meta.Table.Generation) {
+		l.found(foundOut(s.founder.Tell()))
+	}
+	s.begin(nil)
+}
+
+// stranger answers one who speaks of another record, or of this one as before a repair.
+func (s *Server) stranger(name string) {
+	if l := s.peers[name]; l != nil && s.node != nil {
+		l.found(foundOut(s.founder.Tell()))
+	}
+}
+
+// meet begins the line to another daemon.
+func (s *Server) meet(ctx context.Context, name, address string) {
+	if s.peers[name] != nil || name == s.o.Self.Name || len(s.peers) >= mostDaemon {
+		return
+	}
+	at := cmp.Or(s.o.Through[name], s.o.Peers[name], address)
+	if at == "" {
+		return
+	}
+	l := newLine(s, name, at)
+	s.peers[name] = l
+	if s.node != nil {
+		s.node.Meet(name)
+	}
+	go l.run(ctx)
+}
+
+// work does what the node has come up with.
+func (s *Server) work(now time.Duration) {
+	if s.node == nil {
+		return
+	}
+	w := s.node.Did(now)
+	var told *replica.Beat
+	var beat *replicav1.Beat
+	for _, m := range w.Sends {
+		l := s.peers[m.To]
+		switch {
+		case l == nil:
+		case m.Beat != nil:
+			if m.Beat != told {
+				told, beat = m.Beat, beatOut(m.Beat)
+			}
+			l.beat(beat, m.Pair)
+		case m.Calm != nil:
+			l.calm(*m.Calm)
+		default:
+			l.send(m.Group, m.Raft)
+		}
+	}
+	for _, r := range w.Results {
+		if done := s.waits[r.Ref]; done != nil {
+			delete(s.waits, r.Ref)
+			done(r.Result, r.Err)
+		}
+	}
+	for _, n := range w.Notes {
+		s.log.Error("replicas: " + n)
+	}
+	if w.Changed {
+		s.change()
+	}
+	if w.Retire != "" {
+		s.retire(w.Retire)
+		return
+	}
+	if w.Write != nil {
+		st := s.store
+		s.saving = true
+		go func() { // one at a time: the node gives no other before this one's end
+			s.saved <- saved{w.Write.Number, st.save(w.Write)}
+		}()
+	}
+}
+
+// save takes the end of a write.
+func (s *Server) save(now time.Duration, e saved) {
+	s.saving = false
+	if e.err != nil {
+		s.fail(e.err)
+		return
+	}
+	if s.node != nil {
+		s.node.Persisted(now, e.number)
+	}
+}
+
+// fail takes that the disk may not have taken what it was given: nothing is confirmed from here until the next start.
+func (s *Server) fail(err error) {
+	s.fault = err.Error()
+	s.store.doubt(err)
+	s.log.Error("replicas: the store takes no more; this daemon neither votes nor acts until it is started anew", "err", err)
+	if s.node != nil {
+		s.node.Failed(err)
+	}
+}
+
+// retire has this daemon begin anew as another member.
+func (s *Server) retire(why string) {
+	s.log.Error("replicas: the store cannot be vouched for; this daemon is a new member from now on", "why", why)
+	if s.saving {
+		<-s.saved
+		s.saving = false
+	}
+	s.store.close()
+	for _, l := range s.peers {
+		l.forget()
+	}
+	s.node, s.founder, s.store = nil, nil, nil
+	s.table.Store(0)
+	s.counts.retired++
+	s.refused = why
+	if err := putAside(s.o.Dir); err != nil {
+		s.fault = err.Error()
+		s.log.Error("replicas: the store is not put aside", "err", err)
+		return
+	}
+	st, err := makeStore(s.o.Dir, s.o.Self)
+	if err != nil {
+		s.fault = err.Error()
+		s.log.Error("replicas: no new store", "err", err)
+		return
+	}
+	s.store = st
+	// Others have begun, so it waits for their table and never founds one.
+	s.founder = replica.NewFounder(st.meta.Member, []string{""}, s.o.Groups, s.o.Copies, nil, false)
+}
+
+// shut ends the loop.
+func (s *Server) shut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.saving {
+		<-s.saved
+		s.saving = false
+	}
+	for ref, done := range s.waits {
+		delete(s.waits, ref)
+		done(nil, replica.ErrUnknown)
+	}
+	for len(s.inbox) > 0 {
+		(<-s.inbox)(Now())
+	}
+	if s.store != nil {
+		s.store.close()
+	}
+	s.node, s.founder, s.store, s.lines = nil, nil, nil, nil
+	clear(s.peers)
+	s.table.Store(0)
+	s.change()
+}
+
+// Exchange takes another daemon's line.
+func (s *Server) Exchange(stream grpc.BidiStreamingServer[replicav1.ToPeer, replicav1.FromPeer]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	switch {
+	case hello == nil || hello.Name == "" || len(hello.Name) > mostName:
+		return status.Error(codes.InvalidArgument, "the first message must have a hello")
+	case hello.Version != version:
+		return status.Errorf(codes.FailedPrecondition, "version %d of the protocol is not spoken here, %d is", hello.Version, version)
+	}
+	life := s.heldFor(hello)
+	if life == nil {
+		return status.Error(codes.Unavailable, "no replicas are held by this process")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	in := &ear{s: s, name: hello.Name, out: make(chan *replicav1.Answer, mostAnswers)}
+	ends := make(chan error, 2)
+	heard := make(chan struct{}, 1)
+	go func() { ends <- in.answer(ctx, stream, heard) }()
+	go func() {
+		err := error(nil)
+		for m := first; err == nil; {
+			if err = in.take(ctx, m); err == nil {
+				select {
+				case heard <- struct{}{}:
+				default:
+				}
+				m, err = stream.Recv()
+			}
+		}
+		ends <- err
+	}()
+	select {
+	case err := <-ends:
+		return err
+	case <-life.Done():
+		return status.Error(codes.Unavailable, "no replicas are held by this process any more")
+	}
+}
+
+// heldFor is for how long this process has the store, nil: it has not. It learns the address of a caller that the file
+// lacks.
+func (s *Server) heldFor(h *replicav1.Hello) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.store == nil || s.lines == nil {
+		return nil
+	}
+	s.meet(s.lines, h.GetName(), h.GetAddress())
+	return s.lines
+}
+
+// Standing is how things stand, for operators.
+type Standing struct {
+	Member  replica.Member   `json:"member"`
+	Table   string           `json:"table,omitempty"`
+	Missing []string         `json:"missing,omitempty"` // who has not been met before the groups begin
+	Fault   string           `json:"fault,omitempty"`
+	Refused string           `json:"refused,omitempty"`
+	Groups  []replica.Status `json:"groups,omitempty"`
+}
+
+// Standing is how things stand.
+func (s *Server) Standing() (v Standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.Fault, v.Refused, v.Member = s.fault, s.refused, s.o.Self
+	if s.store != nil {
+		v.Member = s.store.meta.Member
+	}
+	if s.node != nil {
+		v.Table, v.Groups = fmt.Sprintf("%016x", s.table.Load()), s.node.Status()
+	} else if s.founder != nil {
+		v.Missing = s.founder.Missing()
+	}
+	return v
+}
+
+// Figures is what operators go by.
+func (s *Server) Figures() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	groups, leads, halted, written, faulty := 0, 0, 0, uint64(0), 0
+	if s.node != nil {
+		groups, leads, halted, written = s.node.Counts(Now())
+	}
+	if s.fault != "" {
+		faulty = 1
+	}
+	writes := int64(0)
+	if s.store != nil {
+		writes = s.store.writes.Load()
+	}
+	return fmt.Sprintf("proxy.replicas.groups=%d\nproxy.replicas.leads=%d\nproxy.replicas.halted=%d\nproxy.replicas.written=%d\nproxy.replicas.writes=%d\nproxy.replicas.fault=%d\nproxy.replicas.retired=%d\nproxy.replicas.proposed=%d\nproxy.replicas.forwarded=%d\n",
+		groups, leads, halted, written, writes, faulty, s.counts.retired, s.counts.proposed, s.counts.forwarded)
+}
--- /dev/null
+++ b/internal/net/replicas/server_test.go
@@ -0,0 +1,295 @@
+package replicas
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"caperrelay/internal/replica"
+)
+
+// list is a machine that keeps what it is told.
+type list struct{ Lines []string }
+
+func (l *list) Apply(_ uint64, _ time.Duration, cmd []byte) []byte {
+	l.Lines = append(l.Lines, string(cmd))
+	return fmt.Append(nil, len(l.Lines))
+}
+func (l *list) Snapshot() ([]byte, error) { return json.Marshal(l) }
+func (l *list) Restore(text []byte) error { *l = list{}; return json.Unmarshal(text, l) }
+
+// town is daemons in one process, each with a listener and a folder.
+type town struct {
+	testing.TB
+	groups uint32
+	hosts  []*Server
+	repair func(*Options)
+	at     []net.Listener
+	dirs   []string
+}
+
+func newTown(t testing.TB, n int, groups uint32) *town {
+	w := &town{TB: t, groups: groups, hosts: make([]*Server, n)}
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		w.at = append(w.at, l)
+		w.dirs = append(w.dirs, t.TempDir())
+	}
+	for i := range n {
+		w.serve(i)
+		w.open(i)
+	}
+	return w
+}
+
+// serve has a listener pass calls on to whichever host is open behind it.
+func (w *town) serve(i int) {
+	g := grpc.NewServer()
+	peers := map[string]string{}
+	for j, l := range w.at {
+		if j != i {
+			peers[fmt.Sprint("n", j)] = l.Addr().String()
+		}
+	}
+	self := replica.Member{Name: fmt.Sprint("n", i), Machine: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i)}
+	o := Options{
+		Self: self, Dir: w.dirs[i], Peers: peers, Groups: w.groups, Copies: 3,
+		Machines: func(uint32) replica.Mux { return replica.Mux{0: &list{}} },
+	}
+	if w.repair != nil {
+		w.repair(&o)
+	}
+	s, err := New(o, slog.New(slog.DiscardHandler))
+	require.NoError(w, err)
+	s.Register(g)
+	w.hosts[i] = s
+	go g.Serve(w.at[i])
+	w.Cleanup(g.Stop)
+}
+
+func (w *town) open(i int) {
+	w.hosts[i].Open(context.Background())
+	w.Cleanup(w.hosts[i].Close)
+}
+
+// await looks again and again until something holds.
+func (w *town) await(what string, holds func() bool) {
+	w.Helper()
+	require.Eventually(w, holds, 40*time.Second, 10*time.Millisecond, what)
+}
+
+// propose tells a command until it is known to be taken in; it may be there twice.
+func (w *town) propose(i int, group uint32, cmd string) {
+	w.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	_, err := w.hosts[i].Propose(ctx, group, 0, []byte(cmd))
+	for errors.Is(err, replica.ErrUnknown) && ctx.Err() == nil {
+		_, err = w.hosts[i].Propose(ctx, group, 0, []byte(cmd))
+	}
+	require.NoError(w, err)
+}
+
+func (w *town) lines(i int, group uint32) (out []string) {
+	w.hosts[i].View(group, 0, func(m replica.Machine) { out = slices.Clone(m.(*list).Lines) })
+	return slices.Compact(out)
+}
+
+// Three daemons found their groups; a command told to any is taken in by all, and by who was away.
+func TestCommandsReachAll(t *testing.T) {
+	w := newTown(t, 3, 4)
+	for i := range 3 {
+		w.propose(i, 1, fmt.Sprint("c", i))
+	}
+	want := []string{"c0", "c1", "c2"}
+	for i := range 3 {
+		w.await("it is there", func() bool { return slices.Equal(w.lines(i, 1), want) })
+	}
+	w.hosts[2].Close()
+	w.propose(0, 1, "c3")
+	w.propose(1, 1, "c4")
+	w.open(2)
+	w.await("what was told meanwhile", func() bool { return slices.Equal(w.lines(2, 1), append(want, "c3", "c4")) })
+}
+
+// One byte of a store's file is not what it was. Wherever it is, its daemon never speaks by that store again unless
+// every record of it is as it was written, and comes back as another member, who learns all of it.
+func TestFlippedBit(t *testing.T) {
+	w := newTown(t, 3, 2)
+	for i := range 20 {
+		w.propose(0, 1, fmt.Sprint("told-", i))
+	}
+	w.await("all have it", func() bool { return len(w.lines(2, 1)) == 20 })
+	before := w.hosts[2].Standing().Member
+	w.hosts[2].Close()
+	path := filepath.Join(w.dirs[2], storeFile)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	at := bytes.LastIndex(text, []byte("told-7"))
+	require.Positive(t, at)
+	for i := range len(text) - 6 { // in each copy that bbolt has of it
+		if bytes.HasPrefix(text[i:], []byte("told-7")) {
+			text[i+5] ^= 1
+		}
+	}
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	w.open(2)
+	w.await("it is somebody else", func() bool {
+		m := w.hosts[2].Standing().Member
+		return m.Incarnation != 0 && m.Incarnation != before.Incarnation
+	})
+	require.Contains(t, w.hosts[2].Standing().Refused, "checksum")
+	w.await("it has learnt all", func() bool { return len(w.lines(2, 1)) == 20 })
+	w.await("it votes", func() bool {
+		for i := range 3 {
+			for _, g := range w.hosts[i].Standing().Groups {
+				old, now := fmt.Sprintf("n2/%08x", before.Incarnation), fmt.Sprintf("n2/%08x", w.hosts[2].Standing().Member.Incarnation)
+				if slices.Contains(g.Voters, old) || !slices.Contains(g.Voters, now) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	_, err = os.Stat(filepath.Join(w.dirs[2], refusedFile))
+	require.NoError(t, err)
+}
+
+// A store that is empty, cut off, another daemon's, or an old copy: none is spoken by.
+func TestStoresThatAreRefused(t *testing.T) {
+	self := replica.Member{Name: "n1", Machine: "m", Zone: "z"}
+	whole := func(dir string) []byte {
+		s, _, refused, err := openStore(dir, self)
+		require.NoError(t, err)
+		require.Empty(t, refused)
+		begun, _ := replica.Begin(replica.Table{Groups: 1, Copies: 1, Members: []replica.Member{s.meta.Member}}, 0, s.meta.Member)
+		for i := range 50 {
+			require.NoError(t, s.save(&replica.Write{Number: uint64(i + 1), Groups: []replica.GroupWrite{{Group: 0, Hard: begun.Hard, Snapshot: begun.Snapshot}}}))
+		}
+		s.close()
+		text, err := os.ReadFile(filepath.Join(dir, storeFile))
+		require.NoError(t, err)
+		return text
+	}
+	for what, spoil := range map[string]func(dir string, text []byte) []byte{
+		"empty":     func(string, []byte) []byte { return []byte("x") },
+		"cut off":   func(_ string, text []byte) []byte { return text[:8192] },
+		"doubtful":  func(dir string, text []byte) []byte { (&store{dir: dir}).doubt(os.ErrInvalid); return text },
+		"another's": func(_ string, text []byte) []byte { return text },
+	} {
+		t.Run(what, func(t *testing.T) {
+			dir := t.TempDir()
+			text := whole(dir)
+			first, _, refused, err := openStore(dir, self)
+			require.NoError(t, err)
+			require.Empty(t, refused, "it is whole")
+			require.EqualValues(t, 50, first.last.written)
+			first.close()
+			require.NoError(t, os.WriteFile(filepath.Join(dir, storeFile), spoil(dir, text), 0o600))
+			who := self
+			if what == "another's" {
+				who.Name = "n2"
+			}
+			s, groups, refused, err := openStore(dir, who)
+			require.NoError(t, err)
+			defer s.close()
+			require.NotEmpty(t, refused)
+			require.Empty(t, groups)
+			require.NotEqual(t, first.meta.Member.Incarnation, s.meta.Member.Incarnation)
+		})
+	}
+	dir := t.TempDir()
+	whole(dir)
+	s, _, _, err := openStore(dir, self)
+	require.NoError(t, err)
+	defer s.close()
+	_, _, _, err = openStore(dir, self)
+	require.ErrorIs(t, err, errTaken, "a process that takes over waits")
+	require.True(t, strings.Contains(err.Error(), "another process"))
+}
+
+// Two of three daemons are lost, and the third goes on alone with all that was told. Then the lost ones come back, with
+// their disks: together they are the old majority, but nobody listens to them, and they come to the record anew.
+func TestRepairFencesTheOld(t *testing.T) {
+	w := newTown(t, 3, 3)
+	for i := range 6 {
+		w.propose(i%3, 1+uint32(i%2), fmt.Sprint("c", i))
+	}
+	w.await("n0 has it", func() bool { return len(w.lines(0, 1)) == 3 && len(w.lines(0, 2)) == 3 })
+	old := map[string]bool{}
+	for i := range 3 {
+		old[fmt.Sprint(w.hosts[i].Standing().Member)] = true
+		w.hosts[i].Close()
+	}
+	w.at[0].Close()
+	at, err := net.Listen("tcp", w.at[0].Addr().String())
+	require.NoError(t, err)
+	w.at[0] = at
+	w.repair = func(o *Options) { o.Repair, o.Survivors = 1, []string{"n0"} }
+	w.serve(0)
+	w.open(0)
+	w.propose(0, 1, "alone")
+	require.Equal(t, []string{"c0", "c2", "c4", "alone"}, w.lines(0, 1))
+	term, _, ok := w.hosts[0].Lead(1)
+	require.True(t, ok)
+	require.Greater(t, term, uint64(1<<40), "whatever the old ones' terms")
+	w.open(1)
+	w.open(2)
+	w.await("they are members anew", func() bool {
+		for i := range 3 {
+			if v := w.hosts[i].Standing(); len(v.Groups) != 3 || i > 0 && old[fmt.Sprint(v.Member)] {
+				return false
+			}
+		}
+		return len(w.lines(1, 1)) == 4 && len(w.lines(2, 1)) == 4
+	})
+	w.await("all vote", func() bool {
+		for _, g := range w.hosts[0].Standing().Groups {
+			if len(g.Voters) != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	w.hosts[0].Close()
+	w.propose(1, 1, "on")
+	require.Equal(t, []string{"c0", "c2", "c4", "alone", "on"}, w.lines(1, 1)[:5])
+}
+
+// A disk fails under a daemon: it confirms nothing more, the others go on, and at its next start it is somebody else.
+func TestDiskThatFails(t *testing.T) {
+	w := newTown(t, 3, 2)
+	w.propose(0, 1, "c0")
+	w.await("n2 has it", func() bool { return len(w.lines(2, 1)) == 1 })
+	before := w.hosts[2].Standing().Member
+	w.hosts[2].mu.Lock()
+	require.NoError(t, w.hosts[2].store.db.Close())
+	w.hosts[2].mu.Unlock()
+	for i := range 10 {
+		w.propose(i%2, 1, fmt.Sprint("d", i))
+	}
+	w.await("it says so", func() bool { return w.hosts[2].Standing().Fault != "" })
+	for g := range w.groups {
+		_, _, acts := w.hosts[2].Lead(g)
+		require.False(t, acts)
+	}
+	w.hosts[2].Close()
+	w.open(2)
+	w.await("it has learnt all as somebody else", func() bool {
+		return w.hosts[2].Standing().Member.Incarnation != before.Incarnation && len(w.lines(2, 1)) == 11
+	})
+}
--- /dev/null
+++ b/internal/net/replicas/store.go
@@ -0,0 +1,433 @@
+package replicas
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.etcd.io/bbolt"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"caperrelay/internal/replica"
+)
+
+// The files of a store's folder.
+const (
+	storeFile   = "replicas.db"
+	refusedFile = "replicas.db.refused" // the last that could not be vouched for, for people
+	doubtFile   = "doubt"               // says that the store was told to take what it may not have taken
+	lockWithin  = 50 * time.Millisecond
+)
+
+var (
+	errTaken   = errors.New("another process has the store")
+	errDamaged = errors.New("the store is damaged")
+	sums       = crc32.MakeTable(crc32.Castagnoli)
+	metaBucket = []byte("meta")
+	metaKey    = []byte("meta")
+	batchKey   = []byte("batch")
+	groupsKey  = []byte("groups")
+	hardKey    = []byte("h")
+	snapKey    = []byte("s")
+)
+
+// meta is what a store holds but for groups.
+type meta struct {
+	Member replica.Member    `json:"member"`
+	Table  *replica.Table    `json:"table,omitempty"`
+	Active bool              `json:"active,omitempty"`
+	Starts int               `json:"starts"`
+	Known  map[uint64]uint64 `json:"known,omitempty"`
+}
+
+// batch is what changes with every one: its number and, so that one which is missing is missed, how many groups there are.
+type batch struct {
+	written uint64
+	groups  uint32
+}
+
+// store is what lasts: a bbolt file, each of whose records bears a checksum over its key and itself. bbolt's own
+// checksums are of its two roots only.
+type store struct {
+	db   *bbolt.DB
+	dir  string
+	meta meta
+	last batch
+	// writes counts batches; each is two calls of fdatasync.
+	writes atomic.Int64
+}
+
+// openStore opens the folder's store, or makes a new one: also in place of one that cannot be vouched for, which is put
+// aside. The reason for that is returned as well.
+func openStore(dir string, self replica.Member) (s *store, groups map[uint32]replica.Stored, refused string, err error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, "", err
+	}
+	path := filepath.Join(dir, storeFile)
+	if text, err := os.ReadFile(filepath.Join(dir, doubtFile)); err == nil {
+		refused = cmp.Or(string(text), "a write of it failed")
+	} else if _, err := os.Stat(path); err == nil {
+		s, groups, err = readStore(dir, self)
+		switch {
+		case errors.Is(err, errDamaged):
+			refused = err.Error()
+		case err != nil:
+			return nil, nil, "", err
+		default:
+			return s, groups, "", nil
+		}
+	} else if !errors.Is(err, os.ErrNotExist) {
+		return nil, nil, "", err
+	}
+	if refused != "" {
+		if err := putAside(dir); err != nil {
+			return nil, nil, refused, err
+		}
+	}
+	s, err = makeStore(dir, self)
+	return s, nil, refused, err
+}
+
+// putAside has the next opening make a new store.
+func putAside(dir string) error {
+	err := os.Rename(filepath.Join(dir, storeFile), filepath.Join(dir, refusedFile))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if err := os.Remove(filepath.Join(dir, doubtFile)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	return syncDir(dir)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// open opens the file. bbolt reckons which pages are free, rather than believe a record without a checksum; it does so
+// on a goroutine of its own, so a file must have been read before, read-only, where its panics can be caught.
+func open(dir string, readOnly bool) (*bbolt.DB, error) {
+	db, err := bbolt.Open(filepath.Join(dir, storeFile), 0o600, &bbolt.Options{
+		Timeout: lockWithin, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType, InitialMmapSize: 64 << 20, ReadOnly: readOnly,
+	})
+	if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, syscall.EAGAIN) {
+		return nil, errTaken
+	}
+	return db, err
+}
+
+// makeStore makes an empty one, with an incarnation of its own. It is made under another name first: half a store is
+// none.
+func makeStore(dir string, self replica.Member) (*store, error) {
+	self.Incarnation = rand.Uint32N(math.MaxUint32) + 1
+	db, err := open(dir, false)
+	if err != nil {
+		return nil, err
+	}
+	s := &store{db: db, dir: dir, meta: meta{Member: self, Starts: 1}}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		if _, err := tx.CreateBucketIfNotExists(groupsKey); err != nil {
+			return err
+		}
+		return s.putMeta(tx)
+	})
+	if err == nil {
+		err = syncDir(dir)
+	}
+	if err != nil {
+		db.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// readStore reads one. Its error is errDamaged when it cannot be vouched for.
+func readStore(dir string, self replica.Member) (s *store, groups map[uint32]replica.Stored, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil { // bbolt's, of pages that contradict each other; its file stays open
+			s, groups, err = nil, nil, fmt.Errorf("%w: %v", errDamaged, r)
+		}
+	}()
+	db, err := open(dir, true)
+	switch {
+	case errors.Is(err, errTaken) || errors.Is(err, os.ErrPermission):
+		return nil, nil, err
+	case err != nil:
+		return nil, nil, fmt.Errorf("%w: %w", errDamaged, err)
+	}
+	s = &store{db: db, dir: dir}
+	groups = map[uint32]replica.Stored{}
+	err = db.View(func(tx *bbolt.Tx) error {
+		if info, err := os.Stat(db.Path()); err != nil || info.Size() < tx.Size() {
+			return cmp.Or(err, fmt.Errorf("it should have %d bytes", tx.Size()))
+		}
+		b := tx.Bucket(metaBucket)
+		if b == nil || tx.Bucket(groupsKey) == nil {
+			return errors.New("it lacks its own records")
+		}
+		text, err := unseal(metaKey, b.Get(metaKey))
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(text, &s.meta); err != nil {
+			return err
+		}
+		if text, err = unseal(batchKey, b.Get(batchKey)); err != nil || len(text) != 12 {
+			return fmt.Errorf("its last batch: %w", cmp.Or(err, errors.New("it is cut off")))
+		}
+		s.last = batch{binary.BigEndian.Uint64(text), binary.BigEndian.Uint32(text[8:])}
+		err = tx.Bucket(groupsKey).ForEachBucket(func(k []byte) error {
+			g, err := readGroup(k, tx.Bucket(groupsKey).Bucket(k))
+			if err == nil {
+				groups[binary.BigEndian.Uint32(k)] = g
+			}
+			return err
+		})
+		if err == nil && len(groups) != int(s.last.groups) {
+			return fmt.Errorf("it holds %d groups, not %d", len(groups), s.last.groups)
+		}
+		return err
+	})
+	db.Close()
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errDamaged, err)
+	}
+	if s.meta.Member.Name != self.Name {
+		return nil, nil, fmt.Errorf("%w: it is %s's", errDamaged, s.meta.Member.Name)
+	}
+	// It may stand elsewhere now. The write also tells a disk that takes nothing, and makes a root of bbolt last whose
+	// own sync may have failed.
+	if s.db, err = open(dir, false); err != nil {
+		return nil, nil, err
+	}
+	s.meta.Member.Machine, s.meta.Member.Zone = self.Machine, self.Zone
+	s.meta.Starts++
+	if err := s.update(); err != nil {
+		s.db.Close()
+		return nil, nil, err
+	}
+	return s, groups, nil
+}
+
+func readGroup(k []byte, b *bbolt.Bucket) (g replica.Stored, err error) {
+	if len(k) != 4 || b == nil {
+		return g, errors.New("a group without a number")
+	}
+	fault := func(what string, err error) error {
+		return fmt.Errorf("group %d: %s: %w", binary.BigEndian.Uint32(k), what, err)
+	}
+	text, err := unseal(sealed(k, hardKey), b.Get(hardKey))
+	if err != nil {
+		return g, fault("its state", err)
+	}
+	if len(text) < 8 {
+		return g, fault("its state", errors.New("it is cut off"))
+	}
+	last := binary.BigEndian.Uint64(text)
+	g.Hard = &pb.HardState{}
+	if err := proto.Unmarshal(text[8:], g.Hard); err != nil {
+		return g, fault("its state", err)
+	}
+	next := uint64(1)
+	if text := b.Get(snapKey); text != nil {
+		if text, err = unseal(sealed(k, snapKey), text); err != nil {
+			return g, fault("its snapshot", err)
+		}
+		g.Snapshot = &pb.Snapshot{}
+		if err := proto.Unmarshal(text, g.Snapshot); err != nil {
+			return g, fault("its snapshot", err)
+		}
+		next = g.Snapshot.GetMetadata().GetIndex() + 1
+	}
+	c := b.Cursor()
+	for key, text := c.Seek(entryKey(next)); len(key) == 9; key, text = c.Next() {
+		if text, err = unseal(sealed(k, key), text); err != nil {
+			return g, fault(fmt.Sprint("entry ", next), err)
+		}
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(text, e); err != nil {
+			return g, fault(fmt.Sprint("entry ", next), err)
+		}
+		if e.GetIndex() != next || binary.BigEndian.Uint64(key[1:]) != next {
+			return g, fault(fmt.Sprint("entry ", next), errors.New("it is missing"))
+		}
+		g.Entries = append(g.Entries, e)
+		next++
+	}
+	if next != last+1 {
+		return g, fault("its log", fmt.Errorf("it ends at %d, not %d", next-1, last))
+	}
+	return g, nil
+}
+
+func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64([]byte{'e'}, index) }
+
+// sealed is a record's whole name.
+func sealed(group, key []byte) []byte { return append(append([]byte(nil), group...), key...) }
+
+// seal puts a checksum before a record, over its name too: one that stands in another's place is found out.
+func seal(name, text []byte) []byte {
+	sum := crc32.Update(crc32.Checksum(name, sums), sums, text)
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), sum), text...)
+}
+
+func unseal(name, text []byte) ([]byte, error) {
+	if len(text) < 4 {
+		return nil, errors.New("it is missing")
+	}
+	if crc32.Update(crc32.Checksum(name, sums), sums, text[4:]) != binary.BigEndian.Uint32(text) {
+		return nil, errors.New("its checksum does not match")
+	}
+	return append([]byte(nil), text[4:]...), nil
+}
+
+func (s *store) putMeta(tx *bbolt.Tx) error {
+	b, err := tx.CreateBucketIfNotExists(metaBucket)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(s.meta)
+	if err != nil {
+		return err
+	}
+	if err := b.Put(metaKey, seal(metaKey, text)); err != nil {
+		return err
+	}
+	return s.putBatch(tx)
+}
+
+func (s *store) putBatch(tx *bbolt.Tx) error {
+	text := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, s.last.written), s.last.groups)
+	return tx.Bucket(metaBucket).Put(batchKey, seal(batchKey, text))
+}
+
+// update writes what is not of groups.
+func (s *store) update() error {
+	s.writes.Add(1)
+	return s.db.Update(s.putMeta)
+}
+
+// save makes a batch last.
+func (s *store) save(w *replica.Write) error {
+	s.writes.Add(1)
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		all := tx.Bucket(groupsKey)
+		for _, p := range w.Groups {
+			k := binary.BigEndian.AppendUint32(nil, p.Group)
+			b := all.Bucket(k)
+			if p.Drop {
+				if b != nil {
+					if err := all.DeleteBucket(k); err != nil {
+						return err
+					}
+					s.last.groups--
+				}
+				continue
+			}
+			if b == nil {
+				var err error
+				if b, err = all.CreateBucket(k); err != nil {
+					return err
+				}
+				b.FillPercent = 0.9 // keys grow
+				s.last.groups++
+			}
+			if err := saveGroup(k, b, p); err != nil {
+				return err
+			}
+		}
+		s.last.written = w.Number
+		if w.Known == nil {
+			return s.putBatch(tx)
+		}
+		s.meta.Known = w.Known
+		return s.putMeta(tx)
+	})
+}
+
+func saveGroup(k []byte, b *bbolt.Bucket, p replica.GroupWrite) error {
+	last, hard := uint64(0), []byte(nil)
+	if text := b.Get(hardKey); len(text) >= 12 {
+		last, hard = binary.BigEndian.Uint64(text[4:]), append(hard, text[12:]...)
+	}
+	cut := func(from, to uint64) error { // to is not cut
+		c := b.Cursor()
+		for key, _ := c.Seek(entryKey(from)); len(key) == 9 && binary.BigEndian.Uint64(key[1:]) < to; key, _ = c.Seek(entryKey(from)) {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if p.Snapshot != nil {
+		text, err := proto.Marshal(p.Snapshot)
+		if err != nil {
+			return err
+		}
+		if err := b.Put(snapKey, seal(sealed(k, snapKey), text)); err != nil {
+			return err
+		}
+		if p.Reset {
+			if err := cut(0, math.MaxUint64); err != nil {
+				return err
+			}
+			last = p.Snapshot.GetMetadata().GetIndex()
+		}
+		last = max(last, p.Snapshot.GetMetadata().GetIndex())
+	}
+	if p.Keep > 0 {
+		if err := cut(0, p.Keep); err != nil {
+			return err
+		}
+	}
+	if len(p.Entries) > 0 {
+		if err := cut(p.Entries[0].GetIndex(), math.MaxUint64); err != nil {
+			return err
+		}
+		for _, e := range p.Entries {
+			text, err := proto.Marshal(e)
+			if err != nil {
+				return err
+			}
+			key := entryKey(e.GetIndex())
+			if err := b.Put(key, seal(sealed(k, key), text)); err != nil {
+				return err
+			}
+			last = e.GetIndex()
+		}
+	}
+	if p.Hard != nil {
+		var err error
+		if hard, err = proto.Marshal(p.Hard); err != nil {
+			return err
+		}
+	}
+	return b.Put(hardKey, seal(sealed(k, hardKey), append(binary.BigEndian.AppendUint64(nil, last), hard...)))
+}
+
+// doubt has the next opening put the store aside, unless the disk was full: bbolt had changed nothing then.
+func (s *store) doubt(why error) {
+	if !errors.Is(why, syscall.ENOSPC) {
+		os.WriteFile(filepath.Join(s.dir, doubtFile), []byte(why.Error()), 0o600)
+	}
+}
+
+func (s *store) close() { s.db.Close() }
--- a/internal/replica/found.go
+++ b/internal/replica/found.go
@@ -44,6 +44,11 @@
 	return t
 }
 
+// Outdated tells whether what another tells says that the record was repaired without this daemon.
+func (f *Founder) Outdated(t Found) bool {
+	return f.table != nil && t.Active && t.Table != nil && t.Table.ID == f.table.ID && t.Table.Generation > f.table.Generation
+}
+
 // Heard takes what another tells. A table that is to be stored before anything else is told is returned; a conflict is
 // a reason for the log.
 func (f *Founder) Heard(t Found) (store *Table, conflict string) {
@@ -56,6 +61,8 @@
 	case f.table == nil:
 		f.table = t.Table
 		return f.table, ""
+	case f.table.ID == t.Table.ID && f.table.Generation > t.Table.Generation:
+		return nil, "" // it has not heard of a repair yet
 	case f.table.ID != t.Table.ID:
 		return nil, t.Member.Name + " has begun with other daemons, groups or copies than this one"
 	case t.Active && f.lasts:
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -65,7 +65,9 @@
 	ID      uint64   `json:"id"`
 	Groups  uint32   `json:"groups"`
 	Copies  int      `json:"copies"`
-	Members []Member `json:"members"`
+	Members []Member `json:"members,omitempty"`
+	// Generation is how often a lost majority was given up.
+	Generation uint32 `json:"generation,omitempty"`
 }
 
 // Stored is what a store holds of a group.
@@ -90,6 +92,7 @@
 	Snapshot *pb.Snapshot  // nil: as before
 	Keep     uint64        // entries before this index go; 0: none do
 	Reset    bool          // all entries go first
+	Drop     bool          // the whole group goes
 }
 
 // Send is a message to another daemon.
@@ -97,7 +100,9 @@
 	To    string
 	Group uint32
 	Raft  *pb.Message
-	Beat  *Beat // or this
+	Beat  *Beat // or this, and
+	Pair  Pair
+	Calm  *Calm // or this
 }
 
 // Beat is what daemons tell each other all the time.
@@ -108,7 +113,11 @@
 	// Known is, in Full ones, what others' stores were heard to hold, by ID.
 	Known map[uint64]uint64 `json:"known,omitempty"`
 	Full  bool              `json:"full,omitempty"`
-	Leads map[uint32]uint64 `json:"leads,omitempty"` // by group: the term
+	// Leads is, where Led, the groups that the sender leads, with their terms; else it is as before.
+	Leads map[uint32]uint64 `json:"leads,omitempty"`
+	Led   bool              `json:"led,omitempty"`
+	// Number grows.
+	Number uint64 `json:"number"`
 }
 
 // Result is of a proposal made here.
@@ -150,6 +159,9 @@
 	knownAt time.Duration
 	dirty   []*group
 	beats   uint64
+	number  uint64 // of beats
+	sent    [sentBeats]sentBeat
+	told    map[uint32]uint64 // as last told
 	out     Work
 	ended   bool
 }
@@ -157,10 +169,16 @@
 // peer is another daemon.
 type peer struct {
 	member  Member
-	heard   time.Duration
 	boot    uint64
+	heard   time.Duration
 	vouched bool // it knows of no later state of our store
 	leads   map[uint32]uint64
+
+	number    uint64 // of its last beat
+	silent    bool
+	epoch     uint64        // another each time that it was silent, or another process
+	theirs    uint64        // its own of us
+	confirmed time.Duration // when the last of our beats went out that it has confirmed
 }
 
 // pending is a write that a group waits for.
@@ -198,6 +216,13 @@
 	asked    time.Duration
 	asks     map[uint64]time.Duration
 	changed  time.Duration // when its holders last changed
+
+	quiet     bool
+	under     string // whose beats hold it; empty: our own
+	quietTerm uint64
+	calm      map[uint64]uint64 // by follower: the epoch in which it confirmed
+	stirred   time.Duration     // when anything was last new
+	soothed   time.Duration
 }
 
 // groupLog is the log as the library reads it; snapshots are made when one is asked for.
@@ -367,20 +392,22 @@
 	}
 	ticks := int((now - n.ticked) / Tick)
 	n.ticked += time.Duration(ticks) * Tick
+	n.listen(now)
 	for _, g := range n.order {
-		if ticks > 0 && n.release(g, now) {
+		if ticks > 0 && !g.quiet && n.release(g, now) {
 			n.guard(g, func() {
 				for range min(ticks, mostTicks) {
 					g.raw.Tick()
 				}
 				n.renew(g, now)
+				n.soothe(g, now)
 			})
 			n.touch(g)
 		}
 	}
 	if now-n.beaten >= BeatEach {
 		n.beaten = now
-		n.beat()
+		n.beat(now)
 	}
 	if now-n.moved >= moveEach {
 		n.moved = now
@@ -409,20 +436,32 @@
 }
 
 // beat tells the other daemons that this one lives.
-func (n *Node) beat() {
-	b := &Beat{Member: n.c.Self, Boot: n.c.Boot, Written: n.written, Leads: map[uint32]uint64{}, Full: n.beats%fullEach == 0}
-	if n.beats++; b.Full {
-		b.Known = maps.Clone(n.known)
-	}
+func (n *Node) beat(now time.Duration) {
+	leads := map[uint32]uint64{}
 	for _, g := range n.order {
 		if g.leader {
-			b.Leads[g.number] = g.term
+			leads[g.number] = g.term
 		}
 	}
+	n.number++
+	n.sent[n.number%sentBeats] = sentBeat{n.number, now}
+	b := &Beat{Member: n.c.Self, Boot: n.c.Boot, Written: n.written, Number: n.number, Full: n.beats%fullEach == 0}
+	if n.beats++; b.Full {
+		b.Known = maps.Clone(n.known)
+	}
+	if b.Full || !maps.Equal(leads, n.told) {
+		n.told, b.Leads, b.Led = leads, leads, true
+	}
 	for _, h := range slices.Sorted(maps.Keys(n.names)) {
-		if name := n.names[h]; name != n.c.Self.Name {
-			n.out.Sends = append(n.out.Sends, Send{To: name, Beat: b})
+		name := n.names[h]
+		if name == n.c.Self.Name {
+			continue
+		}
+		s := Send{To: name, Beat: b}
+		if p := n.peers[name]; p != nil {
+			s.Pair = Pair{Boot: p.boot, Number: p.number, Epoch: p.epoch}
 		}
+		n.out.Sends = append(n.out.Sends, s)
 	}
 }
 
@@ -438,13 +477,29 @@
 	n.Meet(name)
 	p := n.peers[name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{epoch: n.c.Boot << 16}
 		n.peers[name] = p
 	}
-	if p.boot != b.Boot { // it waits to be told what is known of its store
+	switch {
+	case p.boot == b.Boot && b.Number <= p.number:
+		return // by a line that was lost meanwhile
+	case p.boot != 0 && p.member.Incarnation != b.Member.Incarnation && now-p.heard < ElectionAfter:
+		return // who had the name before may still act; with the same store there is no before
+	case p.boot != b.Boot: // it waits to be told what is known of its store
 		n.beats = 0
+		n.rouse(p, now)
+	case now-p.heard >= ElectionAfter && !p.silent:
+		n.rouse(p, now)
+	}
+	p.boot, p.number, p.member, p.heard, p.silent = b.Boot, b.Number, b.Member, now, false
+	if b.Led {
+		p.leads = b.Leads
+		for _, g := range n.order {
+			if g.quiet && g.under == name && p.leads[g.number] != g.quietTerm {
+				n.wake(g, now, 0)
+			}
+		}
 	}
-	p.boot, p.member, p.heard, p.leads = b.Boot, b.Member, now, b.Leads
 	n.knows(b.Member.ID(), b.Written)
 	for id, w := range b.Known {
 		if id == n.id {
@@ -502,12 +557,22 @@
 	if !n.release(g, now) {
 		return
 	}
+	// A heartbeat is confirmed, so its sender is not to be taken for silent sooner than a lease by it ends.
+	if p := n.peers[n.names[uint32(m.GetFrom()>>32)]]; p != nil && p.member.ID() == m.GetFrom() && !p.silent && now-p.heard < ElectionAfter {
+		p.heard = now
+	}
 	if last, err := g.log.LastIndex(); m.GetType() == pb.MessageType_MsgHeartbeat && err == nil && m.GetCommit() > last && g.waiting == 0 && m.GetTerm() >= g.stored.GetTerm() {
 		n.retire(fmt.Sprintf("group %d: entries up to %d were confirmed from here, and the store holds %d", group, m.GetCommit(), last))
 		return
 	}
 	n.guard(g, func() { g.raw.Step(m) })
 	n.touch(g)
+	if g.quiet && g.under != "" {
+		entries := m.GetEntries()
+		if g.raw.BasicStatus().GetTerm() != g.quietTerm || m.GetType() == pb.MessageType_MsgSnap || len(entries) > 0 && entries[len(entries)-1].GetIndex() > g.applied {
+			n.wake(g, now, 0)
+		}
+	}
 }
 
 // Propose has the leader take a command. The result comes under the ref that it returns.
@@ -525,6 +590,8 @@
 	}
 	n.refs++
 	err = ErrNoLeader
+	n.wake(g, now, 0)
+	g.stirred = now
 	n.guard(g, func() { err = g.raw.Propose(wrap(n.refs, unix, cmd)) })
 	n.touch(g)
 	if err != nil {
@@ -677,7 +744,8 @@
 	if g.leader {
 		n.drop(g)
 	}
-	g.leader, g.term, g.until, g.fresh, g.asked = leader, s.GetTerm(), 0, math.MaxUint64, 0
+	g.leader, g.term, g.until, g.fresh, g.asked, g.quiet, g.stirred = leader, s.GetTerm(), 0, math.MaxUint64, 0, false, n.ticked
+	clear(g.calm)
 	clear(g.asks)
 	n.out.Changed = true
 }
@@ -883,7 +951,8 @@
 		return
 	}
 	propose := func(changes ...*pb.ConfChangeSingle) {
-		g.changed = now
+		n.wake(g, now, 0)
+		g.changed, g.stirred = now, now
 		if err := g.raw.ProposeConfChange(&pb.ConfChangeV2{Changes: changes}); err == nil {
 			n.touch(g)
 		}
@@ -965,6 +1034,7 @@
 	Learners []string `json:"learners,omitempty"`
 	Released bool     `json:"released"`
 	Halted   bool     `json:"halted,omitempty"`
+	Calm     bool     `json:"calm,omitempty"`
 }
 
 // Status is of all groups that are held here.
@@ -980,7 +1050,7 @@
 		s := g.raw.BasicStatus()
 		all = append(all, Status{
 			Group: g.number, Leader: n.names[uint32(s.Lead>>32)], Term: s.GetTerm(), Applied: g.applied,
-			Voters: names(g.conf.GetVoters()), Learners: names(g.conf.GetLearners()), Released: g.released, Halted: g.halted,
+			Voters: names(g.conf.GetVoters()), Learners: names(g.conf.GetLearners()), Released: g.released, Halted: g.halted, Calm: g.quiet,
 		})
 	}
 	return all
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -89,6 +89,7 @@
 	oaths   map[string]string // what was confirmed, by group and index
 	holders map[uint32]holder
 	retired int
+	sent    func(Send)
 	boots   uint64
 }
 
@@ -116,6 +117,8 @@
 	group    uint32
 	raft     *pb.Message
 	beat     *Beat
+	pair     Pair
+	calm     *Calm
 }
 
 const groupsHere = 4
@@ -154,7 +157,14 @@
 	}
 }
 
-func (w *world) kill(i int) { w.nodes[i].node, w.nodes[i].write = nil, nil }
+func (w *world) kill(i int) {
+	w.nodes[i].node, w.nodes[i].write = nil, nil
+	for g, h := range w.holders { // the dead do not act
+		if h.name == w.nodes[i].name {
+			w.holders[g] = holder{term: h.term}
+		}
+	}
+}
 
 // lose has a daemon come back with nothing.
 func (w *world) lose(i int) {
@@ -183,6 +193,9 @@
 			case to.node == nil || w.cut[[2]int{m.from, m.to}]:
 			case m.beat != nil:
 				to.node.Beaten(w.clock(to), m.beat)
+				to.node.Paired(w.nodes[m.from].name, m.pair)
+			case m.calm != nil:
+				to.node.Calmed(w.clock(to), w.nodes[m.from].name, *m.calm)
 			default:
 				to.node.Step(w.clock(to), m.group, m.raft)
 			}
@@ -212,10 +225,13 @@
 		d.write, d.ends = k.Write, w.now+d.slow
 	}
 	for _, s := range k.Sends {
+		if w.sent != nil {
+			w.sent(s)
+		}
 		if w.rng.Float64() < w.loss {
 			continue
 		}
-		m := mail{at: w.now + time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), to: w.number(s.To), from: i, group: s.Group, beat: s.Beat}
+		m := mail{at: w.now + time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), to: w.number(s.To), from: i, group: s.Group, beat: s.Beat, pair: s.Pair, calm: s.Calm}
 		if s.Raft != nil {
 			m.raft = proto.Clone(s.Raft).(*pb.Message)
 		}
@@ -256,6 +272,31 @@
 	}
 }
 
+// leader is who acts for a group; empty: nobody.
+func (w *world) leader(g uint32) string {
+	for _, d := range w.nodes {
+		if d.node != nil {
+			if _, _, ok := d.node.Lead(w.clock(d), g); ok {
+				return d.name
+			}
+		}
+	}
+	return ""
+}
+
+// calmed lets time pass until all groups are calm.
+func (w *world) calmed() {
+	for end := w.now + 20*time.Second; w.now < end; w.run(50 * time.Millisecond) {
+		awake := slices.ContainsFunc(w.nodes, func(d *daemon) bool {
+			return slices.ContainsFunc(d.node.order, func(g *group) bool { return !g.quiet })
+		})
+		if !awake {
+			return
+		}
+	}
+	require.Fail(w.t, "not all groups are calm")
+}
+
 // propose has whoever leads a group take a command; false: nobody does.
 func (w *world) propose(g uint32, cmd string) bool {
 	for i, d := range w.nodes {
@@ -346,7 +387,9 @@
 		n := 0
 		for range rapid.IntRange(3, 12).Draw(t, "steps") {
 			i, j := rapid.IntRange(0, 4).Draw(t, "who"), rapid.IntRange(0, 4).Draw(t, "whom")
-			switch what := rapid.IntRange(0, 6).Draw(t, "what"); {
+			switch what := rapid.IntRange(0, 7).Draw(t, "what"); {
+			case what == 7:
+				w.run(2500 * time.Millisecond) // groups become calm
 			case what == 0 && w.nodes[i].node != nil:
 				w.kill(i)
 			case what == 1 && w.nodes[i].node == nil:
@@ -456,3 +499,43 @@
 	require.Equal(t, w.lines(1, 0), w.lines(0, 0))
 	w.kept()
 }
+
+// Groups in which nothing happens send nothing of their own, and are led all the same; a leader that dies is replaced,
+// and one that is not heard any more acts no longer than its lease.
+func TestCalmGroups(t *testing.T) {
+	w := newWorld(t, 13, 3)
+	w.led(5 * time.Second)
+	w.calmed()
+	sent := 0
+	w.sent = func(s Send) {
+		if s.Raft != nil {
+			sent++
+		}
+	}
+	for range 100 {
+		w.run(50 * time.Millisecond)
+		for g := range uint32(groupsHere) {
+			require.NotEmpty(t, w.leader(g), "it is led all the while")
+		}
+	}
+	require.Zero(t, sent)
+	require.True(t, w.propose(1, "c1;"))
+	w.run(200 * time.Millisecond)
+	for i := range w.nodes {
+		require.Len(t, w.lines(i, 1), 1)
+	}
+	w.calmed()
+	i := w.number(w.leader(2))
+	w.kill(i)
+	w.led(10 * time.Second)
+	w.start(i, false)
+	w.run(5 * time.Second)
+	i = w.number(w.leader(2))
+	for j := range w.nodes {
+		w.cut[[2]int{i, j}] = true
+	}
+	w.run(LeaseFor + BeatEach)
+	require.NotEqual(t, w.nodes[i].name, w.leader(2))
+	w.led(5 * time.Second)
+	w.kept()
+}
