--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -81,7 +81,7 @@
 		}
 		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, Names: l.names, Classes: l.settings.Classes}
 		for _, r := range given.Module.Requests {
-			if h := l.requests[r.ID]; h != nil && !h.answered {
+			if h := l.requests[r.ID]; h != nil && !h.answered && h.Gate == nil {
 				given.Commands = append(given.Commands, h.handed(r))
 			}
 		}
@@ -95,6 +95,9 @@
 				l.Books.holding.Add(-1)
 				h.Client.Pass(true)
 			}
+			for _, a := range h.attempts { // what becomes of them is the other's, also once that has died
+				a.over = true
+			}
 		}
 		clear(l.ids)
 		clear(l.requests)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	Deadline time.Time // when the service client stops waiting
 	Payload  any       `json:"-"` // what the instances' side needs to send it
 	Client   Client    `json:"-"`
+	Gate     Gate      `json:"-"` // nil: its attempts wait for nothing; else it stays with this process
 }
 
 // Client is who waits for a command's answer.
@@ -42,6 +43,12 @@
 	Pass(handed bool)
 }
 
+// Starter is a client that is told, too, that an instance has taken the command, and that it runs it where instances tell.
+type Starter interface {
+	// Started is called from the loop, perhaps for each attempt. It must not block.
+	Started(instance string, runs bool)
+}
+
 // Verdict is the kind of a final answer.
 type Verdict int
 
@@ -60,6 +67,7 @@
 	Result     []byte        // of a served command: what the instance gave for it
 	RetryAfter time.Duration // of a nack: 0 is no advice
 	Value      any           // of a served command, where its result is no text
+	Instance   string        // that served it
 }
 
 // Attempt is one sending of a command to an instance.
@@ -80,6 +88,8 @@
 	elsewhere bool          // sent by an older process, which tells what becomes of it
 	kept      time.Duration // as the fleet told with its end
 	report    *decide.Report
+	gate      gated
+	may       func() bool // nil: it waited at no gate
 	leaving   atomic.Bool // given up, and the instance has not confirmed it yet
 }
 
@@ -102,7 +112,9 @@
 
 // Expired tells whether an attempt is not to be sent any more: the lease that it goes by has ended. Whoever
 // sends looks as late as possible: the process may have been stopped for a while.
-func (a *Attempt) Expired(now time.Time) bool { return !a.Until.IsZero() && !now.Before(a.Until) }
+func (a *Attempt) Expired(now time.Time) bool {
+	return !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may()
+}
 
 // NameTable tells of the instances, after Subscribe, by Loop.Listed and Loop.ListLost.
 type NameTable interface{ Subscribe() }
@@ -130,6 +142,7 @@
 	leaser  Leaser // nil: nobody leases
 	leases  map[uint64]Lease
 	leaseID uint64
+	strays  func(News) bool // nil: nobody asks for them
 	Books   Books
 }
 
--- /dev/null
+++ b/internal/dispatch/gate.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import "caperrelay/decide"
+
+// A promised command's attempts wait at a gate until it is committed that they may be sent. Whether there is one, and
+// where it goes, the module has decided by then; the loop goes on meanwhile.
+
+// Gate is asked before an attempt of a command is sent. Its methods must not block: the loop calls them.
+type Gate interface {
+	// Ask has the attempt wait until [Loop.Pass] or [Loop.Deny] is called with it.
+	Ask(*Attempt)
+	// Never says that an attempt that was asked for has ended without having run.
+	Never(*Attempt)
+}
+
+// gated is how far an attempt is at its command's gate.
+type gated int
+
+const (
+	free   gated = iota // it has none, or was not asked for
+	waits               // nothing has gone out
+	passed              // it may run
+)
+
+// StraysTo has calls of instances that match no attempt in hand go to f first; false: it has no use for them. It must
+// come before Run, and f must not block.
+func (l *Loop) StraysTo(f func(News) bool) { l.strays = f }
+
+// let sends an attempt, or has it wait at its gate.
+func (l *Loop) let(a *Attempt) {
+	g := a.Command.Gate
+	if g == nil {
+		l.fleet.Send(a)
+		return
+	}
+	a.gate = waits
+	g.Ask(a)
+}
+
+// Pass has an attempt sent that waits at its gate, unless it has ended meanwhile, and only while may says so. Whoever
+// sends asks that, as late as possible; it must not block.
+func (l *Loop) Pass(a *Attempt, may func() bool) {
+	l.post(func(l *Loop) {
+		if l.yielded || a.over || a.gate != waits {
+			return
+		}
+		a.gate, a.may = passed, may
+		l.fleet.Send(a)
+	})
+}
+
+// Deny ends an attempt that waits: it is never sent.
+func (l *Loop) Deny(a *Attempt) {
+	l.post(func(l *Loop) {
+		if !l.yielded && !a.over && a.gate == waits {
+			l.end(a, decide.Moot)
+		}
+	})
+}
+
+// never tells the gate of an attempt that has ended with an outcome, if it cannot have run, and what the module is to
+// take for that outcome: one that never went out says nothing of an instance.
+func (l *Loop) never(a *Attempt, o decide.Outcome) decide.Outcome {
+	if a.gate == waits {
+		o = decide.Moot
+	}
+	if a.gate != free && o.NeverRan() {
+		a.Command.Gate.Never(a)
+	}
+	a.gate = free
+	return o
+}
+
+// Abandon forgets a command whose attempts are no longer this process's to see to. Nothing is sent, no give-up either:
+// instances go on with what they have.
+func (l *Loop) Abandon(c *Command) {
+	l.post(func(l *Loop) {
+		h := l.ids[c.ID]
+		if l.yielded || h == nil || h.Command != c {
+			return
+		}
+		if !h.answered {
+			l.Books.Lapsed.Add(1)
+			l.conclude(h)
+		}
+		for _, a := range h.attempts {
+			if !a.over {
+				a.gate = free
+				l.end(a, decide.Cancelled)
+			}
+		}
+		l.tell(decide.RequestLapsed{Request: h.request})
+	})
+}
--- /dev/null
+++ b/internal/dispatch/gate_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/decide"
+)
+
+type gate struct{ asked, never []*Attempt }
+
+func (g *gate) Ask(a *Attempt)   { g.asked = append(g.asked, a) }
+func (g *gate) Never(a *Attempt) { g.never = append(g.never, a) }
+
+// gatedBegin is begin with a command that has a gate.
+func gatedBegin(t *testing.T) (*Loop, *fleet, *client, *gate) {
+	f, c, g := &fleet{}, &client{}, &gate{}
+	l := loop(t, f)
+	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}, {ID: "s-2", State: decide.Ready}}}, true)
+	l.Take(&Command{ID: "p~1", Class: "safe", Deadline: time.Now().Add(time.Hour), Client: c, Gate: g})
+	l.batch()
+	require.Len(t, g.asked, 1)
+	require.Empty(t, f.sent, "nothing goes out before its intent counts")
+	return l, f, c, g
+}
+
+// One that is given up while it waits is not sent when the word comes, no instance is told, and it counts as never sent.
+func TestNothingPassesTheGateLate(t *testing.T) {
+	l, f, _, g := gatedBegin(t)
+	a := g.asked[0]
+	l.cancel(decide.Cancel{Request: a.request})
+	l.Pass(a, func() bool { return true })
+	l.batch()
+	require.Empty(t, f.sent)
+	require.Empty(t, f.givenUp)
+	require.Equal(t, []*Attempt{a}, g.never)
+
+	l, f, _, g = gatedBegin(t)
+	l.Pass(g.asked[0], func() bool { return false })
+	l.batch()
+	require.True(t, f.sent[0].Expired(time.Now()), "whoever sends looks again")
+	l.Ended(f.sent[0], decide.Moot, 0)
+	l.batch()
+	require.Equal(t, f.sent, g.never)
+}
+
+// What is abandoned is not taken back from its instance, and its call-back goes to whoever asks for strays. A newer
+// process is not handed it, and nothing waits on at the gate of the older one.
+func TestAbandonedAndYielded(t *testing.T) {
+	l, f, c, g := gatedBegin(t)
+	var strays []News
+	l.StraysTo(func(n News) bool { strays = append(strays, n); return true })
+	l.Pass(g.asked[0], func() bool { return true })
+	l.batch()
+	l.Abandon(f.sent[0].Command)
+	l.batch()
+	l.News(News{ID: "p~1", From: "s-1", State: Done})
+	l.batch()
+	require.Empty(t, f.givenUp)
+	require.Empty(t, c.answers)
+	require.Empty(t, g.never)
+	require.Len(t, strays, 1)
+	require.Zero(t, l.Holding())
+	require.Empty(t, l.requests)
+
+	l, f, _, g = gatedBegin(t)
+	l.Yield(func(h Handed) bool { require.Empty(t, h.Commands); return true })
+	l.Pass(g.asked[0], func() bool { return true })
+	l.batch()
+	require.Empty(t, f.sent)
+	require.Zero(t, l.Holding())
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -41,6 +41,14 @@
 func (l *Loop) taken(a *Attempt) {
 	a.taken = true
 	l.tell(decide.Taken{Request: a.request, Attempt: a.N})
+	a.started(false)
+}
+
+// started tells a client that wants to know how far its command is.
+func (a *Attempt) started(runs bool) {
+	if s, ok := a.Command.Client.(Starter); ok {
+		s.Started(a.Instance, runs)
+	}
 }
 
 // Unusable says that an instance can't use a command as it stands: another could not either,
@@ -109,6 +117,9 @@
 func (l *Loop) news(n News) {
 	a := l.outAt(n.ID, n.From)
 	if a == nil {
+		if l.strays != nil && !l.yielded && l.strays(n) {
+			return
+		}
 		if l.ids[n.ID] != nil || !l.other.Elsewhere(n) {
 			l.Books.StrayNews.Add(1)
 		}
@@ -120,6 +131,7 @@
 	switch n.State {
 	case Started:
 		l.tell(decide.JobStarted{Request: a.request, Attempt: a.N})
+		a.started(true)
 	case Running:
 		l.tell(decide.JobProgress{Request: a.request, Attempt: a.N, Share: n.Share})
 	case Done:
@@ -149,6 +161,7 @@
 
 // served ends an attempt well. The first result of a command is its answer.
 func (l *Loop) served(a *Attempt, with Answer) {
+	with.Instance = a.Instance
 	if h := l.requests[a.request]; !h.answered {
 		l.answer(h, with)
 	}
@@ -161,6 +174,7 @@
 	l.timers.Stop(&a.deadline) // or it would keep the command until then
 	a.over = true
 	h.out--
+	o = l.never(a, o)
 	l.Books.outcome(o)
 	l.tell(decide.AttemptEnded{Request: a.request, Attempt: a.N, Outcome: o, Over: h.answered, Kept: a.kept, Report: a.report})
 	l.forget(h)
@@ -171,6 +185,7 @@
 	l.post(func(l *Loop) {
 		if !a.over {
 			l.tell(decide.JobStarted{Request: a.request, Attempt: a.N})
+			a.started(true)
 		}
 	})
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -34,7 +34,7 @@
 		return
 	}
 	l.timers.Start(&a.deadline, a.Deadline, func() { l.expire(a) })
-	l.fleet.Send(a)
+	l.let(a)
 }
 
 // at tells whether an instance may still hold an earlier attempt of the command. It guards
@@ -68,6 +68,14 @@
 }
 
 func (l *Loop) giveUp(a *Attempt) {
+	if a.gate == waits {
+		return // nobody has it
+	}
 	a.leaving.Store(true)
 	l.fleet.GiveUp(a)
 }
+
+// TakeBack has an instance drop a job that another dispatcher has sent there, which cannot do so itself any more.
+func (l *Loop) TakeBack(instance, id string) {
+	l.post(func(l *Loop) { l.fleet.GiveUp(&Attempt{Command: &Command{ID: id}, Instance: instance}) })
+}
--- /dev/null
+++ b/internal/full/promises.go
@@ -0,0 +1,68 @@
+package full
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"caperrelay/internal/config"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/promises"
+	"caperrelay/internal/net/replicas"
+	"caperrelay/internal/program"
+	"caperrelay/internal/siteconf"
+	promisev1 "caperrelay/proto/winglb/promise/v1"
+)
+
+// promisesPart has jobs handed in for good. They are kept at host, and come in at the control listener by register.
+func promisesPart(f *siteconf.File, host replicas.Host, register func(func(grpc.ServiceRegistrar))) program.NewPart {
+	o := promises.Options{Within: time.Duration(f.Promises.Within), Keep: time.Duration(f.Promises.Keep)}
+	return func(core program.Core) (program.Part, error) {
+		s := promises.New(o, host, core.Loop, core.Log)
+		core.Loop.StraysTo(s.Stray)
+		register(func(r grpc.ServiceRegistrar) { promisev1.RegisterPromisesServer(r, s) })
+		return &promising{Server: s}, nil
+	}
+}
+
+// promising is the service of promises as a part.
+type promising struct {
+	*promises.Server
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func (*promising) Name() string { return "promises" }
+
+func (p *promising) Phase(ctx context.Context, phase program.Phase) error {
+	if phase == program.Serving || phase == program.Yielded {
+		p.Yield(phase == program.Yielded)
+	}
+	switch phase {
+	case program.Serving:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cancel == nil {
+			ctx, p.cancel = context.WithCancel(ctx)
+			p.ended = make(chan struct{})
+			go func() { defer close(p.ended); p.Run(ctx) }()
+		}
+	case program.Yielded, program.Departing, program.Stopped: // what runs is told of to whichever dispatcher is called
+		p.mu.Lock()
+		cancel, ended := p.cancel, p.ended
+		p.cancel = nil
+		p.mu.Unlock()
+		if cancel != nil {
+			cancel()
+			<-ended
+		}
+	}
+	return nil
+}
+
+func (*promising) Listed(dispatch.List)        {}
+func (*promising) Cordoned([]string)           {}
+func (p *promising) Reloaded(c *config.Config) { p.Retune(c.Settings, c.Names) }
--- a/internal/full/serve.go
+++ b/internal/full/serve.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
 	"caperrelay/decide"
@@ -54,13 +55,35 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	s := &Site{File: f, Config: c}
+	beside := &services{}
 	if f.Control != nil {
-		part, err := controlPart(f)
+		part, err := controlPart(f, beside.register)
 		if err != nil {
 			return nil, err
 		}
 		s.Parts = append(s.Parts, part)
 	}
+	if f.Promises != nil {
+		host, err := newReplicas(f, beside.add)
+		if err != nil {
+			return nil, err
+		}
+		s.Parts = append(s.Parts, replicasPart(host), promisesPart(f, host, beside.add))
+		if f.Pipelines != nil {
+			part, err := pipelinesPart(f, host, beside)
+			if err != nil {
+				return nil, err
+			}
+			s.Parts = append(s.Parts, part)
+		}
+		if f.Gangs != nil {
+			part, err := gangsPart(f, host, beside.add)
+			if err != nil {
+				return nil, err
+			}
+			s.Parts = append(s.Parts, part)
+		}
+	}
 	if f.Snapshot != nil {
 		s.Parts = append(s.Parts, snapshotPart(f))
 	}
@@ -107,12 +130,22 @@
 	return program.New(s.Config, logger, s.Parts...)
 }
 
+// services is what parts have served at the control listener.
+type services struct{ all []func(grpc.ServiceRegistrar) }
+
+func (s *services) add(f func(grpc.ServiceRegistrar)) { s.all = append(s.all, f) }
+func (s *services) register(r grpc.ServiceRegistrar) {
+	for _, f := range s.all {
+		f(r)
+	}
+}
+
 // controlPart makes the stream to plug-ins a part of the program.
-func controlPart(f *siteconf.File) (program.NewPart, error) {
+func controlPart(f *siteconf.File, register func(grpc.ServiceRegistrar)) (program.NewPart, error) {
 	c := f.Control
 	o := control.Options{
 		Listen: c.Listen, Daemon: f.Node.Number, Daemons: f.Node.Of, Senders: c.Senders, Silence: time.Duration(c.Silence),
-		Life: time.Duration(c.Lease), Slots: f.Slots(), New: c.New,
+		Life: time.Duration(c.Lease), Slots: f.Slots(), New: c.New, Also: register,
 	}
 	fault := func() error { return nil }
 	if t := c.TLS; t != nil {
--- a/internal/net/control/server.go
+++ b/internal/net/control/server.go
@@ -51,6 +51,8 @@
 	// Slots that a warm encoder of each kind has; "" is any other.
 	Slots map[string]float64
 	TLS   credentials.TransportCredentials // nil: plain text
+	// Also registers what else is served at the same address; nil: nothing is.
+	Also func(grpc.ServiceRegistrar)
 	// New says that the deployment begins anew: places are given at once.
 	New bool
 }
@@ -124,7 +126,7 @@
 		return fmt.Errorf("control: %w", err)
 	}
 	options := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(mostMessage), grpc.MaxConcurrentStreams(4), grpc.ConnectionTimeout(5 * time.Second),
+		grpc.MaxRecvMsgSize(mostMessage), grpc.MaxConcurrentStreams(c.streams()), grpc.ConnectionTimeout(5 * time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	}
@@ -133,10 +135,21 @@
 	}
 	c.address, c.grpc = l.Addr().String(), grpc.NewServer(options...)
 	controlv1.RegisterControlServer(c.grpc, c)
+	if c.options.Also != nil {
+		c.options.Also(c.grpc)
+	}
 	go c.grpc.Serve(l)
 	return nil
 }
 
+// streams is how many a connection may have at once.
+func (c *Server) streams() uint32 {
+	if c.options.Also != nil {
+		return 256 // calls that wait each take one
+	}
+	return 4
+}
+
 func (c *Server) terms(s decide.Settings) lease.Terms {
 	return lease.Terms{
 		Life: c.options.Life, Window: s.Rules.FallWindow, Multiple: s.Rules.FallMultiple,
--- /dev/null
+++ b/internal/net/promises/server.go
@@ -0,0 +1,445 @@
+// Package promises serves jobs that are handed in for good: the gRPC service of every dispatcher, and what the
+// dispatcher that acts for a group does with its own loop. The decisions are in caperrelay/internal/promise.
+package promises
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/replicas"
+	"caperrelay/internal/promise"
+	"caperrelay/internal/replica"
+	"caperrelay/internal/wire"
+	promisev1 "caperrelay/proto/winglb/promise/v1"
+)
+
+const (
+	lookEvery   = 20 * time.Millisecond
+	proposeFor  = 2 * time.Second // until nothing is known of a proposal
+	bookPause   = 100 * time.Millisecond
+	bookFor     = 10 * time.Minute
+	mostBooks   = 4096 // ends that wait to be booked; one more is dropped, and its job then may have run
+	mostWaiting = 1024 // calls that wait for an end
+)
+
+// Core is the dispatcher's loop.
+type Core interface {
+	Take(*dispatch.Command)
+	Lapse(*dispatch.Command)
+	Abandon(*dispatch.Command)
+	Pass(*dispatch.Attempt, func() bool)
+	Deny(*dispatch.Attempt)
+	News(dispatch.News)
+}
+
+// Options of a server.
+type Options struct {
+	// Within and Keep count for jobs that bring none.
+	Within, Keep time.Duration
+}
+
+// Server is safe for use by several goroutines.
+type Server struct {
+	promisev1.UnimplementedPromisesServer
+	o       Options
+	host    replicas.Host
+	core    Core
+	log     *slog.Logger
+	classes atomic.Pointer[map[string]decide.Class]
+	waiting chan struct{} // a place for each call that waits
+
+	poke  chan struct{}
+	mu    sync.Mutex
+	inbox []func()
+	moved chan struct{} // closed at each look
+	books int
+	index map[uint32]uint64 // of groups, as far as they are known to be
+
+	// Of the loop alone.
+	owners []*promise.Owner
+	hands  map[inHand]*hand
+	ctx    context.Context
+
+	Promised, Intents, Booked, Ends, Left, DroppedBooks atomic.Int64
+	acting                                              atomic.Int64
+	yielded                                             atomic.Bool
+}
+
+// inHand names one hand-in.
+type inHand struct {
+	id   string
+	hand int
+}
+
+// hand is a job in the dispatcher's hands: the client and the gate of its command.
+type hand struct {
+	server *Server
+	group  uint32
+	id     string
+	index  uint64 // of the receipt
+	n      int
+	until  time.Duration // Unix: when the job may be begun no more
+	cmd    *dispatch.Command
+	asks   map[int]*dispatch.Attempt // of the loop alone
+}
+
+// New returns a server; it must be run.
+func New(o Options, host replicas.Host, core Core, logger *slog.Logger) *Server {
+	s := &Server{
+		o: o, host: host, core: core, log: logger, waiting: make(chan struct{}, mostWaiting), poke: make(chan struct{}, 1),
+		moved: make(chan struct{}), index: map[uint32]uint64{}, hands: map[inHand]*hand{},
+	}
+	s.classes.Store(&map[string]decide.Class{})
+	for range host.Groups() {
+		s.owners = append(s.owners, promise.NewOwner(s.repeats))
+	}
+	return s
+}
+
+// Retune has jobs go by other settings from now on.
+func (s *Server) Retune(settings decide.Settings, n wire.Names) {
+	classes := map[string]decide.Class{}
+	for i, name := range n.Classes {
+		if i < len(settings.Classes) && !settings.Classes[i].Left {
+			classes[name] = settings.Classes[i]
+		}
+	}
+	s.classes.Store(&classes)
+}
+
+// repeats: repeats of a keyed class are dropped by a group of workers and for a while only, which an owner that did not
+// send the first attempt cannot keep to.
+func (s *Server) repeats(class string) bool {
+	c, ok := (*s.classes.Load())[class]
+	return ok && c.Effect == decide.Safe
+}
+
+func clock() promise.Clock {
+	return promise.Clock{Mono: replicas.Now(), Unix: time.Duration(time.Now().UnixNano())}
+}
+
+// post has the loop do something. It never blocks: what waits here is bounded by the jobs in hand.
+func (s *Server) post(f func()) {
+	s.mu.Lock()
+	s.inbox = append(s.inbox, f)
+	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *Server) wake() {
+	select {
+	case s.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Run acts for groups while this dispatcher has their leases, until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	s.ctx = ctx
+	every := time.NewTicker(lookEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for g, o := range s.owners {
+				o.Lead(clock(), 0, 0, false)
+				s.carry(uint32(g), o)
+			}
+			return
+		case <-s.host.Changed():
+		case <-s.poke:
+		case <-every.C:
+		}
+		s.mu.Lock()
+		do := s.inbox
+		s.inbox = nil
+		s.mu.Unlock()
+		for _, f := range do {
+			f()
+		}
+		acting := int64(0)
+		for g, o := range s.owners {
+			if uint32(g) == replica.Root && len(s.owners) > 1 {
+				continue // no key falls to it
+			}
+			c := clock()
+			term, until, ok := s.host.Lead(uint32(g))
+			o.Lead(c, term, until, ok)
+			if ok && s.host.View(uint32(g), replica.Promises, func(m replica.Machine) { o.Look(c, m.(*promise.Machine)) }) {
+				acting++
+			}
+			s.carry(uint32(g), o)
+		}
+		s.acting.Store(acting)
+		s.mu.Lock()
+		close(s.moved)
+		s.moved = make(chan struct{})
+		s.mu.Unlock()
+	}
+}
+
+// carry does what an owner wants.
+func (s *Server) carry(g uint32, o *promise.Owner) {
+	for _, a := range o.Actions() {
+		switch a := a.(type) {
+		case promise.Propose:
+			if a.Op == promise.OpIntent {
+				s.Intents.Add(1)
+			}
+			ctx := s.ctx
+			go func() {
+				answer, err := s.propose(ctx, g, a.Command)
+				s.post(func() { o.Proposed(clock(), a.Seq, answer, err != nil); s.carry(g, o) })
+			}()
+		case promise.Book:
+			s.book(g, a.Command)
+		case promise.Start:
+			s.begin(g, a)
+		case promise.Go:
+			if h := s.hands[inHand{a.ID, a.Hand}]; h != nil && h.asks[a.N] != nil {
+				s.core.Pass(h.asks[a.N], func() bool { return replicas.Now() < a.Until })
+				delete(h.asks, a.N)
+			}
+		case promise.Deny:
+			if h := s.hands[inHand{a.ID, a.Hand}]; h != nil && h.asks[a.N] != nil {
+				s.core.Deny(h.asks[a.N])
+				delete(h.asks, a.N)
+			}
+		case promise.Leave:
+			if h := s.drop(a.ID, a.Hand); h != nil {
+				s.Left.Add(1)
+				s.core.Abandon(h.cmd)
+			}
+		case promise.Heard:
+			if h := s.drop(a.ID, a.Hand); h != nil {
+				s.core.News(dispatch.News{ID: h.cmd.ID, From: a.End.By, State: dispatch.Done, Result: a.End.Result})
+				s.core.Lapse(h.cmd) // other copies have no use any more
+			}
+		}
+	}
+}
+
+func (s *Server) drop(id string, n int) *hand {
+	h := s.hands[inHand{id, n}]
+	delete(s.hands, inHand{id, n})
+	return h
+}
+
+// propose has a group agree on a command, and tells what it came to.
+func (s *Server) propose(ctx context.Context, g uint32, c promise.Command) (promise.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeFor)
+	defer cancel()
+	result, err := s.host.Propose(ctx, g, replica.Promises, c.Bytes())
+	if err != nil {
+		return promise.Answer{}, err
+	}
+	return promise.ReadAnswer(result)
+}
+
+// book has it committed what an instance told, whoever acts by then.
+func (s *Server) book(g uint32, c promise.Command) {
+	s.mu.Lock()
+	full := s.books >= mostBooks
+	if !full {
+		s.books++
+	}
+	s.mu.Unlock()
+	if full {
+		s.DroppedBooks.Add(1)
+		return
+	}
+	go func() {
+		defer func() {
+			s.mu.Lock()
+			s.books--
+			s.mu.Unlock()
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), bookFor) // also once this dispatcher acts no more
+		defer cancel()
+		for {
+			if a, err := s.propose(ctx, g, c); err == nil {
+				if a.OK {
+					s.Booked.Add(1)
+				}
+				s.wake()
+				return
+			}
+			if s.yielded.Load() { // the record is the newer process's, which the loop passes it on to
+				s.core.News(news(c))
+				return
+			}
+			select {
+			case <-ctx.Done():
+				s.DroppedBooks.Add(1)
+				return
+			case <-time.After(bookPause):
+			}
+		}
+	}()
+}
+
+// news is what an instance told, of which a command was made.
+func news(c promise.Command) dispatch.News {
+	n := dispatch.News{ID: promise.WireID(c.ID, c.Index, c.Hand), From: c.Instance, State: dispatch.Done, Result: c.Result}
+	switch c.Kind {
+	case promise.Failed:
+		n.State = dispatch.Lost
+	case promise.Refused:
+		n.State = dispatch.Returned
+	}
+	return n
+}
+
+// Yield says that a newer process takes over, or that it has gone.
+func (s *Server) Yield(yes bool) { s.yielded.Store(yes) }
+
+// Quiet tells whether nothing waits to be booked.
+func (s *Server) Quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.books == 0
+}
+
+// begin hands a job in.
+func (s *Server) begin(g uint32, a promise.Start) {
+	class, ok := (*s.classes.Load())[a.Job.Class]
+	h := &hand{server: s, group: g, id: a.ID, index: a.Index, n: a.Hand, until: time.Duration(time.Now().UnixNano()) + a.Left, asks: map[int]*dispatch.Attempt{}}
+	left := a.Left
+	if ok {
+		left = min(left, class.Deadline)
+	}
+	h.cmd = &dispatch.Command{
+		ID: promise.WireID(a.ID, a.Index, a.Hand), Class: a.Job.Class, Tenant: a.Job.Tenant, Key: keyNumber(a.Job.Key), Work: a.Job.Work, Slots: a.Job.Slots, Order: a.Job.Order,
+		Repeat: a.Repeat, Deadline: time.Now().Add(left), Client: h, Gate: h,
+		Payload: &http1.Request{
+			Method: "POST", Target: cmp.Or(a.Job.Target, "/api"), Body: a.Job.Payload, Header: http1.Header{{Name: "Idempotency-Key", Value: a.ID}},
+		},
+	}
+	s.hands[inHand{a.ID, a.Hand}] = h
+	s.core.Take(h.cmd)
+}
+
+// keyNumber is a key as the module knows it, the same as of commands by HTTP.
+func keyNumber(key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	n, ok := wire.KeyNumber(key)
+	if !ok {
+		f := fnv.New64a()
+		f.Write([]byte(key))
+		n = f.Sum64()
+	}
+	return max(n, 1)
+}
+
+// on has the loop go on with a hand's owner.
+func (h *hand) on(f func(promise.Clock, *promise.Owner)) {
+	h.server.post(func() {
+		o := h.server.owners[h.group]
+		f(clock(), o)
+		h.server.carry(h.group, o)
+	})
+}
+
+// Answer takes the dispatcher's answer.
+func (h *hand) Answer(a dispatch.Answer) {
+	v := promise.Broken
+	switch a.Verdict {
+	case dispatch.Served:
+		v = promise.Served
+	case dispatch.Nacked:
+		v = promise.TurnedAway
+	case dispatch.Unusable:
+		v = promise.NoUse
+	}
+	h.on(func(c promise.Clock, o *promise.Owner) {
+		h.server.drop(h.id, h.n)
+		o.Answered(c, h.id, h.index, h.n, v, a.Instance, a.Result, a.RetryAfter, h.until-c.Unix)
+	})
+}
+
+// Pass says that a newer process takes over: it has its own.
+func (h *hand) Pass(bool) {
+	h.on(func(promise.Clock, *promise.Owner) { h.server.drop(h.id, h.n) })
+}
+
+// Ask has an attempt wait until its intent is committed.
+func (h *hand) Ask(a *dispatch.Attempt) {
+	at, until := time.Now(), a.Deadline
+	h.on(func(c promise.Clock, o *promise.Owner) {
+		if h.server.hands[inHand{h.id, h.n}] != h {
+			h.server.core.Deny(a)
+			return
+		}
+		h.asks[a.N] = a
+		o.Ask(c, h.id, h.n, a.N, a.Instance, c.Unix+until.Sub(at))
+	})
+}
+
+// Never says that an attempt has not run.
+func (h *hand) Never(a *dispatch.Attempt) {
+	h.on(func(c promise.Clock, o *promise.Owner) {
+		delete(h.asks, a.N)
+		o.Over(c, h.id, h.n, a.N)
+	})
+}
+
+// Stray takes a call of an instance that matches nothing in hand here: whoever it reaches books it.
+func (s *Server) Stray(n dispatch.News) bool {
+	id, index, k, ok := promise.ReadWireID(n.ID)
+	if !ok {
+		return false
+	}
+	c := promise.Command{Op: promise.OpWord, ID: id, Index: index, Hand: k, Instance: n.From}
+	switch n.State {
+	case dispatch.Done:
+		c.Kind, c.Result = promise.Done, n.Result
+	case dispatch.Errored:
+		c.Kind, c.Reason = promise.Failed, fmt.Sprintf("it failed at %s", n.From)
+	case dispatch.Lost:
+		c.Kind, c.Reason = promise.Failed, fmt.Sprintf("it was lost at %s", n.From)
+	case dispatch.Returned:
+		c.Kind = promise.Refused
+	default:
+		return true
+	}
+	if len(c.Result) > promise.MaxResult+1024 {
+		c.Result = make([]byte, promise.MaxResult+1) // so that it is said that it was too long
+	}
+	s.book(s.group(id), c)
+	return true
+}
+
+func (s *Server) group(id string) uint32 { return replica.GroupOf(id, s.host.Groups()) }
+
+var (
+	_ dispatch.Gate   = (*hand)(nil)
+	_ dispatch.Client = (*hand)(nil)
+	_ Core            = (*dispatch.Loop)(nil)
+)
+
+// Figures is what operators go by.
+func (s *Server) Figures() string {
+	var jobs, open, bytes int
+	for g := range s.host.Groups() {
+		s.host.View(g, replica.Promises, func(m replica.Machine) {
+			j, o, b := m.(*promise.Machine).Size()
+			jobs, open, bytes = jobs+j, open+o, bytes+b
+		})
+	}
+	s.mu.Lock()
+	books := s.books
+	s.mu.Unlock()
+	return fmt.Sprintf("proxy.promise.kept=%d\nproxy.promise.open=%d\nproxy.promise.bytes=%d\nproxy.promise.groups_acted_for=%d\nproxy.promise.receipts=%d\nproxy.promise.intents=%d\nproxy.promise.booked=%d\nproxy.promise.left=%d\nproxy.promise.unbooked=%d\nproxy.promise.books_dropped=%d\n",
+		jobs, open, bytes, s.acting.Load(), s.Promised.Load(), s.Intents.Load(), s.Booked.Load(), s.Left.Load(), books, s.DroppedBooks.Load())
+}
--- /dev/null
+++ b/internal/net/promises/server_test.go
@@ -0,0 +1,159 @@
+package promises
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/replicas"
+	"caperrelay/internal/promise"
+	"caperrelay/internal/replica"
+	"caperrelay/internal/wire"
+	promisev1 "caperrelay/proto/winglb/promise/v1"
+)
+
+// copies is the one table as a dispatcher sees it that has the lease or not.
+type copies struct {
+	*replicas.Alone
+	term    atomic.Uint64 // 0: no lease
+	changed chan struct{}
+}
+
+func (c *copies) Lead(uint32) (uint64, time.Duration, bool) {
+	t := c.term.Load()
+	return t, replicas.Now() + 300*time.Millisecond, t > 0
+}
+func (c *copies) Changed() <-chan struct{} { return c.changed }
+
+// core is a loop that notes what it is told.
+type core struct {
+	taken, abandoned, lapsed chan *dispatch.Command
+	passed                   chan func() bool
+	denied                   chan *dispatch.Attempt
+	news                     chan dispatch.News
+}
+
+func (c *core) Take(m *dispatch.Command)                  { c.taken <- m }
+func (c *core) Lapse(m *dispatch.Command)                 { c.lapsed <- m }
+func (c *core) Abandon(m *dispatch.Command)               { c.abandoned <- m }
+func (c *core) Pass(_ *dispatch.Attempt, may func() bool) { c.passed <- may }
+func (c *core) Deny(a *dispatch.Attempt)                  { c.denied <- a }
+func (c *core) News(n dispatch.News)                      { c.news <- n }
+func of[T any](t *testing.T, c chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(20 * time.Second):
+		t.Fatal(what)
+	}
+	return v
+}
+
+func pair(t *testing.T) (s [2]*Server, c [2]*core, h [2]*copies) {
+	table := replicas.NewAlone(2, func(uint32) replica.Mux { return replica.Mux{replica.Promises: promise.New()} })
+	for i := range s {
+		h[i] = &copies{Alone: table, changed: make(chan struct{})}
+		c[i] = &core{make(chan *dispatch.Command, 9), make(chan *dispatch.Command, 9), make(chan *dispatch.Command, 9), make(chan func() bool, 9), make(chan *dispatch.Attempt, 9), make(chan dispatch.News, 9)}
+		s[i] = New(Options{Within: time.Minute, Keep: time.Minute}, h[i], c[i], slog.New(slog.DiscardHandler))
+		s[i].Retune(decide.Settings{Classes: []decide.Class{{Effect: decide.Unsafe, Deadline: 20 * time.Second}, {Deadline: time.Second}}}, wire.Names{Classes: []string{"once", "safe"}})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); s[i].Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+	}
+	return s, c, h
+}
+
+func job(class string) *promisev1.Job { return &promisev1.Job{Class: class, Payload: []byte("work")} }
+
+// One dispatcher has a job out when its lease goes to another. That one does not send it again; the call-back reaches it
+// and ends the promise, for whoever asks wherever.
+func TestLeaseMovesWhileAJobRuns(t *testing.T) {
+	s, c, h := pair(t)
+	h[0].term.Store(1)
+	_, err := s[1].Promise(t.Context(), &promisev1.PromiseRequest{Id: "j", Job: job("once")})
+	require.NoError(t, err)
+	m := of(t, c[0].taken, "it is handed in where the lease is")
+	m.Gate.Ask(&dispatch.Attempt{Command: m, Instance: "s-1", Deadline: m.Deadline})
+	may := of(t, c[0].passed, "its intent is committed")
+	require.True(t, may())
+	h[0].term.Store(0)
+	require.Equal(t, m, of(t, c[0].abandoned, "it is left alone"))
+	m.Gate.Ask(&dispatch.Attempt{Command: m, Instance: "s-2", N: 1, Deadline: m.Deadline})
+	of(t, c[0].denied, "nothing more goes out")
+	h[1].term.Store(2)
+	require.Eventually(t, func() bool { return s[1].acting.Load() == 1 }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return !may() }, 20*time.Second, time.Millisecond, "what was let go of may not go any more")
+	r, err := s[0].Await(t.Context(), &promisev1.AwaitRequest{Id: "j", WaitMs: 1})
+	require.NoError(t, err)
+	require.Nil(t, r.End)
+	require.Empty(t, c[1].taken)
+	require.False(t, s[1].Stray(dispatch.News{ID: "another's", From: "s-1", State: dispatch.Done}))
+	require.True(t, s[1].Stray(dispatch.News{ID: m.ID, From: "s-3", State: dispatch.Done, Result: []byte("nobody sent it there")}))
+	require.True(t, s[1].Stray(dispatch.News{ID: m.ID, From: "s-1", State: dispatch.Done, Result: []byte("result")}))
+	for _, s := range s {
+		r, err := s.Await(t.Context(), &promisev1.AwaitRequest{Id: "j", WaitMs: 20_000})
+		require.NoError(t, err)
+		require.Equal(t, promisev1.Kind_KIND_DONE, r.End.Kind)
+		require.Equal(t, "result", string(r.End.Result))
+	}
+}
+
+// A job that may repeat is handed in again by the next owner, as a repeat, and an end that another dispatcher was told
+// takes it out of hand.
+func TestNextOwnerRepeats(t *testing.T) {
+	s, c, h := pair(t)
+	h[0].term.Store(1)
+	_, err := s[0].Promise(t.Context(), &promisev1.PromiseRequest{Id: "j", Job: job("safe")})
+	require.NoError(t, err)
+	first := of(t, c[0].taken, "it is handed in")
+	first.Gate.Ask(&dispatch.Attempt{Command: first, Instance: "s-1", Deadline: first.Deadline})
+	of(t, c[0].passed, "its intent is committed")
+	h[0].term.Store(0)
+	of(t, c[0].abandoned, "it is left alone")
+	h[1].term.Store(2)
+	again := of(t, c[1].taken, "it is handed in again")
+	require.True(t, again.Repeat)
+	require.NotEqual(t, first.ID, again.ID)
+	require.True(t, s[0].Stray(dispatch.News{ID: first.ID, From: "s-1", State: dispatch.Done, Result: []byte("result")}))
+	require.Equal(t, again.ID, of(t, c[1].news, "the loop is told").ID)
+	require.Equal(t, again, of(t, c[1].lapsed, "and lets go"))
+}
+
+func TestStatuses(t *testing.T) {
+	s, _, _ := pair(t) // nobody acts: what is promised stays so
+	at := t.Context()
+	code := func(err error) codes.Code { return status.Code(err) }
+	promise := func(id string, j *promisev1.Job) (*promisev1.PromiseResponse, error) {
+		return s[0].Promise(at, &promisev1.PromiseRequest{Id: id, Job: j})
+	}
+	for _, id := range []string{"", "a b", "a~b", "a/b"} {
+		_, err := promise(id, job("once"))
+		require.Equal(t, codes.InvalidArgument, code(err), id)
+	}
+	_, err := promise("j", job("unknown"))
+	require.Equal(t, codes.InvalidArgument, code(err))
+	_, err = promise("j", &promisev1.Job{Class: "once", WithinMs: 1 << 62})
+	require.Equal(t, codes.InvalidArgument, code(err))
+	first, err := promise("j", job("once"))
+	require.NoError(t, err)
+	again, err := s[1].Promise(at, &promisev1.PromiseRequest{Id: "j", Job: job("once")})
+	require.NoError(t, err)
+	require.Equal(t, first.Receipt.Index, again.Receipt.Index)
+	_, err = promise("j", job("safe"))
+	require.Equal(t, codes.AlreadyExists, code(err))
+	_, err = s[0].Forget(at, &promisev1.ForgetRequest{Id: "j"})
+	require.Equal(t, codes.FailedPrecondition, code(err))
+	_, err = s[0].Forget(at, &promisev1.ForgetRequest{Id: "other"})
+	require.Equal(t, codes.NotFound, code(err))
+	_, err = s[0].Await(at, &promisev1.AwaitRequest{Id: "other", WaitMs: 60_000})
+	require.Equal(t, codes.NotFound, code(err))
+}
--- /dev/null
+++ b/internal/net/promises/service.go
@@ -0,0 +1,212 @@
+package promises
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"caperrelay/internal/promise"
+	"caperrelay/internal/replica"
+	promisev1 "caperrelay/proto/winglb/promise/v1"
+)
+
+const (
+	mostAwait  = time.Minute
+	askPause   = 50 * time.Millisecond
+	askFar     = 200 * time.Millisecond // where this dispatcher has no copy
+	callWithin = 10 * time.Second       // of a call that brings no deadline
+)
+
+// ask has a group agree on a command of a client's, again and again: each is such that twice does no harm.
+func (s *Server) ask(ctx context.Context, c promise.Command) (promise.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	for unknown := false; ; {
+		a, err := s.propose(ctx, s.group(c.ID), c)
+		if err == nil {
+			s.note(s.group(c.ID), a.Index)
+			return a, nil
+		}
+		if errors.Is(err, replica.ErrTooLarge) {
+			return a, status.Error(codes.InvalidArgument, "the job is too large")
+		}
+		unknown = unknown || errors.Is(err, replica.ErrUnknown)
+		select {
+		case <-ctx.Done():
+			if unknown {
+				return a, status.Error(codes.Unavailable, "it is not known whether the group has agreed: call again with the same id")
+			}
+			return a, status.Error(codes.Unavailable, "no majority answers: nothing is promised")
+		case <-time.After(askPause):
+		}
+	}
+}
+
+// fault is the status of what was not done.
+func fault(a promise.Answer) error {
+	code := map[promise.Why]codes.Code{
+		promise.Malformed: codes.InvalidArgument, promise.Full: codes.ResourceExhausted, promise.Another: codes.AlreadyExists,
+		promise.Unknown: codes.NotFound, promise.TooLate: codes.Aborted, promise.Open: codes.FailedPrecondition,
+	}[a.Why]
+	text := a.Text
+	if text == "" {
+		text = map[promise.Why]string{promise.Unknown: "no such promise is kept", promise.Open: "it has not ended"}[a.Why]
+	}
+	if code == codes.OK {
+		code = codes.Internal
+	}
+	return status.Errorf(code, "%s: %s", a.Why, text)
+}
+
+// Promise answers once a majority has the job on disk.
+func (s *Server) Promise(ctx context.Context, q *promisev1.PromiseRequest) (*promisev1.PromiseResponse, error) {
+	if q.Job == nil {
+		return nil, status.Error(codes.InvalidArgument, "a job is needed")
+	}
+	if _, ok := (*s.classes.Load())[q.Job.Class]; !ok {
+		return nil, status.Errorf(codes.InvalidArgument, "there is no class %q", q.Job.Class)
+	}
+	j := &promise.Job{
+		Class: q.Job.Class, Tenant: q.Job.Tenant, Key: q.Job.Key, Payload: q.Job.Payload, Slots: q.Job.Slots, Target: q.Job.Target, Order: q.Job.Order,
+		Work: span(q.Job.WorkUs, time.Microsecond), Within: span(q.Job.WithinMs, time.Millisecond), Keep: span(q.Job.KeepMs, time.Millisecond),
+	}
+	if j.Within == 0 {
+		j.Within = s.o.Within
+	}
+	if j.Keep == 0 {
+		j.Keep = s.o.Keep
+	}
+	if err := promise.CheckID(q.Id); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if err := j.Check(); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	seen, err := s.seen(ctx, q.Id)
+	if err != nil {
+		return nil, err
+	}
+	a, err := s.ask(ctx, promise.Command{Op: promise.OpPromise, ID: q.Id, Job: j, Seen: seen})
+	if err != nil {
+		return nil, err
+	}
+	if !a.OK {
+		return nil, fault(a)
+	}
+	s.Promised.Add(1)
+	s.wake()
+	return &promisev1.PromiseResponse{Receipt: s.receipt(a.Receipt)}, nil
+}
+
+// note keeps how far a group is known to be.
+func (s *Server) note(g uint32, index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index[g] = max(s.index[g], index)
+}
+
+// seen is how far the group of an id is, as far as it is known here now.
+func (s *Server) seen(ctx context.Context, id string) (uint64, error) {
+	g := s.group(id)
+	s.host.View(g, replica.Promises, func(m replica.Machine) { s.note(g, m.(*promise.Machine).Index()) })
+	s.mu.Lock()
+	index := s.index[g]
+	s.mu.Unlock()
+	if index > 0 {
+		return index, nil
+	}
+	a, err := s.ask(ctx, promise.Command{Op: promise.OpLook, ID: id})
+	return a.Index, err
+}
+
+// span is n units of time; what is beyond all bounds stays so.
+func span(n uint64, unit time.Duration) time.Duration {
+	return time.Duration(min(n, uint64(promise.MaxKeep/unit)+1)) * unit
+}
+
+func (s *Server) receipt(r *promise.Receipt) *promisev1.Receipt {
+	return &promisev1.Receipt{Id: r.ID, Group: s.group(r.ID), Index: r.Index, AtUnixUs: r.At.Microseconds(), UntilUnixUs: r.Until.Microseconds()}
+}
+
+var kinds = map[promise.Kind]promisev1.Kind{
+	promise.Done: promisev1.Kind_KIND_DONE, promise.Failed: promisev1.Kind_KIND_FAILED, promise.Refused: promisev1.Kind_KIND_REFUSED,
+}
+
+// Await waits for an end. What it answers is read in the order of all that the group agrees on.
+func (s *Server) Await(ctx context.Context, q *promisev1.AwaitRequest) (*promisev1.AwaitResponse, error) {
+	if err := promise.CheckID(q.Id); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	select {
+	case s.waiting <- struct{}{}:
+		defer func() { <-s.waiting }()
+	default:
+		return nil, status.Error(codes.ResourceExhausted, "as many calls wait as may")
+	}
+	until := time.Now().Add(min(time.Duration(q.WaitMs)*time.Millisecond, mostAwait))
+	for {
+		s.settled(ctx, q.Id, until)
+		a, err := s.ask(ctx, promise.Command{Op: promise.OpLook, ID: q.Id})
+		switch {
+		case err != nil:
+			return nil, err
+		case !a.OK:
+			return nil, fault(a)
+		case a.End == nil && time.Now().Before(until) && ctx.Err() == nil:
+			select { // the copy here may be behind
+			case <-ctx.Done():
+			case <-time.After(askPause):
+			}
+			continue
+		}
+		r := &promisev1.AwaitResponse{Receipt: s.receipt(a.Receipt)}
+		if e := a.End; e != nil {
+			r.End = &promisev1.End{Kind: kinds[e.Kind], Reason: e.Reason, Result: e.Result, Instance: e.By, AtUnixUs: e.At.Microseconds()}
+		}
+		return r, nil
+	}
+}
+
+// settled waits until the copy here, if there is one, has an end or nothing of a promise, or the time is over.
+func (s *Server) settled(ctx context.Context, id string, until time.Time) {
+	for time.Now().Before(until) {
+		s.mu.Lock()
+		moved := s.moved
+		s.mu.Unlock()
+		open := false
+		wait := min(time.Until(until), time.Second)
+		if !s.host.View(s.group(id), replica.Promises, func(m replica.Machine) {
+			e := m.(*promise.Machine).Entry(id)
+			open = e != nil && e.End == nil
+		}) {
+			moved, wait = nil, min(wait, askFar)
+		} else if !open {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-moved:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil || moved == nil {
+			return
+		}
+	}
+}
+
+// Forget drops a promise that has ended.
+func (s *Server) Forget(ctx context.Context, q *promisev1.ForgetRequest) (*promisev1.ForgetResponse, error) {
+	a, err := s.ask(ctx, promise.Command{Op: promise.OpForget, ID: q.Id})
+	if err == nil && !a.OK {
+		err = fault(a)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &promisev1.ForgetResponse{}, nil
+}
--- a/internal/promise/machine.go
+++ b/internal/promise/machine.go
@@ -28,9 +28,15 @@
 	MaxBytes   = 64 << 20 // of payloads and results in all
 	MaxWithin  = 24 * time.Hour
 	MaxKeep    = 7 * 24 * time.Hour
-	maxIntents = 16 // of a job that have no end; of one that may repeat, the oldest makes room
+	MaxGone    = 1 << 15 // ids that are not kept any more, and not yet free for what was on its way
+	maxIntents = 16      // of a job that have no end; of one that may repeat, the oldest makes room
 )
 
+// A proposal of which nothing was heard may be committed late: when the promise that it doubles has ended, and is
+// forgotten. So an id that is dropped stays known for Late commits, and a proposal bears how far its proposer had seen
+// when it was asked for: one from before the drop, or from longer ago, counts no more. Clocks have no part in it.
+const Late = 1 << 16
+
 // Version of commands and snapshots.
 const Version = 1
 
@@ -167,6 +173,8 @@
 	Op       Op            `json:"op"`
 	Gen      uint64        `json:"gen,omitempty"` // of the owner that proposes it
 	ID       string        `json:"id,omitempty"`
+	Index    uint64        `json:"index,omitempty"` // of the receipt that it is about
+	Seen     uint64        `json:"seen,omitempty"`  // of a promise: the group's index when it was asked for
 	Job      *Job          `json:"job,omitempty"`
 	Hand     int           `json:"hand,omitempty"`
 	N        int           `json:"n,omitempty"`
@@ -187,6 +195,7 @@
 // Answer is what a command came to.
 type Answer struct {
 	OK      bool     `json:"ok"`
+	Index   uint64   `json:"index"`         // of the command
 	Why     Why      `json:"why,omitempty"` // it was not done
 	Text    string   `json:"text,omitempty"`
 	Receipt *Receipt `json:"receipt,omitempty"`
@@ -205,6 +214,7 @@
 	Stale     Why = "stale"   // of an owner whose time is over
 	Ended     Why = "ended"   // it has its end already
 	Open      Why = "open"    // it has none yet
+	TooLate   Why = "late"    // the proposal was under way for too long, or the id was dropped a moment ago
 )
 
 // ReadAnswer reads what Apply gave.
@@ -215,12 +225,15 @@
 
 // Machine is one group's table. It is not safe for more than one goroutine.
 type Machine struct {
+	index uint64 // of the last command
 	owner uint64 // the highest generation of an owner
 	jobs  map[string]*Entry
 	open  []*Entry // without an end, by index; some that have one meanwhile
 	dead  int      // how many of open those are
 	ended expiry
 	bytes int
+	gone  map[string]uint64 // ids by the index at which they were dropped
+	order []gone            // likewise, the first first
 
 	faulty Faults
 }
@@ -229,7 +242,12 @@
 type Faults struct{ AnyGen, EndTwice bool }
 
 // New returns an empty table.
-func New() *Machine { return &Machine{jobs: map[string]*Entry{}} }
+func New() *Machine { return &Machine{jobs: map[string]*Entry{}, gone: map[string]uint64{}} }
+
+type gone struct {
+	ID    string `json:"id"`
+	Index uint64 `json:"index"`
+}
 
 // expiry is a heap of entries that have ended.
 type expiry []*Entry
@@ -248,6 +266,7 @@
 
 // Apply steps the table by a committed command. at is Unix time, and never less than before.
 func (m *Machine) Apply(index uint64, at time.Duration, cmd []byte) []byte {
+	m.index = index
 	m.expire(at)
 	var c Command
 	a := Answer{Why: Malformed}
@@ -258,12 +277,19 @@
 	} else {
 		a = m.step(index, at, &c)
 	}
+	a.Index = index
 	text, _ := json.Marshal(a)
 	return text
 }
 
 func (m *Machine) expire(at time.Duration) {
-	for len(m.ended) > 0 && m.ended[0].expires() <= at {
+	for len(m.order) > 0 && m.order[0].Index+Late < m.index {
+		if m.gone[m.order[0].ID] == m.order[0].Index {
+			delete(m.gone, m.order[0].ID)
+		}
+		m.order = m.order[1:]
+	}
+	for len(m.ended) > 0 && m.ended[0].expires() <= at && len(m.order) < MaxGone {
 		m.drop(heap.Pop(&m.ended).(*Entry))
 	}
 }
@@ -271,6 +297,8 @@
 func (m *Machine) drop(e *Entry) {
 	delete(m.jobs, e.ID)
 	m.bytes -= e.bytes()
+	m.gone[e.ID] = m.index
+	m.order = append(m.order, gone{e.ID, m.index})
 }
 
 func (m *Machine) step(index uint64, at time.Duration, c *Command) Answer {
@@ -285,7 +313,7 @@
 		return Answer{OK: true}
 	}
 	e := m.jobs[c.ID]
-	if e == nil {
+	if e == nil || c.Index != e.Index && slices.Contains([]Op{OpIntent, OpOver, OpEnd, OpWord}, c.Op) {
 		return Answer{Why: Unknown}
 	}
 	switch c.Op {
@@ -295,6 +323,9 @@
 		if e.End == nil {
 			return Answer{Why: Open, Receipt: &e.Receipt}
 		}
+		if len(m.order) >= MaxGone {
+			return Answer{Why: Full, Text: "too many were forgotten of late: it goes by itself when its retention ends"}
+		}
 		heap.Remove(&m.ended, slices.Index(m.ended, e))
 		m.drop(e)
 		return Answer{OK: true}
@@ -357,6 +388,9 @@
 		}
 		return Answer{OK: true, Receipt: &e.Receipt}
 	}
+	if dropped, ok := m.gone[c.ID]; c.Seen+Late < index || ok && c.Seen < dropped {
+		return Answer{Why: TooLate, Text: "it was under way for too long, or the id was forgotten a moment ago"}
+	}
 	e := &Entry{Receipt: Receipt{ID: c.ID, Index: index, At: at, Until: at + c.Job.Within}, Job: *c.Job, Digest: digest}
 	if len(m.jobs) >= MaxJobs || m.bytes+e.bytes() > MaxBytes {
 		return Answer{Why: Full, Text: fmt.Sprintf("the group holds %d promises and %d bytes of them", len(m.jobs), m.bytes)}
@@ -411,15 +445,20 @@
 	}
 }
 
+// Index is that of the last command.
+func (m *Machine) Index() uint64 { return m.index }
+
 // Owner is the generation of whoever acts.
 func (m *Machine) Owner() uint64 { return m.owner }
 
 // Entry is a job's line, to be read only; nil: there is none.
 func (m *Machine) Entry(id string) *Entry { return m.jobs[id] }
 
-// Open calls f with each job that has no end, by the order of their receipts, until it says false.
-func (m *Machine) Open(f func(*Entry) bool) {
-	for _, e := range m.open {
+// Open calls f with each job that has no end, by the order of their receipts and from one of these on, until it says
+// false.
+func (m *Machine) Open(from uint64, f func(*Entry) bool) {
+	at, _ := slices.BinarySearchFunc(m.open, from, func(e *Entry, from uint64) int { return cmp.Compare(e.Index, from) })
+	for _, e := range m.open[at:] {
 		if e.End == nil && !f(e) {
 			return
 		}
@@ -431,13 +470,15 @@
 
 type state struct {
 	V     int      `json:"v"`
+	Index uint64   `json:"index"`
 	Owner uint64   `json:"owner"`
 	Jobs  []*Entry `json:"jobs"` // by index
+	Gone  []gone   `json:"gone,omitempty"`
 }
 
 // Snapshot is the table as a text.
 func (m *Machine) Snapshot() ([]byte, error) {
-	s := state{V: Version, Owner: m.owner}
+	s := state{V: Version, Index: m.index, Owner: m.owner, Gone: m.order}
 	for _, e := range m.jobs {
 		s.Jobs = append(s.Jobs, e)
 	}
@@ -454,7 +495,10 @@
 	if s.V != Version {
 		return fmt.Errorf("promises: a snapshot of version %d, not %d", s.V, Version)
 	}
-	fresh := Machine{owner: s.Owner, jobs: map[string]*Entry{}, faulty: m.faulty}
+	fresh := Machine{index: s.Index, owner: s.Owner, jobs: map[string]*Entry{}, gone: map[string]uint64{}, order: s.Gone, faulty: m.faulty}
+	for _, g := range s.Gone {
+		fresh.gone[g.ID] = g.Index
+	}
 	for _, e := range s.Jobs {
 		fresh.jobs[e.ID] = e
 		if fresh.bytes += e.bytes(); e.End == nil {
@@ -468,16 +512,21 @@
 	return nil
 }
 
-// WireID is what instances know one hand-in of a job by. It differs from hand-in to hand-in: what an earlier one has
-// left at an instance must not be taken for a later one.
-func WireID(id string, hand int) string { return id + "~" + strconv.Itoa(hand) }
+// WireID is what instances know one hand-in of a job by. It differs from hand-in to hand-in, and from promise to promise
+// of one id: what an earlier one has left at an instance must not be taken for a later one's.
+func WireID(id string, index uint64, hand int) string {
+	return id + "~" + strconv.FormatUint(index, 10) + "~" + strconv.Itoa(hand)
+}
 
 // ReadWireID takes one apart; false: it is no promised job's.
-func ReadWireID(text string) (id string, hand int, ok bool) {
-	id, number, ok := strings.Cut(text, "~")
-	if !ok {
-		return "", 0, false
+func ReadWireID(text string) (id string, index uint64, hand int, ok bool) {
+	parts := strings.Split(text, "~")
+	if len(parts) != 3 || CheckID(parts[0]) != nil {
+		return "", 0, 0, false
+	}
+	index, err := strconv.ParseUint(parts[1], 10, 64)
+	if err == nil {
+		hand, err = strconv.Atoi(parts[2])
 	}
-	hand, err := strconv.Atoi(number)
-	return id, hand, err == nil && hand > 0 && CheckID(id) == nil
+	return parts[0], index, hand, err == nil && hand > 0
 }
--- a/internal/promise/machine_test.go
+++ b/internal/promise/machine_test.go
@@ -31,10 +31,15 @@
 				Op: rapid.SampledFrom([]Op{OpPromise, OpPromise, OpOwn, OpIntent, OpIntent, OpOver, OpEnd, OpWord, OpWord, OpForget, OpLook, "other"}).Draw(t, "op"),
 				ID: rapid.SampledFrom([]string{"a", "b", "c", ""}).Draw(t, "id"), Hand: rapid.IntRange(1, 2).Draw(t, "hand"),
 				Gen: gen - uint64(rapid.IntRange(0, 1).Draw(t, "stale")), N: rapid.IntRange(0, 1).Draw(t, "n"), Instance: "s-1",
-				Kind: rapid.SampledFrom([]Kind{Done, Failed, Refused}).Draw(t, "kind"), Reason: "for some reason", Result: []byte("result"),
+				Index: rapid.SampledFrom([]uint64{0, 1, 2}).Draw(t, "receipt"),
+				Kind:  rapid.SampledFrom([]Kind{Done, Failed, Refused}).Draw(t, "kind"), Reason: "for some reason", Result: []byte("result"),
+			}
+			if e := m.Entry(c.ID); e != nil && c.Index > 0 {
+				c.Index = e.Index
 			}
 			switch c.Op {
 			case OpPromise:
+				c.Seen = index - 1 - min(index-1, rapid.SampledFrom([]uint64{0, 0, 1, 20}).Draw(t, "under way"))
 				c.Job = &Job{Class: "c", Payload: []byte("payload"), Within: time.Hour, Keep: 10 * time.Second}
 			case OpOwn:
 				gen++
@@ -102,10 +107,12 @@
 	require.Equal(t, MaxBytes/MaxPayload, n)
 	require.True(t, ask1(m, 5000, 0, Command{Op: OpPromise, ID: "j0", Job: job}).OK, "it has its receipt already")
 	require.True(t, ask1(m, 5001, 0, Command{Op: OpOwn, Gen: 7}).OK)
-	require.True(t, ask1(m, 5002, 0, Command{Op: OpEnd, ID: "j0", Gen: 7, Kind: Refused, Reason: strings.Repeat("x", 9999)}).OK)
+	require.True(t, ask1(m, 5002, 0, Command{Op: OpEnd, ID: "j0", Index: 1, Gen: 7, Kind: Refused, Reason: strings.Repeat("x", 9999)}).OK)
 	require.Len(t, m.Entry("j0").End.Reason, MaxReason)
 	require.True(t, ask1(m, 5003, 0, Command{Op: OpPromise, ID: "fits", Job: job}).OK, "what has ended leaves its payload's room")
 	require.Equal(t, Unknown, ask1(m, 5004, time.Minute, Command{Op: OpLook, ID: "j0"}).Why, "its retention is over")
+	require.Equal(t, TooLate, ask1(m, 5005, time.Minute, Command{Op: OpPromise, ID: "j0", Job: job, Seen: 5003}).Why, "it may double the one before")
+	require.True(t, ask1(m, 5006, time.Minute, Command{Op: OpPromise, ID: "j0", Job: &Job{Class: "c", Within: 1, Keep: 1}, Seen: 5005}).OK)
 	for _, garbage := range []string{"", "{", "null", `{"v":9}`, `{"v":1,"op":"promise","id":"a b"}`, `{"v":1,"op":"promise","id":"x","job":{}}`} {
 		a, err := ReadAnswer(m.Apply(6000, time.Minute, []byte(garbage)))
 		require.NoError(t, err)
@@ -129,7 +136,7 @@
 	o.Lead(at(0), 3, 500*time.Millisecond, true)
 	take(at(0))
 	first := o.Actions()[0].(Start)
-	o.Answered(at(400), "j", first.Hand, TurnedAway, "", nil, 0, 0)
+	o.Answered(at(400), "j", 1, first.Hand, TurnedAway, "", nil, 0, 0)
 	late := o.Actions()[0].(Propose)
 	require.Equal(t, OpEnd, late.Op)
 	o.Look(at(490), m)
--- a/internal/promise/model_test.go
+++ b/internal/promise/model_test.go
@@ -302,7 +302,7 @@
 				repeats := w.d[i].owner.repeats
 				faulty := w.d[i].owner.faulty
 				w.d[i] = peer{table: w.d[i].table, have: w.d[i].have, owner: NewOwner(repeats)}
-				w.d[i].owner.faulty = faulty
+				w.d[i].owner.faulty, w.d[i].owner.every = faulty, 0
 				w.flights = slices.DeleteFunc(w.flights, func(f flight) bool { return f.d == i && f.seq == 0 })
 				if w.holder == i {
 					w.holder = -1
@@ -343,7 +343,7 @@
 		if !w.rung[a] {
 			try(func(w *world) {
 				w.rung[a] = true
-				word := Command{Op: OpWord, ID: theJob, Hand: a.hand, Instance: fmt.Sprint("s-", a.d), Kind: Done}
+				word := Command{Op: OpWord, ID: theJob, Index: 1, Hand: a.hand, Instance: fmt.Sprint("s-", a.d), Kind: Done}
 				w.flights = append(w.flights, flight{1 - a.d, 0, string(word.Bytes())})
 			})
 		}
@@ -376,7 +376,7 @@
 
 func (w *world) answered(i int, v Verdict, left time.Duration) {
 	d := &w.d[i]
-	d.owner.Answered(w.clock(i), theJob, d.hand, v, fmt.Sprint("s-", i), nil, 0, left)
+	d.owner.Answered(w.clock(i), theJob, 1, d.hand, v, fmt.Sprint("s-", i), nil, 0, left)
 	d.hand, d.n, d.state = 0, 0, none
 	w.carry(i)
 }
@@ -391,7 +391,7 @@
 	w.table.faulty = f
 	for i := range w.d {
 		w.d[i].table, w.d[i].owner = w.table.clone(), NewOwner(class)
-		w.d[i].owner.faulty = o
+		w.d[i].owner.faulty, w.d[i].owner.every = o, 0
 	}
 	w.commit(flight{cmd: string(Command{Op: OpPromise, ID: theJob, Job: &Job{Class: "c", Within: jobTicks * tick, Keep: time.Hour}}.Bytes())})
 	w.grant(0) // the first has the job in hand: what follows is the change
--- a/internal/promise/owner.go
+++ b/internal/promise/owner.go
@@ -19,7 +19,8 @@
 	againFirst = 100 * time.Millisecond // before a job that was turned away is handed in again
 	againMost  = 5 * time.Second
 	bookWithin = 10 * time.Second
-	again      = 50 * time.Millisecond // before a proposal of which nothing is known is made again
+	scanEach   = 250 * time.Millisecond // all of a table; what is new in it is seen at once
+	again      = 50 * time.Millisecond  // before a proposal of which nothing is known is made again
 )
 
 // MayHaveRun is why a job that must not run twice is ended failed though nobody knows.
@@ -55,6 +56,7 @@
 	// Start hands a job to the dispatcher. Left is the time for it.
 	Start struct {
 		ID     string
+		Index  uint64
 		Hand   int
 		Job    Job
 		Left   time.Duration
@@ -110,7 +112,9 @@
 	seq   uint64
 	out   map[uint64]proposal
 	do    []Action
-	wake  time.Duration // Unix: when an entry that waits is due; 0: none is
+	every time.Duration // between looks at all of the table
+	whole time.Duration // when the next is, by the clock of leases
+	seen  uint64        // the newest receipt that was looked at
 
 	faulty OwnerFaults
 }
@@ -121,6 +125,7 @@
 // hand is a job in the dispatcher's hands.
 type hand struct {
 	n      int
+	index  uint64 // of the receipt
 	class  string
 	ran    bool        // it may have, in an earlier hand
 	asks   map[int]ask // attempts that wait for their intents
@@ -151,7 +156,7 @@
 
 // NewOwner returns one without a lease. repeats tells whether jobs of a class may run again after one that may have run.
 func NewOwner(repeats func(class string) bool) *Owner {
-	return &Owner{repeats: repeats, hands: map[string]*hand{}, later: map[string]later{}, out: map[uint64]proposal{}}
+	return &Owner{repeats: repeats, every: scanEach, hands: map[string]*hand{}, later: map[string]later{}, out: map[uint64]proposal{}}
 }
 
 // Actions takes what is to be done since the last call, in order.
@@ -197,7 +202,7 @@
 	if o.term > 0 {
 		o.times++
 	}
-	o.term, o.own, o.wake = 0, 0, 0
+	o.term, o.own, o.whole, o.seen = 0, 0, 0, 0
 }
 
 // gen is the generation that commands bear: the term, and in it the time that the lease is held.
@@ -235,6 +240,9 @@
 	o.again(c)
 	for _, id := range slices.Sorted(maps.Keys(o.hands)) {
 		h, e := o.hands[id], m.Entry(id)
+		if e != nil && e.Index != h.index {
+			e = nil // it was forgotten, and the id is another's
+		}
 		if e != nil && e.End == nil {
 			continue
 		}
@@ -248,9 +256,15 @@
 		}
 		o.forget(id)
 	}
-	o.wake = 0
-	m.Open(func(e *Entry) bool {
-		if o.hands[e.ID] == nil {
+	if len(o.hands) >= MostHands {
+		return
+	}
+	from := o.seen + 1
+	if c.Mono >= o.whole {
+		from, o.whole = 0, c.Mono+o.every
+	}
+	m.Open(from, func(e *Entry) bool {
+		if o.seen = max(o.seen, e.Index); o.hands[e.ID] == nil {
 			o.consider(c, e)
 		}
 		return len(o.hands) < MostHands
@@ -284,15 +298,7 @@
 
 // consider decides what becomes of a job that is in nobody's hands here.
 func (o *Owner) consider(c Clock, e *Entry) {
-	due := func(at time.Duration) bool {
-		if c.Unix >= at {
-			return true
-		}
-		if o.wake == 0 || at < o.wake {
-			o.wake = at
-		}
-		return false
-	}
+	due := func(at time.Duration) bool { return c.Unix >= at }
 	repeats := o.repeats(e.Job.Class)
 	var until time.Duration
 	lost := ""
@@ -306,32 +312,32 @@
 	switch wait := o.later[e.ID]; {
 	case len(e.Intents) > 0 && !repeats:
 		if until == 0 { // each is known to have come to nothing
-			o.end(c, e, Failed, lost)
+			o.end(e, Failed, lost)
 		} else if due(until) {
-			o.end(c, e, Failed, MayHaveRun)
+			o.end(e, Failed, MayHaveRun)
 		}
 	case due(e.Until):
 		if len(e.Intents) > 0 {
-			o.end(c, e, Failed, cmp.Or(lost, MayHaveRun))
+			o.end(e, Failed, cmp.Or(lost, MayHaveRun))
 		} else {
-			o.end(c, e, Refused, "its time was over before it could be done")
+			o.end(e, Refused, "its time was over before it could be done")
 		}
 	case c.Mono < wait.at:
 	default:
 		n := max(e.Hands, wait.hand) + 1
 		o.later[e.ID] = later{hand: n, pause: wait.pause}
-		o.hands[e.ID] = &hand{n: n, class: e.Job.Class, ran: len(e.Intents) > 0, asks: map[int]ask{}}
-		o.act(Start{ID: e.ID, Hand: n, Job: e.Job, Left: e.Until - c.Unix, Repeat: len(e.Intents) > 0})
+		o.hands[e.ID] = &hand{n: n, index: e.Index, class: e.Job.Class, ran: len(e.Intents) > 0, asks: map[int]ask{}}
+		o.act(Start{ID: e.ID, Index: e.Index, Hand: n, Job: e.Job, Left: e.Until - c.Unix, Repeat: len(e.Intents) > 0})
 	}
 }
 
-func (o *Owner) end(c Clock, e *Entry, kind Kind, reason string) {
-	o.finish(c, e.ID, &hand{n: max(e.Hands, 1), class: e.Job.Class, asks: map[int]ask{}}, kind, reason)
+func (o *Owner) end(e *Entry, kind Kind, reason string) {
+	o.finish(e.ID, &hand{n: max(e.Hands, 1), index: e.Index, class: e.Job.Class, asks: map[int]ask{}}, kind, reason)
 }
 
-func (o *Owner) finish(_ Clock, id string, h *hand, kind Kind, reason string) {
+func (o *Owner) finish(id string, h *hand, kind Kind, reason string) {
 	o.hands[id] = h
-	h.ending = &Command{Op: OpEnd, ID: id, Kind: kind, Reason: reason}
+	h.ending = &Command{Op: OpEnd, ID: id, Index: h.index, Kind: kind, Reason: reason}
 	h.sent = o.propose(*h.ending, proposal{id: id, hand: h.n})
 }
 
@@ -342,7 +348,7 @@
 		o.act(Deny{id, n, attempt})
 		return
 	}
-	a := ask{Command: Command{Op: OpIntent, ID: id, Hand: n, N: attempt, Instance: instance, Until: until}}
+	a := ask{Command: Command{Op: OpIntent, ID: id, Index: h.index, Hand: n, N: attempt, Instance: instance, Until: until}}
 	if o.faulty.SendFirst {
 		o.act(Go{id, n, attempt, o.until - Margin})
 	}
@@ -398,13 +404,13 @@
 		return
 	}
 	delete(h.asks, attempt)
-	o.propose(Command{Op: OpOver, ID: id, Hand: n, N: attempt}, proposal{id: id, hand: n, n: attempt})
+	o.propose(Command{Op: OpOver, ID: id, Index: h.index, Hand: n, N: attempt}, proposal{id: id, hand: n, n: attempt})
 }
 
 // Answered takes the dispatcher's one answer to a hand-in. left is how long the job still may be begun.
-func (o *Owner) Answered(c Clock, id string, n int, v Verdict, by string, result []byte, after, left time.Duration) {
+func (o *Owner) Answered(c Clock, id string, index uint64, n int, v Verdict, by string, result []byte, after, left time.Duration) {
 	if v == Served { // true whoever acts
-		o.act(Book{Command{Op: OpWord, ID: id, Hand: n, Instance: by, Kind: Done, Result: result}})
+		o.act(Book{Command{Op: OpWord, ID: id, Index: index, Hand: n, Instance: by, Kind: Done, Result: result}})
 	}
 	h := o.hands[id]
 	if h == nil || h.n != n || h.ending != nil || !o.Acts(c) {
@@ -415,13 +421,13 @@
 		h.ending, h.sent = &Command{Op: OpLook}, 1 // nothing else may end it here
 		h.retry = c.Mono + bookWithin
 	case v == NoUse:
-		o.finish(c, id, h, Refused, "no encoder can do it as it stands")
+		o.finish(id, h, Refused, "no encoder can do it as it stands")
 	case v == Broken && !o.repeats(h.class):
-		o.finish(c, id, h, Failed, "it failed, or may have run")
+		o.finish(id, h, Failed, "it failed, or may have run")
 	case left <= 0 && (v == Broken || h.ran):
-		o.finish(c, id, h, Failed, "it failed until its time was over")
+		o.finish(id, h, Failed, "it failed until its time was over")
 	case left <= 0:
-		o.finish(c, id, h, Refused, "turned away until its time was over")
+		o.finish(id, h, Refused, "turned away until its time was over")
 	default:
 		wait := o.later[id]
 		wait.pause = min(max(againFirst, 2*wait.pause), againMost)
--- a/internal/siteconf/siteconf.go
+++ b/internal/siteconf/siteconf.go
@@ -107,19 +107,22 @@
 
 // File is the file as it is written. README.md and deploy/site.sample.toml tell its keys.
 type File struct {
-	Node     Node      `toml:"node"`
-	Limits   Limits    `toml:"limits"`
-	Site     Site      `toml:"site"`
-	Rules    Rules     `toml:"rules"`
-	Attempts Attempts  `toml:"attempts"`
-	Kinds    []Kind    `toml:"kind"`
-	Classes  []Class   `toml:"class"`
-	Tenants  []Tenant  `toml:"tenant"`
-	Control  *Control  `toml:"control"`
-	Fronts   []Front   `toml:"front"`
-	Members  *Members  `toml:"members"`
-	Snapshot *Snapshot `toml:"snapshot"`
-	Log      Log       `toml:"log"`
+	Node      Node       `toml:"node"`
+	Limits    Limits     `toml:"limits"`
+	Site      Site       `toml:"site"`
+	Rules     Rules      `toml:"rules"`
+	Attempts  Attempts   `toml:"attempts"`
+	Kinds     []Kind     `toml:"kind"`
+	Classes   []Class    `toml:"class"`
+	Tenants   []Tenant   `toml:"tenant"`
+	Control   *Control   `toml:"control"`
+	Fronts    []Front    `toml:"front"`
+	Members   *Members   `toml:"members"`
+	Snapshot  *Snapshot  `toml:"snapshot"`
+	Promises  *Promises  `toml:"promises"`
+	Gangs     *Gangs     `toml:"gangs"`
+	Pipelines *Pipelines `toml:"pipelines"`
+	Log       Log        `toml:"log"`
 
 	path  string
 	text  []string
@@ -234,6 +237,24 @@
 	Keep  Duration `toml:"keep"` // one older than this is not used
 }
 
+// Promises is the record of what was promised, which daemons keep together: each holds replicas of some of its groups.
+// They call each other at their control listeners.
+type Promises struct {
+	Dir     string            `toml:"dir"`     // on a disk that lasts, this daemon's alone
+	Machine string            `toml:"machine"` // what fails together; empty: the daemon's name
+	Zone    string            `toml:"zone"`    // empty: node.zone
+	Peers   map[string]string `toml:"peers"`   // the control listeners of all other daemons, by name
+	Through map[string]string `toml:"through"` // where named ones are reached from here, if not at their own addresses
+	Groups  uint32            `toml:"groups"`  // the same at all daemons, for good
+	Copies  int               `toml:"copies"`
+	Within  Duration          `toml:"within"` // for jobs that bring none: later than this after the receipt they are begun no more
+	Keep    Duration          `toml:"keep"`   // how long an end is kept, likewise
+	Gone    Duration          `toml:"gone"`   // a daemon that is away for so long has its replicas moved
+	// Repair counts the times that a lost majority was given up, and Survivors are the daemons that were left the last time.
+	Repair    uint32   `toml:"repair"`
+	Survivors []string `toml:"survivors"`
+}
+
 // TLS is the keys of a listener.
 type TLS struct {
 	Certificate string   `toml:"certificate"`
@@ -332,7 +353,7 @@
 // units has the keys whose values need one, and what to write.
 var units = func() map[string]string {
 	all := map[string]string{"memory": `write "%sMB"`, "cold_from": `write "%s%%"`, "late_worth": `write "%s%%"`, "rate": `write "%s/s"`}
-	for _, key := range strings.Fields("aim deadline progress grain drain_grace cold fall_window connect idle max_retry_after silence lease within every keep") {
+	for _, key := range strings.Fields("aim deadline progress grain drain_grace cold fall_window connect idle max_retry_after silence lease within every keep gone") {
 		all[key] = `write "%[1]sms" or "%[1]ss"`
 	}
 	return all
@@ -344,7 +365,7 @@
 // words of the file's keys, for guesses at what was meant.
 var words = strings.Fields(`node limits site rules attempts kind class tenant control log name listen discovery admin seed number of zone cores
 memory sockets zones tells_start progress rated grain crossing drain_grace cold_from cold fall_multiple fall_window most open copies probes
-connect idle max_retry_after slots effect aim stretch deadline worth late_worth rate senders silence lease new tls front routes nginx within clients members join through watchers fan_out snapshot file every keep certificate key client_ca names format level`)
+connect idle max_retry_after slots effect aim stretch deadline worth late_worth rate senders silence lease new tls front routes nginx within clients members join through watchers fan_out promises gangs pipelines partner sites share hours snapshot file every keep certificate key client_ca names format level`)
 
 // near guesses which key was meant.
 func near(key string) string {
@@ -511,6 +532,15 @@
 			return f.at("members.join", `missing: write join = ["host:port"], the addresses of some others`)
 		}
 	}
+	if err := f.checkPromises(); err != nil {
+		return err
+	}
+	if err := f.checkGangs(); err != nil {
+		return err
+	}
+	if err := f.checkPipelines(); err != nil {
+		return err
+	}
 	if w := f.Snapshot; w != nil {
 		w.Every, w.Keep = cmp.Or(w.Every, Duration(5*time.Second)), cmp.Or(w.Keep, Duration(24*time.Hour))
 		switch {
@@ -552,6 +582,40 @@
 	return nil
 }
 
+// checkPromises finds what no record could be kept by.
+func (f *File) checkPromises() error {
+	p := f.Promises
+	if p == nil {
+		return nil
+	}
+	p.Machine, p.Zone = cmp.Or(p.Machine, f.Node.Name), cmp.Or(p.Zone, f.Node.Zone)
+	p.Groups, p.Copies, p.Gone = cmp.Or(p.Groups, 16), cmp.Or(p.Copies, 3), cmp.Or(p.Gone, Duration(30*time.Second))
+	p.Within, p.Keep = cmp.Or(p.Within, Duration(time.Hour)), cmp.Or(p.Keep, Duration(24*time.Hour))
+	switch {
+	case p.Within > Duration(24*time.Hour):
+		return f.at("promises.within", `%v: at most "24h"`, time.Duration(p.Within))
+	case p.Keep > Duration(7*24*time.Hour):
+		return f.at("promises.keep", `%v: at most "168h"`, time.Duration(p.Keep))
+	case f.Control == nil:
+		return f.at("promises", "a [control] table is needed: daemons call each other at its address")
+	case p.Dir == "":
+		return f.at("promises.dir", `missing: write dir = "path", a folder of this daemon's own on a disk that lasts`)
+	case p.Copies != 1 && p.Copies != 3 && p.Copies != 5:
+		return f.at("promises.copies", "%d: write 3 or 5; 1 keeps nothing when a disk is lost", p.Copies)
+	case p.Groups < 2 || p.Groups > 4096:
+		return f.at("promises.groups", "%d: from 2 to 4096, one of them the root's", p.Groups)
+	case p.Gone < Duration(5*time.Second):
+		return f.at("promises.gone", `%v: at least "5s"`, time.Duration(p.Gone))
+	case len(p.Peers)+1 < p.Copies:
+		return f.at("promises.peers", "%d daemons with this one, fewer than promises.copies, %d: name all others with their control listeners", len(p.Peers)+1, p.Copies)
+	case p.Repair > 0 && len(p.Survivors) == 0:
+		return f.at("promises.survivors", "missing: a repair must name all daemons that are left, first who has most of each group")
+	case p.Peers[f.Node.Name] != "":
+		return f.at("promises.peers", "%q is this daemon itself", f.Node.Name)
+	}
+	return nil
+}
+
 func (f *File) zone(name string) int { return index(f.Site.Zones, name) }
 
 func index(list []string, name string) int {
