--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -59,6 +59,8 @@
 	Members bool
 	// Snapshots has each keep a lasting snapshot, ten times a second.
 	Snapshots bool
+	// Promises has them keep a record together, on disks of their own.
+	Promises bool
 }
 
 // Rig is an installation.
@@ -114,16 +116,18 @@
 				return nil, err
 			}
 		}
-		if o.Members || o.Snapshots {
+		if o.Members || o.Snapshots || o.Promises {
 			d.members, d.Admin = r.own(n, 7946), r.own(n, 7947)
 		}
+		r.daemons = append(r.daemons, d)
+	}
+	for n, d := range r.daemons {
 		name := fmt.Sprintf("n%d", n)
 		face, err := r.face(d, name)
 		if err != nil {
 			r.Close()
 			return nil, err
 		}
-		r.daemons = append(r.daemons, d)
 		discovery := face.Discovery()
 		if o.Lists != nil {
 			discovery, err = o.Lists.Door(name, face.List)
@@ -136,8 +140,12 @@
 			return nil, err
 		}
 		among, err := r.among(d)
+		record := ""
+		if err == nil {
+			record, err = r.record(d)
+		}
 		if err == nil {
-			err = os.WriteFile(d.file, []byte(r.config(d, discovery)+among), 0o600)
+			err = os.WriteFile(d.file, []byte(r.config(d, discovery)+among+record), 0o600)
 		}
 		if err != nil {
 			r.Close()
@@ -261,7 +269,7 @@
 		line("[rules]\ncold = %q", r.Cold)
 	}
 	line("[log]\nlevel = \"warn\"")
-	if !r.Lean {
+	if !r.Lean || r.Promises {
 		line("[control]\nlisten = %q\nsenders = %d\nnew = true\n%s", d.Control, r.Senders, r.TLS)
 	}
 	if r.Snapshots {
