Serve gangs: submit, await, cancel and lend by gRPC, members sent by dispatchers' loops

Change: internal/net/gangs has a Coordinator and a Starter on a replicas.Host: it steps the gangs of the groups that this daemon leads, measures other dispatchers' clocks on the way, sends members as commands ordered to one encoder, and gives them up. internal/dispatch: a client may hear that its command has been taken and runs (Starter), and TakeBack has an encoder drop what a dispatcher sent that died. proto/winglb/gang/v1. A dispatcher that is silent around the start has its members taken back by another, one that was begun anew by itself; a member that could only begin after the skew is given up. A member of a failed start that had begun is no longer taken for settled before it is called off (the loopback test found it).

--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// Revision is that of what was told last.
+func (t *Table) Revision() int64 { return t.revision }
+
 // Members is the table by id, to be read only.
 func (t *Table) Members() map[string]Member { return t.members }
 
--- a/internal/gang/coordinator.go
+++ b/internal/gang/coordinator.go
@@ -56,10 +56,10 @@
 	asked  map[string]time.Duration // by key: not to be proposed again before
 	told   map[string]time.Duration // by dispatcher, gang and kind: when last
 	clocks map[string]*Clock
-	heard  map[string]time.Duration // dispatchers: when last
-	armed  map[string]map[int]bool  // by gang and round: members whose dispatchers are ready
-	ran    map[string]map[int]bool  // and those that know that all run
-	known  map[string]map[int]Fate  // and what the home has been told of them
+	heard  map[string]heard        // of dispatchers
+	armed  map[string]map[int]bool // by gang and round: members whose dispatchers are ready
+	ran    map[string]map[int]bool // and those that know that all run
+	known  map[string]map[int]Fate // and what the home has been told of them
 	began  map[string]time.Duration
 	seen   map[string]time.Duration // undecided holds, by gang and round: since when
 	view   View
@@ -77,7 +77,7 @@
 // NewCoordinator returns one that has nothing in hand.
 func NewCoordinator() *Coordinator {
 	return &Coordinator{
-		flying: map[string]Propose{}, asked: map[string]time.Duration{}, told: map[string]time.Duration{}, clocks: map[string]*Clock{}, heard: map[string]time.Duration{},
+		flying: map[string]Propose{}, asked: map[string]time.Duration{}, told: map[string]time.Duration{}, clocks: map[string]*Clock{}, heard: map[string]heard{},
 		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, seen: map[string]time.Duration{},
 	}
 }
@@ -170,7 +170,7 @@
 		c.clocks[to] = k
 	}
 	k.Measured(sent, s.Now, now)
-	c.heard[to] = now
+	c.heard[to] = heard{now, s.Site}
 	if w.Kind == Back {
 		return
 	}
@@ -453,12 +453,12 @@
 // takeBack has other dispatchers call off what silent ones may have sent.
 func (c *Coordinator) takeBack(now time.Duration, e *Entry) {
 	for i, name := range e.Plan.Starters {
-		if f := e.Fates[i]; f != Unknown && f != Began || now-c.heard[name] < silentFor {
+		if f := e.Fates[i]; f != Unknown && f != Began || now-c.heard[name].at < silentFor {
 			continue
 		}
 		for _, other := range slices.Sorted(maps.Keys(c.heard)) {
 			key := fmt.Sprint(other, "/", Key(e.Spec.ID, e.Plan.Round, i), "/", Back)
-			if other == name || now-c.heard[other] > livesFor || now-c.told[key] < backEvery {
+			if other == name || now-c.heard[other].at > livesFor || now-c.told[key] < backEvery {
 				continue
 			}
 			c.told[key] = now
@@ -468,10 +468,20 @@
 	}
 }
 
-// Lives tells whether a dispatcher was heard of lately.
-func (c *Coordinator) Lives(now time.Duration, name string) bool {
-	at, ever := c.heard[name]
-	return ever && now-at < livesFor
+// heard is when a dispatcher last said anything, and where it stands.
+type heard struct {
+	at   time.Duration
+	site string
+}
+
+// Lives is the dispatchers that were heard of lately.
+func (c *Coordinator) Lives(now time.Duration) (all []Dispatcher) {
+	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
+		if h := c.heard[name]; now-h.at < livesFor {
+			all = append(all, Dispatcher{name, h.site})
+		}
+	}
+	return all
 }
 
 // orphans asks the homes of holds that have been undecided for long: word of what was decided may never have been sent,
--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -118,8 +118,8 @@
 	Until    time.Duration `json:"until"`
 }
 
-// length is for how long a member's slots are held: its work and a tenth, lest a hold end under a job that is late.
-func length(m Member) time.Duration { return m.Work + m.Work/10 + SettleAt }
+// length is for how long a member's slots are held at first: its work and a tenth. What is late keeps them.
+func length(m Member) time.Duration { return m.Work + m.Work/10 + 100*time.Millisecond }
 
 // Plan is where and when a gang is to run.
 type Plan struct {
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -448,3 +448,25 @@
 		require.NotZero(t, total[what], what)
 	}
 }
+
+// A committed hold whose members are late goes on until its gang has ended; one that was never committed ends with its
+// time; and what a partner lends is bounded by slot-hours of each day, over midnight too.
+func TestHoldsOfWhatIsLate(t *testing.T) {
+	m := New()
+	midnight := day(unix) + 24*time.Hour
+	at := midnight - time.Hour
+	m.apply(at, Command{Op: "set", Resource: &Resource{ID: "p/tuk", Slots: 4, Hours: 3, Gen: 1}})
+	prepare := func(at time.Duration, gang string, slots int, from, until time.Duration) Result {
+		return m.apply(at, Command{Op: "prepare", Standing: &Standing{Gang: gang, Round: 1, Holds: []Hold{{"p/tuk", 0, 1, slots, from, until}}}})
+	}
+	require.True(t, prepare(at, "a", 2, midnight-30*time.Minute, midnight+time.Hour).OK, "one slot-hour, then two")
+	require.True(t, prepare(at, "b", 2, midnight+90*time.Minute, midnight+2*time.Hour).OK, "and one more")
+	require.True(t, prepare(at, "c", 1, midnight+3*time.Hour, midnight+4*time.Hour).Full, "the day has no more")
+	require.True(t, prepare(at, "c", 1, midnight+25*time.Hour, midnight+26*time.Hour).OK, "the next one has")
+	m.apply(at, Command{Op: "commit", Gang: "a", Round: 1})
+	late := midnight + 100*time.Minute // a's members still run
+	require.True(t, prepare(late, "d", 3, late+time.Millisecond, late+time.Minute).Full)
+	require.Equal(t, 4, slotsAt(m, "p/tuk", late+time.Millisecond), "a and b")
+	m.apply(midnight+3*time.Hour, Command{Op: "end", Gang: "a", Round: 1})
+	require.Equal(t, 0, slotsAt(m, "p/tuk", midnight+3*time.Hour))
+}
--- a/internal/gang/keeper.go
+++ b/internal/gang/keeper.go
@@ -16,10 +16,22 @@
 type Resource struct {
 	ID    string  `json:"id"`
 	Slots int     `json:"slots"`           // at once
+	Most  int     `json:"most,omitempty"`  // of a partner, as it said; Slots is what follows from that and Share. 0: no bound
+	Share float64 `json:"share,omitempty"` // of its encoders' slots; 0: no bound
 	Hours float64 `json:"hours,omitempty"` // slot-hours in a day of UTC; 0: no bound
 	Gen   uint64  `json:"gen"`             // a hold for another is refused; it only grows
 }
 
+const unbounded = 1 << 20 // slots
+
+// Lent is what a partner lends whose encoders have so many slots.
+func (r Resource) Lent(slots int) Resource {
+	if r.Slots = cmp.Or(r.Most, unbounded); r.Share > 0 {
+		r.Slots = min(r.Slots, int(r.Share*float64(slots)))
+	}
+	return r
+}
+
 // Standing is what a gang has of this group's accounts in one round of planning.
 type Standing struct {
 	Gang      string        `json:"gang"`
@@ -49,22 +61,36 @@
 	})
 }
 
-// past drops holds whose time is over, and forgets old rounds.
+// past drops holds that were never committed and whose time is over, and forgets old rounds. What was committed stays
+// until its gang has ended, lest a job that is late run beside others that were given its slots.
 func (k *keeper) past(at time.Duration) {
 	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool {
-		return !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at })
+		return !s.Committed && !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at })
 	})
+	for i, s := range k.Standing {
+		if !s.Committed || !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until <= at }) {
+			continue
+		}
+		holds := slices.Clone(s.Holds) // others may read the old ones
+		for j := range holds {
+			holds[j].Until = max(holds[j].Until, at+longer)
+		}
+		k.Standing[i].Holds = holds
+	}
 	if len(k.Over) > mostHolds {
 		maps.DeleteFunc(k.Over, func(_ string, o over) bool { return o.At < at-keepOver })
 	}
 }
 
+// longer is for how long a hold goes on at a time that should be over.
+const longer = Lead
+
 // set opens or changes an account. What is held stays, also beyond a lower bound: a partner that lends less recalls
 // nothing by itself, the gangs' homes do.
 func (k *keeper) set(r Resource) Result {
 	before, known := k.Resources[r.ID]
 	switch {
-	case r.ID == "" || len(r.ID) > 2*mostName || r.Slots < 0 || r.Slots > 1<<20 || !(r.Hours >= 0):
+	case r.ID == "" || len(r.ID) > 2*mostName || r.Slots < 0 || r.Slots > unbounded || !(r.Hours >= 0):
 		return Result{Err: "not a resource"}
 	case known && r.Gen < before.Gen:
 		return Result{Err: "an older one", Gen: before.Gen}
--- a/internal/gang/machine.go
+++ b/internal/gang/machine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -161,6 +162,24 @@
 	return r
 }
 
+// Taken is room of an encoder that a gang has.
+type Taken struct {
+	Gang string `json:"gang"`
+	Hold
+}
+
+// Taken is what gangs have of encoders here until a moment, for dispatchers to leave alone; at most so much.
+func (m *Machine) Taken(until time.Duration, most int) (all []Taken) {
+	for _, s := range m.Standing {
+		for _, h := range s.Holds {
+			if h.From < until && len(all) < most && strings.HasPrefix(h.Resource, Encoder{}.Account()) {
+				all = append(all, Taken{s.Gang, h})
+			}
+		}
+	}
+	return all
+}
+
 // Entries is the gangs whose home this is, to be read only.
 func (m *Machine) Entries() map[string]*Entry { return m.Gangs }
 
--- a/internal/gang/plan.go
+++ b/internal/gang/plan.go
@@ -32,6 +32,7 @@
 	Accounts map[string]Resource // as their groups told
 	Standing []Standing          // of all groups, likewise
 	Starters []Dispatcher
+	Self     string // who plans: it sends members only where no other does, so that one death is not both
 }
 
 // LenderAt is where a partner's account is kept.
@@ -188,16 +189,24 @@
 
 // starter is the dispatcher that is to send a member: one of the encoder's site, each in its turn.
 func (f *finder) starter(i int, x Encoder) string {
-	var near []Dispatcher
+	var best []Dispatcher
+	least := 4
 	for _, d := range f.Starters {
-		if d.Site == x.Site {
-			near = append(near, d)
+		far := 0
+		if d.Site != x.Site {
+			far = 1
+		}
+		if d.Name == f.Self {
+			far += 2
+		}
+		if far < least {
+			best, least = nil, far
+		}
+		if far == least {
+			best = append(best, d)
 		}
 	}
-	if len(near) == 0 {
-		near = f.Starters
-	}
-	return near[i%len(near)].Name
+	return best[i%len(best)].Name
 }
 
 // merged has one hold for what is held alike, so that a gang has no more than it must.
--- a/internal/gang/start.go
+++ b/internal/gang/start.go
@@ -50,6 +50,8 @@
 // Said is what a dispatcher says of the members that it was told of.
 type Said struct {
 	Now   time.Duration `json:"now"` // by its clock
+	Site  string        `json:"site"`
+	Held  []Taken       `json:"held,omitempty"` // of the groups that it leads, where it was asked nothing else
 	Parts []PartSaid    `json:"parts"`
 }
 
@@ -200,7 +202,7 @@
 	for _, key := range slices.Sorted(maps.Keys(s.parts)) {
 		switch p := s.parts[key]; {
 		case p.over() || p.running || now < p.at:
-		case !p.sent && (!p.going || now > p.at+p.skew/2): // never told to go, or it slept over its start
+		case !p.sent && (!p.going || now > p.at+p.skew/4): // never told to go, or it slept over its start
 			if p.going {
 				s.Stats.Late++
 			}
@@ -234,11 +236,12 @@
 	return at, some
 }
 
-// Began says that a member's encoder runs it. One that could only begin when the skew had passed is given up.
+// Began says that a member's encoder runs it. One that began late is given up: half of the skew is for clocks, whose
+// error is a quarter of it at most, two of them apart.
 func (s *Starter) Began(now time.Duration, key string) {
 	switch p := s.parts[key]; {
 	case p == nil || !p.sent || p.fate != Unknown:
-	case now > p.at+p.skew:
+	case now > p.at+p.skew/2:
 		s.Stats.Late++
 		p.why = "its encoder began too late"
 		s.off(now, p)
@@ -247,6 +250,15 @@
 	}
 }
 
+// Of is the gang of a member in hand.
+func (s *Starter) Of(key string) (gang string, ok bool) {
+	p := s.parts[key]
+	if p == nil {
+		return "", false
+	}
+	return p.gang, true
+}
+
 // Over says how a member that was sent has ended: done, never run, or neither is known.
 func (s *Starter) Over(now time.Duration, key string, f Fate, why string) {
 	p := s.parts[key]
--- /dev/null
+++ b/internal/net/gangs/gangs_test.go
@@ -0,0 +1,141 @@
+package gangs
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	gangv1 "caperrelay/proto/winglb/gang/v1"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/gang"
+	"caperrelay/internal/net/replicas"
+	"caperrelay/internal/replica"
+)
+
+// shared is one host as several daemons see it: each leads some groups.
+type shared struct {
+	*replicas.Alone
+	n, of uint32
+}
+
+func (h shared) Lead(g uint32) (uint64, time.Duration, bool) {
+	term, until, ok := h.Alone.Lead(g)
+	return term, until, ok && g%h.of == h.n
+}
+
+// encoders is a loop that runs all at once but what it is to refuse.
+type encoders struct {
+	mu     sync.Mutex
+	refuse string
+	begun  map[string]time.Time
+	ended  map[string]string
+}
+
+func (e *encoders) Take(c *dispatch.Command) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.Order[0] == e.refuse {
+		c.Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+		return
+	}
+	e.begun[c.ID] = time.Now()
+	c.Client.(interface{ Started(string, bool) }).Started(c.Order[0], true)
+	time.AfterFunc(c.Work, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.ended[c.ID] == "" {
+			e.ended[c.ID] = "done"
+			c.Client.Answer(dispatch.Answer{Verdict: dispatch.Served})
+		}
+	})
+}
+
+func (e *encoders) Lapse(c *dispatch.Command) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended[c.ID] == "" {
+		e.ended[c.ID] = "given up"
+	}
+}
+
+// Three daemons on sockets: a gang over two sites starts together; one whose member is refused has the other called off
+// within 500 ms; and a partner that lends too little has nothing planned.
+func TestGangsOverSockets(t *testing.T) {
+	const n = 3
+	alone := replicas.NewAlone(3, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	run := &encoders{begun: map[string]time.Time{}, ended: map[string]string{}}
+	var listeners []net.Listener
+	sites := map[string]string{}
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners, sites[fmt.Sprint("n", i)] = append(listeners, l), []string{"a", "b"}[i%2]
+	}
+	list := dispatch.List{Complete: true}
+	for i := range 4 {
+		list.Members = append(list.Members, dispatch.Member{ID: fmt.Sprint("s-", i), Zone: []string{"a", "b"}[i%2], Kind: "m2", State: decide.Ready})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var client gangv1.GangsClient
+	for i := range n {
+		name := fmt.Sprint("n", i)
+		o := Options{Name: name, Site: sites[name], Slots: map[string]float64{"m2": 4}, Once: map[string]bool{"live": true}, Peers: map[string]string{}, TellsStart: true,
+			Partners: []Partner{{Name: "tuk", Sites: []string{"b"}, Slots: 3}}}
+		for j, l := range listeners {
+			if j != i {
+				o.Peers[fmt.Sprint("n", j)] = l.Addr().String()
+			}
+		}
+		s, err := New(o, shared{alone, uint32(i), n}, run, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		g := grpc.NewServer()
+		s.Register(g)
+		go g.Serve(listeners[i])
+		s.Listed(list)
+		s.Open(ctx)
+		t.Cleanup(func() { s.Close(); g.Stop() })
+		client = gangv1.NewGangsClient(s.conns[0])
+	}
+	submit := func(id string, slots uint32) *gangv1.Gang {
+		latest := uint64(time.Now().Add(4 * time.Second).UnixMicro())
+		_, err := client.Submit(ctx, &gangv1.SubmitRequest{Id: id, LatestStartUs: latest, Members: []*gangv1.Member{
+			{Site: "a", Slots: slots, Class: "live", WorkUs: 600_000}, {Site: "b", Slots: slots, Class: "live", WorkUs: 600_000},
+		}})
+		require.NoError(t, err)
+		g, err := client.Await(ctx, &gangv1.AwaitRequest{Id: id})
+		require.NoError(t, err)
+		return g
+	}
+	g := submit("one", 3)
+	require.Equal(t, gang.Completed, g.GetVerdict(), g)
+	run.mu.Lock()
+	require.Len(t, run.begun, 2)
+	require.Less(t, run.begun["gang-one-1-0"].Sub(run.begun["gang-one-1-1"]).Abs(), 250*time.Millisecond)
+	run.refuse = g.GetEncoders()[1]
+	clear(run.begun)
+	run.mu.Unlock()
+
+	g = submit("two", 1)
+	require.Equal(t, gang.NotStarted, g.GetVerdict(), g)
+	require.Equal(t, []uint32{0}, g.GetMayHaveRun(), g)
+	run.mu.Lock()
+	require.Len(t, run.begun, 1)
+	require.Equal(t, "given up", run.ended["gang-two-1-0"])
+	run.mu.Unlock()
+
+	_, err := client.Lend(ctx, &gangv1.LendRequest{Partner: "tuk", Slots: 2})
+	require.NoError(t, err)
+	g = submit("three", 3)
+	require.Equal(t, gang.NotStarted, g.GetVerdict(), g)
+	require.Equal(t, "no room in its window", g.GetWhy())
+}
