--- a/internal/rerun/policy/policy.go
+++ b/internal/rerun/policy/policy.go
@@ -395,8 +395,10 @@
 			return l.doc.At(at("on"), "%q is no stage%s", t.On, siteconf.Nearest(t.On, l.names(), ": write one of "+strings.Join(l.names(), ", ")))
 		case t.When == "":
 			return l.doc.At(at("when"), `missing: write when = 'cause.kind == "failed"'`)
-		case t.Most < 1 || t.Most > mostTimes:
-			return l.doc.At(at("most"), "%d: without it a run has no bound; write most = 2, from 1 to %d", t.Most, mostTimes)
+		case t.Most == 0:
+			return l.doc.At(at("most"), "missing: a run would have no bound; write most = 2, from 1 to %d", mostTimes)
+		case t.Most < 0 || t.Most > mostTimes:
+			return l.doc.At(at("most"), "%d: write from 1 to %d times", t.Most, mostTimes)
 		case !slices.Contains([]string{"", "rerun", "keep"}, t.Stale):
 			return l.doc.At(at("stale"), `%q: write "rerun" (what used the old output runs again) or "keep"`, t.Stale)
 		case !slices.Contains([]string{"", "dead", "person"}, t.Else):
--- /dev/null
+++ b/internal/rerun/rerun_test.go
@@ -0,0 +1,582 @@
+package rerun
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"caperrelay/internal/rerun/policy"
+)
+
+func stageOf(key string) string {
+	parts := strings.Split(key, "/")
+	return parts[2]
+}
+
+func worker(n int, siteName, zone string) *policy.Place {
+	return &policy.Place{Worker: fmt.Sprint("w", n), Kind: "m2", Site: siteName, Zone: zone}
+}
+
+func name(i int) string { return fmt.Sprint("r", i) }
+
+// A thousand runs use one spoilt output. It is made anew once, one trial goes first, and what each had not begun yet
+// runs as if nothing had been.
+func TestThousandRunsOnOneBadOutput(t *testing.T) {
+	w := newWorld(t, 1, 5, 1000)
+	w.policy(words("1", "100%", "10m", film("tenant:100%", 2, "")))
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "encode" && g.Of[0] == 1 {
+			return Command{Cause: policy.BadInput, Input: "ingest", Place: worker(w.rng.IntN(50), "s2", "b")}
+		}
+		return Command{OK: true, Place: worker(1, "s1", "a")}
+	}
+	for i := range 1000 {
+		w.submit(name(i), "film", fmt.Sprint("t", i%3), map[string]string{"asset": "jingle"})
+	}
+	w.finish(200_000)
+	require.Equal(t, map[Kind]int{Done: 1000}, w.ends(1000, name))
+	require.Equal(t, map[int64]int{1: 1, 2: 1}, w.started["s/film/ingest/jingle"])
+	e, _ := w.ms[GroupOfRun("r0", 5)].Explain("r0")
+	require.NotEmpty(t, e.Story)
+	require.Contains(t, fmt.Sprint(e.Story), "encode: bad_input ingest")
+}
+
+// Three deep: package calls encode bad, encode anew calls ingest bad; all below each runs anew, once, elsewhere.
+func TestThreeDeep(t *testing.T) {
+	w := newWorld(t, 2, 4, 100)
+	w.policy(words("1", "5%", "10m", film("fleet", 2, "")))
+	var narrowed []policy.Where
+	w.outcome = func(w *world, g Go) Command {
+		if !g.First {
+			narrowed = append(narrowed, g.Where)
+		}
+		at := worker(1, "s1", "a")
+		switch s := stageOf(g.Key); {
+		case s == "package" && g.Of[0] == 1:
+			return Command{Cause: policy.BadInput, Input: "encode", Place: worker(2, "s1", "a")}
+		case s == "encode" && g.Gen == 2:
+			return Command{Cause: policy.BadInput, Input: "ingest", Place: worker(3, "s1", "a")}
+		default:
+			return Command{OK: true, Place: at}
+		}
+	}
+	w.submit("r0", "film", "t", map[string]string{"asset": "x"})
+	w.finish(1000)
+	r := w.run("r0")
+	require.Equal(t, Done, r.Answer.Kind, "%+v", r.Story)
+	require.Len(t, w.started["s/film/ingest/x"], 2)
+	require.Len(t, w.started["r/r0/encode"], 3)
+	require.Len(t, w.started["r/r0/package"], 2)
+	require.Len(t, w.started["r/r0/publish"], 1)
+	require.Equal(t, []policy.Where{policy.OtherSite, policy.OtherSite, policy.OtherSite, ""}, narrowed, "what rules aim at is narrowed, what is below goes as its class says")
+	require.Equal(t, 4, r.Answer.Reruns)
+}
+
+// A publish that may have run stops its pipeline: a person is asked, with what is known. One that surely did not, runs.
+func TestWhatMustNotRunTwice(t *testing.T) {
+	again := "[[pipeline.rerun]]\non=\"publish\"\nwhen='cause.kind == \"never_ran\"'\nrerun=\"self\"\nmost=2\nbudget=\"fleet\"\nelse=\"person\""
+	for _, cause := range []policy.Cause{policy.MayHaveRun, policy.RanFailed, policy.BadInput, policy.Late, policy.CalledOff, policy.NeverRan} {
+		w := newWorld(t, 3, 3, 100)
+		w.policy(words("1", "5%", "10m", film("fleet", 2, again)))
+		w.outcome = func(w *world, g Go) Command {
+			if stageOf(g.Key) == "publish" && g.Gen == 1 {
+				return Command{Cause: cause, Input: "package", Place: worker(4, "s", "a")}
+			}
+			return Command{OK: true}
+		}
+		w.submit("r0", "film", "t", map[string]string{"asset": "x"})
+		w.finish(1000)
+		a := w.run("r0").Answer
+		if cause == policy.NeverRan {
+			require.Equal(t, Done, a.Kind)
+			require.Len(t, w.started["r/r0/publish"], 2)
+			continue
+		}
+		require.Equal(t, Person, a.Kind, cause)
+		require.Contains(t, a.Reason, "must not run twice")
+		require.Equal(t, "publish", a.Stage)
+		require.Len(t, w.started["r/r0/publish"], 1)
+	}
+}
+
+// What has published must not publish again because another stage calls what both used spoilt.
+const two = `[[pipeline]]
+name="two"
+result=["publish","notify"]
+within="1h"
+[[pipeline.stage]]
+name="package"
+class="light"
+work="5s"
+[[pipeline.stage]]
+name="publish"
+class="publish"
+work="1s"
+needs=["package"]
+[[pipeline.stage]]
+name="notify"
+class="light"
+work="1s"
+needs=["package"]
+[[pipeline.rerun]]
+on="notify"
+when='cause.kind == "bad_input"'
+rerun="cause.input"
+most=2
+budget="fleet"
+`
+
+func unsafe(w *world) {
+	w.policy(words("1", "5%", "10m", two))
+	w.takes = func(w *world, g Go) time.Duration {
+		return map[string]time.Duration{"package": time.Second, "publish": time.Second, "notify": 3 * time.Second}[stageOf(g.Key)]
+	}
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "notify" {
+			return Command{Cause: policy.BadInput, Input: "package"}
+		}
+		return Command{OK: true}
+	}
+	w.submit("r0", "two", "t", nil)
+	w.finish(1000)
+}
+
+func TestUpstreamOfWhatMustNotRunTwice(t *testing.T) {
+	w := newWorld(t, 4, 3, 100)
+	unsafe(w)
+	a := w.run("r0").Answer
+	require.Equal(t, Person, a.Kind)
+	require.Contains(t, a.Reason, "notify says that package is spoilt, and publish, which must not run twice, has used it")
+	require.Len(t, w.started["r/r0/package"], 1)
+}
+
+// A worker calls every input bad. Its first claim is believed; then others are asked, and it is not believed any more.
+func TestLyingWorker(t *testing.T) {
+	w := newWorld(t, 5, 4, 4)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 3, "")))
+	lies := 0
+	w.outcome = func(w *world, g Go) Command {
+		at := worker(w.rng.IntN(10), "s1", "a")
+		if g.Where != "" && g.Where != policy.Anywhere && at.Worker == g.Failed.Worker {
+			at = worker(50, "s2", "b")
+		}
+		if stageOf(g.Key) == "package" && at.Worker == "w3" {
+			lies++
+			return Command{Cause: policy.BadInput, Input: "encode", Place: at}
+		}
+		return Command{OK: true, Place: at}
+	}
+	for i := range 200 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+	}
+	w.finish(100_000)
+	require.Equal(t, map[Kind]int{Done: 200}, w.ends(200, name), "lies %d", lies)
+	again := 0
+	for key, gens := range w.started {
+		if stageOf(key) == "encode" {
+			again += len(gens) - 1
+		}
+	}
+	require.Greater(t, lies, 5)
+	require.LessOrEqual(t, again, 2, "lies make next to nothing run again upstream")
+}
+
+// A site comes back with its outputs lost: reruns for it go by a trial first and then by what it takes.
+func TestLostOutputsArePaced(t *testing.T) {
+	w := newWorld(t, 6, 4, 1000)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 3, "")))
+	for g := range w.ms {
+		w.apply(uint32(g), Command{Op: OpRoom, ID: "a.s1", Room: 6})
+	}
+	running, most := map[string]bool{}, 0
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "package" && g.Of[0] == 1 {
+			return Command{Cause: policy.OutputLost, Input: "encode"}
+		}
+		if stageOf(g.Key) == "encode" && !g.First {
+			running[g.Key] = true
+			most = max(most, len(running))
+		}
+		if stageOf(g.Key) == "package" {
+			delete(running, strings.Replace(g.Key, "package", "encode", 1))
+		}
+		return Command{OK: true, Place: worker(1, "s1", "a")}
+	}
+	for i := range 300 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+	}
+	w.finish(200_000)
+	require.Equal(t, map[Kind]int{Done: 300}, w.ends(300, name))
+	require.LessOrEqual(t, most, 6)
+	require.Equal(t, 600, w.reruns, "each encode and its package once more, nothing else")
+}
+
+// Where an upstream stays spoilt, three trials say so, and all that wait for a verdict have their answer.
+func TestTrialsThatFail(t *testing.T) {
+	w := newWorld(t, 7, 4, 1000)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 1, "")))
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "package" {
+			return Command{Cause: policy.BadInput, Input: "encode"}
+		}
+		return Command{OK: true, Place: worker(1, "s1", "a")}
+	}
+	for i := range 100 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+	}
+	w.finish(200_000)
+	require.Equal(t, map[Kind]int{Dead: 100}, w.ends(100, name))
+	require.LessOrEqual(t, w.reruns, 2*badInRow)
+}
+
+// A new version halves the budget while runs are under way: those go by their own version to their end.
+func TestVersionHalvesTheBudget(t *testing.T) {
+	w := newWorld(t, 8, 4, 1000)
+	w.policy(words("1", "50%", "30s", film("tenant:50%", 2, "")))
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "package" && g.Of[0] == 1 && w.rng.IntN(3) == 0 {
+			return Command{Cause: policy.BadInput, Input: "encode"}
+		}
+		return Command{OK: true, Place: worker(1, "s1", "a")}
+	}
+	for i := range 40 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+	}
+	for range 300 {
+		w.step()
+	}
+	w.policy(words("2", "25%", "30s", film("tenant:25%", 2, "")))
+	for i := 40; i < 80; i++ {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+	}
+	w.finish(100_000)
+	require.Zero(t, w.ends(80, name)[""])
+	require.Equal(t, "1", w.run("r0").Policy)
+	require.Equal(t, "2", w.run("r79").Policy)
+	for g := range w.ms {
+		r := w.apply(uint32(g), Command{Op: OpPolicy, Text: words("2", "26%", "30s", film("tenant:25%", 2, "")), Site: &site})
+		require.False(t, r.OK, "a version is one text")
+	}
+}
+
+// Whatever fails, whoever dies, whatever is told twice: each run has one answer, bounds and budgets hold, and what must
+// not run twice does not (world.check and world.begin look at each step).
+func TestFaultsByChance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { chance(t, Faults{}) })
+}
+
+func chance(t *rapid.T, faulty Faults) {
+	w := newWorld(t, rapid.Uint64().Draw(t, "seed"), uint32(rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "groups")), rapid.IntRange(2, 40).Draw(t, "running"))
+	for _, m := range w.ms {
+		m.faulty = faulty
+	}
+	w.double = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "double")
+	again := "[[pipeline.rerun]]\non=\"publish\"\nwhen='cause.kind in [\"never_ran\", \"refused\"]'\nrerun=\"self\"\nmost=2\nbudget=\"fleet\"\nelse=\"person\""
+	w.policy(words("1", rapid.SampledFrom([]string{"5%", "100%"}).Draw(t, "fleet"), rapid.SampledFrom([]string{"20s", "10m"}).Draw(t, "spare"), film("tenant:20%", 2, again), two))
+	faults := rapid.IntRange(0, 40).Draw(t, "faults")
+	w.outcome = func(w *world, g Go) Command {
+		at := worker(w.rng.IntN(6), fmt.Sprint("s", w.rng.IntN(3)), []string{"a", "b"}[w.rng.IntN(2)])
+		if w.rng.IntN(100) >= faults {
+			return Command{OK: true, Place: at}
+		}
+		c := Command{Cause: policy.Causes[w.rng.IntN(len(policy.Causes))], Place: at}
+		if len(g.Inputs) > 0 {
+			c.Input = stageOf(g.Inputs[w.rng.IntN(len(g.Inputs))])
+		}
+		return c
+	}
+	n := rapid.IntRange(1, 25).Draw(t, "runs")
+	assets := rapid.IntRange(1, n).Draw(t, "assets")
+	for i := range n {
+		if i%5 == 4 {
+			w.submit(name(i), "two", "u", nil)
+		} else {
+			w.submit(name(i), "film", fmt.Sprint("t", i%2), map[string]string{"asset": fmt.Sprint("a", i%assets)})
+		}
+	}
+	crash := rapid.IntRange(0, 30).Draw(t, "crash") // in a thousand steps
+	for range 60_000 {
+		if !w.open() || !w.step() {
+			break
+		}
+		if w.rng.IntN(1000) < crash {
+			w.crash(uint32(w.rng.IntN(len(w.ms))))
+		}
+	}
+	w.finish(0)
+	for i := range n {
+		if _, told := w.answers[name(i)]; !told {
+			e, _ := w.ms[GroupOfRun(name(i), uint32(len(w.ms)))].Explain(name(i))
+			require.Fail(t, "ended_not_once", "%s after %v, %d events left: %+v", name(i), w.now-startAt, len(w.mail), e)
+		}
+	}
+}
+
+// Each rule that is switched off is noticed.
+func TestMutantsAreCaught(t *testing.T) {
+	caught := func(f func(require.TestingT)) (yes bool) {
+		failed := &failer{}
+		defer func() {
+			if r := recover(); r != nil && r != any(failed) {
+				panic(r)
+			}
+			yes = failed.failed
+		}()
+		f(failed)
+		return failed.failed
+	}
+	shared := func(t require.TestingT, faulty Faults) {
+		w := newWorld(t, 1, 4, 1000)
+		for _, m := range w.ms {
+			m.faulty = faulty
+		}
+		w.policy(words("1", "100%", "1h", film("fleet", 2, "")))
+		begun := false // the verdict may be out
+		w.outcome = func(w *world, g Go) Command {
+			if stageOf(g.Key) == "encode" && g.Of[0] == 1 {
+				return Command{Cause: policy.BadInput, Input: "ingest"}
+			}
+			begun = begun || stageOf(g.Key) == "encode"
+			return Command{OK: true, Place: worker(1, "s1", "a")}
+		}
+		w.takes = func(w *world, g Go) time.Duration {
+			if stageOf(g.Key) == "ingest" && !g.First {
+				return time.Minute
+			}
+			return time.Second
+		}
+		for i := range 20 {
+			w.submit(name(i), "film", "t", map[string]string{"asset": "x"})
+		}
+		for range 4000 {
+			if !w.open() || !w.step() {
+				break
+			}
+			most := 0
+			for _, m := range w.ms {
+				for _, p := range m.s.Prints {
+					most = max(most, len(p.Trying))
+				}
+			}
+			if !begun {
+				require.LessOrEqual(t, most, 1, "trial skipped")
+			}
+		}
+		require.LessOrEqual(t, len(w.started["s/film/ingest/x"]), 2, "generation not compared: one bad output is made anew once")
+	}
+	grants := func(t require.TestingT, faulty Faults) {
+		w := newWorld(t, 1, 4, 1000)
+		w.double = 1
+		for _, m := range w.ms {
+			m.faulty = faulty
+		}
+		w.policy(words("1", "1%", "1m", film("fleet", 2, "")))
+		w.outcome = func(w *world, g Go) Command {
+			if stageOf(g.Key) == "package" && g.Of[0] == 1 {
+				return Command{Cause: policy.BadInput, Input: "encode"}
+			}
+			return Command{OK: true}
+		}
+		for i := range 20 {
+			w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+		}
+		w.finish(5000)
+	}
+	for _, c := range []struct {
+		name   string
+		faulty Faults
+		story  func(require.TestingT, Faults)
+	}{
+		{"generation not compared", Faults{AnyGeneration: true, NoTrial: true}, shared},
+		{"trial skipped", Faults{NoTrial: true}, shared},
+		{"budget granted twice", Faults{GrantTwice: true}, grants},
+		{"unsafe rerun", Faults{Unsafe: true}, func(t require.TestingT, f Faults) {
+			w := newWorld(t, 4, 3, 100)
+			for _, m := range w.ms {
+				m.faulty = f
+			}
+			unsafe(w)
+		}},
+	} {
+		require.False(t, caught(func(t require.TestingT) { c.story(t, Faults{}) }), "%s: the rule as it is", c.name)
+		require.True(t, caught(func(t require.TestingT) { c.story(t, c.faulty) }), "%s: nobody noticed", c.name)
+	}
+}
+
+type failer struct{ failed bool }
+
+func (f *failer) Errorf(string, ...any) { f.failed = true }
+func (f *failer) FailNow()              { panic(f) }
+
+// times is what differs by the moment alone.
+var times = regexp.MustCompile(`"(at|made|began|since|idle|not|until|ran)":\d+,?|"story":\[[^\]]*\],?`)
+
+// All ways in which letters, ends and time can fall for two runs of two groups on one spoilt output of a third: the
+// output is made anew once, and both are done.
+func TestAllInterleavingsOfOneSharedRerun(t *testing.T) {
+	const depth, mostLost = 40, 1
+	groups := uint32(4)
+	find := func(g uint32) string {
+		for i := 0; ; i++ {
+			if id := fmt.Sprint("q", i); GroupOfRun(id, groups) == g {
+				return id
+			}
+		}
+	}
+	a, b := find(1), find(2)
+	asset := ""
+	for i := 0; asset == ""; i++ {
+		if m := New(Config{Groups: groups}); m.group(fmt.Sprint("s/film/ingest/x", i)) == 3 {
+			asset = fmt.Sprint("x", i)
+		}
+	}
+	w := newWorld(t, 1, groups, 100)
+	w.policy(words("1", "100%", "1h", film("fleet", 2, "")))
+	key := "s/film/ingest/" + asset
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "encode" && g.Of[0] == 1 {
+			return Command{Cause: policy.BadInput, Input: "ingest"}
+		}
+		return Command{OK: true, Place: worker(1, "s1", "a")}
+	}
+	w.submit(a, "film", "t", map[string]string{"asset": asset})
+	w.submit(b, "film", "t", map[string]string{"asset": asset})
+	for w.run(a).Stages[1].Next == nil || w.run(b).Stages[1].Next == nil { // until both call it spoilt
+		require.True(t, w.step())
+	}
+	type node struct {
+		ms      []*Machine
+		now     time.Duration
+		running []Go // in the workers' hands
+		lost    int  // confirmations
+		where   []uint32
+	}
+	begin := node{now: w.now}
+	for _, m := range w.ms {
+		begin.ms = append(begin.ms, clone(m))
+	}
+	seen := map[[32]byte]bool{}
+	ends, deepest, transitions, cut := 0, 0, 0, 0
+	copyOf := func(n node, g ...uint32) node {
+		c := node{ms: slices.Clone(n.ms), now: n.now, lost: n.lost, running: slices.Clone(n.running), where: slices.Clone(n.where)}
+		for _, i := range g {
+			c.ms[i] = clone(n.ms[i])
+		}
+		return c
+	}
+	apply := func(n *node, g uint32, c Command) Result {
+		r, err := ReadResult(n.ms[g].Apply(0, n.now, c.Bytes()))
+		require.NoError(t, err)
+		return r
+	}
+	var visit func(n node, d int)
+	visit = func(n node, d int) {
+		h := sha256.New()
+		for _, m := range n.ms {
+			text, err := json.Marshal(m.s)
+			require.NoError(t, err)
+			h.Write(times.ReplaceAll(text, nil)) // when it was tells nothing of what follows
+		}
+		for _, g := range n.running {
+			fmt.Fprint(h, g.Key, g.Gen, ";")
+		}
+		fmt.Fprint(h, n.lost)
+		sum := [32]byte(h.Sum(nil))
+		if seen[sum] {
+			return
+		}
+		seen[sum] = true
+		deepest = max(deepest, d)
+		if d == depth {
+			cut++
+			return
+		}
+		if o := n.ms[3].s.Outputs[key]; o != nil {
+			require.LessOrEqual(t, o.Last, int64(2), "one rerun")
+		}
+		moved := false
+		go1 := func(c node) {
+			moved = true
+			transitions++
+			visit(c, d+1)
+		}
+		for g := range groups {
+			for _, act := range n.ms[g].Actions() {
+				switch act := act.(type) {
+				case Go:
+					if stageOf(act.Key) == "package" || stageOf(act.Key) == "publish" {
+						continue // past the rerun: the runs are done there
+					}
+					c := copyOf(n, g)
+					require.True(t, apply(&c, g, Command{Op: OpStart, Key: act.Key, Gen: act.Gen, By: "d"}).OK)
+					c.running, c.where = append(c.running, act), append(c.where, g)
+					go1(c)
+				case Deliver:
+					c := copyOf(n, g, act.To) // taken in and confirmed,
+					r := apply(&c, act.To, Command{Op: OpLetters, Group: g, Letters: act.Letters[:1]})
+					apply(&c, g, Command{Op: OpSent, Group: act.To, Seq: r.Seq})
+					go1(c)
+					if n.lost < mostLost { // or taken in, and not heard of
+						c = copyOf(n, act.To)
+						c.lost++
+						apply(&c, act.To, Command{Op: OpLetters, Group: g, Letters: act.Letters[:1]})
+						go1(c)
+					}
+				}
+			}
+		}
+		for i, run := range n.running {
+			c := copyOf(n, n.where[i])
+			c.running, c.where = slices.Delete(slices.Clone(n.running), i, i+1), slices.Delete(slices.Clone(n.where), i, i+1)
+			end := Command{Op: OpEnd, Key: run.Key, Gen: run.Gen, OK: true, Place: worker(1, "s1", "a")}
+			require.True(t, apply(&c, n.where[i], end).OK)
+			require.False(t, apply(&c, n.where[i], end).OK, "told twice")
+			go1(c)
+		}
+		for g := range groups { // time, only while the wait of a rule is what comes next
+			if m := n.ms[g]; len(m.due) > 0 && m.due[0].kind == "wait" {
+				at := m.Next()
+				c := copyOf(n, g)
+				c.now = max(c.now, at)
+				apply(&c, g, Command{Op: OpTick})
+				go1(c)
+			}
+		}
+		if !moved {
+			ends++
+			for _, id := range []string{a, b} {
+				r := n.ms[GroupOfRun(id, groups)].Run(id)
+				require.EqualValues(t, 2, r.Stages[1].Of[0], "encode is made of the new output")
+				require.True(t, r.valid(1))
+			}
+			require.EqualValues(t, 2, n.ms[3].s.Outputs[key].Last)
+		}
+	}
+	visit(begin, 0)
+	require.Positive(t, ends)
+	fmt.Printf("rerun interleavings: %d states, %d transitions, depth %d, %d ends, %d cut\n", len(seen), transitions, deepest, ends, cut)
+}
+
+// No command makes it panic, and what it refuses says why.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"v":1,"op":"letters","letters":[{"seq":1,"kind":"want","to":"x"},{"seq":2,"kind":"made","to":"r/r","stage":9}]}`))
+	f.Add([]byte(`{"v":1,"op":"letters","letters":[{"seq":1,"kind":"grant","to":"x"}]}`))
+	f.Fuzz(func(t *testing.T, cmd []byte) {
+		m := New(Config{Groups: 1})
+		m.Apply(1, startAt, Command{Op: OpPolicy, Text: words("1", "5%", "10m", film("fleet", 2, "")), Site: &site}.Bytes())
+		m.Apply(2, startAt, Command{Op: OpSubmit, ID: "r", Pipeline: "film", Params: map[string]string{"asset": "x"}}.Bytes())
+		r, err := ReadResult(m.Apply(3, startAt, cmd))
+		require.NoError(t, err)
+		require.True(t, r.OK || r.Why != "")
+		_, err = m.Snapshot()
+		require.NoError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/rerun/world_test.go
@@ -0,0 +1,375 @@
+package rerun
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/internal/rerun/policy"
+)
+
+var site = policy.Site{Classes: map[string]policy.Class{"light": {}, "encode": {}, "publish": {Once: true}}, Zones: []string{"a", "b"}}
+
+// words makes a policy's text.
+func words(version, fleet, spare string, more ...string) string {
+	return fmt.Sprintf("version=%q\n[budget]\nfleet=%q\nspare=%q\n", version, fleet, spare) + strings.Join(more, "\n")
+}
+
+// film is ingest (shared by asset) > encode > package > publish.
+func film(budget string, most int, more string) string {
+	return fmt.Sprintf(`[[pipeline]]
+name="film"
+result=["publish"]
+within="1h"
+others=1
+[[pipeline.stage]]
+name="ingest"
+class="light"
+work="10s"
+shared="asset"
+[[pipeline.stage]]
+name="encode"
+class="encode"
+work="10s"
+needs=["ingest"]
+[[pipeline.stage]]
+name="package"
+class="light"
+work="5s"
+needs=["encode"]
+[[pipeline.stage]]
+name="publish"
+class="publish"
+work="1s"
+needs=["package"]
+[[pipeline.rerun]]
+on="encode"
+when='cause.kind == "bad_input"'
+rerun="cause.input"
+where="other-site"
+after="1s..8s"
+most=%d
+budget=%q
+[[pipeline.rerun]]
+on="package"
+when='cause.kind in ["bad_input", "output_lost"]'
+rerun="cause.input"
+where="other-site"
+after="1s..8s"
+most=%d
+budget=%q
+[[pipeline.rerun]]
+on="encode"
+when='cause.kind == "failed" || cause.kind == "may_have_run" || cause.kind == "late"'
+rerun="self"
+where="other-worker"
+most=%d
+budget=%q
+[[pipeline.rerun]]
+on="ingest"
+when='cause.kind == "failed" || cause.kind == "may_have_run"'
+rerun="self"
+most=%d
+budget=%q
+[[pipeline.rerun]]
+on="package"
+when='cause.kind == "failed" || cause.kind == "may_have_run"'
+rerun="self"
+most=%d
+budget=%q
+%s
+`, most, budget, most, budget, most, budget, most, budget, most, budget, more)
+}
+
+// world is groups in virtual time, with dispatchers that lead them, letters between them and workers, all faulty.
+type world struct {
+	t       require.TestingT
+	rng     *rand.Rand
+	now     time.Duration
+	ms      []*Machine
+	mail    []event
+	seq     int
+	dead    map[string]bool           // dispatchers
+	life    []int                     // of each group's leader
+	started map[string]map[int64]int  // key, generation: how often
+	begun   map[string]map[string]int // run, stage: turns that started because of it
+	surely  map[string]bool           // key@gen that surely did not run
+	reruns  int
+	checks  int
+	answers map[string]Answer
+	// outcome of a stage's run
+	outcome func(w *world, g Go) Command
+	takes   func(w *world, g Go) time.Duration
+	double  float64
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+const startAt = 1_700_000_000 * time.Second
+
+func newWorld(t require.TestingT, seed uint64, groups uint32, running int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: startAt, dead: map[string]bool{}, life: make([]int, groups), started: map[string]map[int64]int{},
+		answers: map[string]Answer{}, begun: map[string]map[string]int{}, surely: map[string]bool{},
+		outcome: func(*world, Go) Command { return Command{OK: true} },
+		takes:   func(w *world, g Go) time.Duration { return g.Work/2 + time.Duration(w.rng.Int64N(int64(g.Work/2))) },
+	}
+	for g := range groups {
+		w.ms = append(w.ms, New(Config{Group: g, Groups: groups, Running: running}))
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	w.mail = append(w.mail, event{w.now + d, w.seq, do})
+}
+
+func (w *world) apply(group uint32, c Command) Result {
+	r, err := ReadResult(w.ms[group].Apply(0, w.now, c.Bytes()))
+	require.NoError(w.t, err)
+	return r
+}
+
+func (w *world) policy(text string) {
+	for g := range w.ms {
+		r := w.apply(uint32(g), Command{Op: OpPolicy, Text: text, Site: &site})
+		require.True(w.t, r.OK, r.Why)
+	}
+}
+
+func (w *world) submit(id, pipeline, tenant string, params map[string]string) {
+	r := w.apply(GroupOfRun(id, uint32(len(w.ms))), Command{Op: OpSubmit, ID: id, Pipeline: pipeline, Tenant: tenant, Params: params})
+	require.True(w.t, r.OK, r.Why)
+}
+
+func (w *world) run(id string) *Run { return w.ms[GroupOfRun(id, uint32(len(w.ms)))].Run(id) }
+
+func (w *world) leader(g uint32) string { return fmt.Sprintf("d%d.%d", g, w.life[g]) }
+
+// crash has a group's leader die. Another takes over: what the dead one had run, nobody knows of.
+func (w *world) crash(g uint32) {
+	old := w.leader(g)
+	w.dead[old] = true
+	w.life[g]++
+	w.apply(g, Command{Op: OpTakeOver, By: old})
+	text, err := w.ms[g].Snapshot()
+	require.NoError(w.t, err)
+	next := New(w.ms[g].c)
+	next.faulty = w.ms[g].faulty
+	require.NoError(w.t, next.Restore(text))
+	again, err := next.Snapshot()
+	require.NoError(w.t, err)
+	require.JSONEq(w.t, string(text), string(again))
+	w.ms[g] = next
+}
+
+// step has each group's leader do what is to be done, then goes to the next event or moment; false: nothing is left.
+func (w *world) step() bool {
+	for moved := true; moved; {
+		moved = false
+		for g := range w.ms {
+			moved = w.act(uint32(g)) || moved
+		}
+	}
+	next := time.Duration(0)
+	for _, m := range w.ms {
+		if at := m.Next(); at > 0 && (next == 0 || at < next) && w.open() {
+			next = at
+		}
+	}
+	slices.SortFunc(w.mail, func(a, b event) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return a.seq - b.seq
+	})
+	if len(w.mail) > 0 && (next == 0 || w.mail[0].at <= next) {
+		e := w.mail[0]
+		w.mail = w.mail[1:]
+		w.now = max(w.now, e.at)
+		e.do()
+		w.check()
+		return true
+	}
+	if next == 0 {
+		return false
+	}
+	w.now = max(w.now, next)
+	for g, m := range w.ms {
+		if at := m.Next(); at > 0 && at <= w.now {
+			w.apply(uint32(g), Command{Op: OpTick})
+		}
+	}
+	w.check()
+	return true
+}
+
+func (w *world) open() bool {
+	for _, m := range w.ms {
+		if _, open := m.Size(); open > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) act(g uint32) (moved bool) {
+	for _, a := range w.ms[g].Actions() {
+		switch a := a.(type) {
+		case Go:
+			moved = w.begin(g, a) || moved
+		case Deliver:
+			top := a.Letters[len(a.Letters)-1].Seq
+			if w.rng.Float64() < w.double { // told twice: the first word of it was thought lost
+				w.apply(a.To, Command{Op: OpLetters, Group: g, Letters: a.Letters})
+			}
+			moved = true
+			r := w.apply(a.To, Command{Op: OpLetters, Group: g, Letters: a.Letters})
+			require.LessOrEqual(w.t, r.Seq, top)
+			if r.Seq > 0 {
+				w.apply(g, Command{Op: OpSent, Group: a.To, Seq: r.Seq})
+			}
+		}
+	}
+	return moved
+}
+
+func (w *world) begin(g uint32, a Go) bool {
+	by := w.leader(g)
+	if !w.apply(g, Command{Op: OpStart, Key: a.Key, Gen: a.Gen, By: by}).OK {
+		return false
+	}
+	if w.started[a.Key] == nil {
+		w.started[a.Key] = map[int64]int{}
+	}
+	if a.Once {
+		for gen := range w.started[a.Key] {
+			require.True(w.t, w.surely[fmt.Sprint(a.Key, "@", gen)], "doubled_unsafe: %s generation %d after %d", a.Key, a.Gen, gen)
+		}
+	}
+	w.started[a.Key][a.Gen]++
+	require.Equal(w.t, 1, w.started[a.Key][a.Gen], "one generation is made once")
+	if !a.First {
+		w.reruns++
+	}
+	if w.begun[a.Run] == nil {
+		w.begun[a.Run] = map[string]int{}
+	}
+	w.begun[a.Run][a.Name]++
+	c := w.outcome(w, a)
+	c.Op, c.Key, c.Gen = OpEnd, a.Key, a.Gen
+	if !c.OK && !c.Cause.Ran() {
+		w.surely[fmt.Sprint(a.Key, "@", a.Gen)] = true
+	}
+	w.after(w.takes(w, a), func() {
+		if w.dead[by] {
+			return // whoever waits for it is gone
+		}
+		w.apply(g, c)
+		if w.rng.Float64() < w.double { // and it is told twice
+			require.False(w.t, w.apply(g, c).OK, "a stage is answered once")
+		}
+	})
+	return true
+}
+
+// check is what holds at all times.
+func (w *world) check() {
+	if w.checks++; w.open() && len(w.begun) > 100 && w.checks%100 > 0 { // many runs: now and then
+		return
+	}
+	for _, m := range w.ms {
+		for id, r := range m.s.Runs {
+			if r.Answer != nil {
+				if before, told := w.answers[id]; told {
+					require.Equal(w.t, before, *r.Answer, "ended_not_once")
+				}
+				w.answers[id] = *r.Answer
+			}
+		}
+	}
+	spent, has, given := map[string]int64{}, map[string]int64{}, map[string]int64{}
+	for _, m := range w.ms {
+		for name, a := range m.s.Accounts {
+			require.GreaterOrEqual(w.t, a.Balance, int64(0))
+			spent[name] += a.Spent
+			has[name] += a.Balance
+			given[name] += a.Accrued
+		}
+		for key, p := range m.s.Pools {
+			name := strings.TrimPrefix(key, "b/")
+			require.GreaterOrEqual(w.t, p.Balance, int64(0))
+			has[name] += p.Balance
+			given[name] += p.Spare
+		}
+		for _, p := range m.s.Prints {
+			if !m.faulty.NoTrial {
+				require.LessOrEqual(w.t, len(p.Trying), max(usualRoom, 32), "flood")
+			}
+		}
+	}
+	for name := range spent {
+		require.LessOrEqual(w.t, spent[name], given[name], "budget_passed: %s", name)
+		require.LessOrEqual(w.t, spent[name]+has[name], given[name], "%s is there twice", name)
+	}
+	for id, stages := range w.begun {
+		if r := w.run(id); r != nil {
+			for i, s := range r.p.Stages {
+				require.LessOrEqual(w.t, stages[s.Name], r.p.Bound.Runs[i], "bound_passed: %s of %s", s.Name, id)
+			}
+		}
+	}
+}
+
+// finish steps until all runs have answers, or so many steps were made.
+func (w *world) finish(steps int) {
+	for range steps {
+		if !w.open() || !w.step() {
+			break
+		}
+	}
+	w.checks = 99
+	w.check()
+}
+
+func (w *world) ends(n int, id func(int) string) map[Kind]int {
+	kinds := map[Kind]int{}
+	for i := range n {
+		kinds[w.answers[id(i)].Kind]++
+	}
+	return kinds
+}
+
+// clone is a machine of its own with the same state.
+func clone(m *Machine) *Machine {
+	text, _ := json.Marshal(m.s)
+	n := New(m.c)
+	n.faulty, n.loaded = m.faulty, m.loaded
+	json.Unmarshal(text, &n.s)
+	for id, r := range n.s.Runs {
+		r.p = m.s.Runs[id].p
+	}
+	for key, o := range n.s.Outputs {
+		if o.Wants == nil {
+			o.Wants = map[string]*Want{}
+		}
+		if o.Users == nil {
+			o.Users = map[string]int64{}
+		}
+		if o.Turn != nil {
+			n.turns[key] = o
+		}
+	}
+	n.due, n.open = slices.Clone(m.due), m.open
+	return n
+}
