Take runs of pipelines at every dispatcher, and run their failed stages again: [pipelines]

Need: what internal/rerun decides must reach workers, and runs be handed in, awaited and explained. Change: the service winglb.pipeline.v1 (Submit, Await, Explain, CallOff) on the control listener; the dispatcher that leads a group has its stages run as promised jobs, so that whoever leads next takes them up; a rerun is narrowed by the name table and the class's kind; explain:RUN at the operators' address, each line of a run's story in the log; [pipelines] in the site's file; winglb check prints the most runs and work of each pipeline. internal/rerun/plant has stand-in workers that read their inputs.

--- a/cmd/winglb-full/main.go
+++ b/cmd/winglb-full/main.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"runtime"
 	"runtime/debug"
+	"slices"
 
 	"github.com/alecthomas/kong"
 
@@ -58,6 +60,13 @@
 		fmt.Printf(", plug-ins at %s", s.File.Control.Listen)
 	}
 	fmt.Println()
+	p, _, err := full.Pipelines(s.File)
+	if p == nil || err != nil {
+		return err
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.Pipelines)) {
+		fmt.Println(p.Pipelines[name])
+	}
 	return nil
 }
 
@@ -97,7 +106,7 @@
 }
 
 type proof struct {
-	Name string `arg:"" enum:"plugin,memory,import,coldstart,deployments" help:"Which: plugin, memory, import, coldstart or deployments."`
+	Name string `arg:"" enum:"plugin,memory,import,coldstart,deployments,promise,rerun,gang" help:"Which: plugin, memory, import, coldstart, deployments, promise, rerun or gang."`
 
 	Seed  uint64 `default:"1" help:"Of deployments: the seed of the drawing."`
 	Drawn int    `default:"40" help:"Of deployments: how many are drawn."`
@@ -111,10 +120,16 @@
 	switch p.Name {
 	case "memory":
 		return prove.Memory(o)
+	case "gang":
+		return prove.Gang(o)
 	case "import":
 		return prove.Import(o)
+	case "rerun":
+		return prove.Rerun(o)
 	case "coldstart":
 		return prove.ColdStart(o)
+	case "promise":
+		return prove.Promise(o)
 	case "deployments":
 		return prove.Deployments{Seed: p.Seed, Drawn: p.Drawn, Only: p.Only, Tell: p.Tell, Small: p.Small}.Run(o)
 	}
--- /dev/null
+++ b/internal/net/pipelines/pipelines.go
@@ -0,0 +1,527 @@
+// Package pipelines serves runs of pipelines: the gRPC service of every dispatcher, and what the dispatcher that acts
+// for a group does about its runs. The decisions are in caperrelay/internal/rerun; stages run as promised jobs, so that
+// whoever acts next finds those that an earlier one has begun.
+package pipelines
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/replicas"
+	"caperrelay/internal/promise"
+	"caperrelay/internal/replica"
+	"caperrelay/internal/rerun"
+	"caperrelay/internal/rerun/policy"
+	pipelinev1 "caperrelay/proto/winglb/pipeline/v1"
+	promisev1 "caperrelay/proto/winglb/promise/v1"
+)
+
+const (
+	lookEvery  = 20 * time.Millisecond
+	proposeFor = 2 * time.Second
+	pause      = 50 * time.Millisecond
+	farPause   = 300 * time.Millisecond // where this dispatcher has no copy of the group
+	mostAwait  = time.Minute
+	callWithin = 10 * time.Second
+	mostCalls  = 1024 // that wait
+	mostBusy   = 2048 // things under way for the groups
+	mostOrder  = 256  // workers that a rerun is narrowed to
+	keepEnd    = 10 * time.Minute
+	targetKey  = "target:" // parameters that are stages' targets begin so
+)
+
+// Jobs is where stages run: the service of promises, in this process.
+type Jobs interface {
+	Promise(context.Context, *promisev1.PromiseRequest) (*promisev1.PromiseResponse, error)
+	Await(context.Context, *promisev1.AwaitRequest) (*promisev1.AwaitResponse, error)
+	Forget(context.Context, *promisev1.ForgetRequest) (*promisev1.ForgetResponse, error)
+}
+
+// Options of a server.
+type Options struct {
+	Name    string // of this dispatcher
+	Policy  string // the file's text
+	Version string
+	Site    policy.Site
+}
+
+// Server is safe for use by several goroutines.
+type Server struct {
+	pipelinev1.UnimplementedPipelinesServer
+	o       Options
+	host    replicas.Host
+	jobs    Jobs
+	log     *slog.Logger
+	calls   chan struct{}
+	Started atomic.Int64 // stages, here
+	Reruns  atomic.Int64
+	acting  atomic.Int64
+
+	mu      sync.Mutex
+	moved   chan struct{} // closed at each look
+	busy    map[string]bool
+	members dispatch.Table
+	wg      sync.WaitGroup
+}
+
+// New returns a server; it must be run. jobs is told later, by Use.
+func New(o Options, host replicas.Host, log *slog.Logger) *Server {
+	return &Server{o: o, host: host, log: log, calls: make(chan struct{}, mostCalls), moved: make(chan struct{}), busy: map[string]bool{}}
+}
+
+// Use tells where stages run; before Run.
+func (s *Server) Use(jobs Jobs) { s.jobs = jobs }
+
+// Listed takes the name table's news, by which reruns are narrowed.
+func (s *Server) Listed(l dispatch.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.Take(l)
+}
+
+func (s *Server) propose(ctx context.Context, g uint32, c rerun.Command) (rerun.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeFor)
+	defer cancel()
+	text, err := s.host.Propose(ctx, g, replica.Reruns, c.Bytes())
+	if err != nil {
+		return rerun.Result{}, err
+	}
+	return rerun.ReadResult(text)
+}
+
+// Run acts for groups while this dispatcher has their leases, until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	defer s.wg.Wait()
+	every := time.NewTicker(lookEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C: // not by Changed, which has one taker
+		}
+		acting := int64(0)
+		for g := range s.host.Groups() {
+			if _, until, ok := s.host.Lead(g); ok && replicas.Now() < until {
+				s.act(ctx, g)
+				acting++
+			} else {
+				s.host.View(g, replica.Reruns, func(m replica.Machine) { m.(*rerun.Machine).Lines() })
+			}
+		}
+		s.acting.Store(acting)
+		s.mu.Lock()
+		close(s.moved)
+		s.moved = make(chan struct{})
+		s.mu.Unlock()
+	}
+}
+
+// act does what a group wants done.
+func (s *Server) act(ctx context.Context, g uint32) {
+	var actions []rerun.Action
+	var running []rerun.Go
+	var lines []rerun.Told
+	knows := false
+	now := time.Duration(time.Now().UnixNano())
+	if !s.host.View(g, replica.Reruns, func(m replica.Machine) {
+		r := m.(*rerun.Machine)
+		actions, running, lines, knows = r.Actions(), r.Running(""), r.Lines(), r.Knows(s.o.Version)
+	}) {
+		return
+	}
+	for _, l := range lines {
+		s.log.Info("pipeline", "run", l.Run, "policy", l.Policy, "line", l.Rule, "text", l.Text)
+	}
+	if !knows {
+		s.once(fmt.Sprint("policy/", g), func() {
+			r, err := s.propose(ctx, g, rerun.Command{Op: rerun.OpPolicy, Text: s.o.Policy, Site: &s.o.Site})
+			if err == nil && !r.OK {
+				s.log.Error("policy of reruns not taken", "group", g, "version", s.o.Version, "err", r.Why)
+				wait(ctx, callWithin)
+			}
+		})
+	}
+	for _, t := range running {
+		s.once(turnName(t), func() { s.turn(ctx, g, t) })
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case rerun.Go:
+			s.once(turnName(a), func() {
+				r, err := s.propose(ctx, g, rerun.Command{Op: rerun.OpStart, Key: a.Key, Gen: a.Gen, By: s.o.Name})
+				if err == nil && r.OK {
+					if s.Started.Add(1); !a.First {
+						s.Reruns.Add(1)
+					}
+					s.turn(ctx, g, a)
+				}
+			})
+		case rerun.Deliver:
+			s.once(fmt.Sprintf("letters/%d/%d", g, a.To), func() {
+				if r, err := s.propose(ctx, a.To, rerun.Command{Op: rerun.OpLetters, Group: g, Letters: a.Letters}); err == nil && r.Seq > 0 {
+					s.propose(ctx, g, rerun.Command{Op: rerun.OpSent, Group: a.To, Seq: r.Seq})
+				}
+			})
+		case rerun.WaitUntil:
+			if now >= a.At {
+				s.once(fmt.Sprint("tick/", g), func() { s.propose(ctx, g, rerun.Command{Op: rerun.OpTick}) })
+			}
+		}
+	}
+}
+
+func turnName(t rerun.Go) string { return fmt.Sprintf("turn/%s@%d", t.Key, t.Gen) }
+
+// once does something in a goroutine of its own, unless it is being done.
+func (s *Server) once(name string, do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[name] || len(s.busy) >= mostBusy {
+		return
+	}
+	s.busy[name] = true
+	s.wg.Go(func() {
+		do()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.busy, name)
+	})
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// jobID is what a generation's job is promised as: the same whoever acts.
+func jobID(key string, gen int64) string {
+	sum := sha256.Sum256([]byte(key))
+	return "pl." + hex.EncodeToString(sum[:16]) + "." + strconv.FormatInt(gen, 10)
+}
+
+// Told is what a stage's worker is told in the body of its job.
+type Told struct {
+	Run        string            `json:"run"`
+	Stage      string            `json:"stage"`
+	Output     string            `json:"output"` // its key: where it is to be put is by that and the generation
+	Generation int64             `json:"generation"`
+	Inputs     []Input           `json:"inputs,omitempty"`
+	Params     map[string]string `json:"params,omitempty"`
+}
+
+// Input is an output of another stage.
+type Input struct {
+	Stage      string `json:"stage"`
+	Output     string `json:"output"`
+	Generation int64  `json:"generation"`
+}
+
+// Outcome is what a stage's worker gives as its job's result. A result of another form is a success with that text.
+type Outcome struct {
+	Outcome policy.Cause `json:"outcome"` // failed, bad_input or output_lost; empty or "ok": it went well
+	Input   string       `json:"input,omitempty"`
+	Text    string       `json:"text,omitempty"`
+}
+
+func stageOf(key string) string {
+	parts := strings.Split(key, "/")
+	return parts[min(2, len(parts)-1)]
+}
+
+// turn has a generation made, or takes up the making of it, and tells the group how that ended.
+func (s *Server) turn(ctx context.Context, g uint32, t rerun.Go) {
+	id := jobID(t.Key, t.Gen)
+	told := Told{Run: t.Run, Stage: t.Name, Output: t.Key, Generation: t.Gen, Params: map[string]string{}}
+	for i, key := range t.Inputs {
+		told.Inputs = append(told.Inputs, Input{stageOf(key), key, t.Of[i]})
+	}
+	target := ""
+	for k, v := range t.Params {
+		if stage, is := strings.CutPrefix(k, targetKey); !is {
+			told.Params[k] = v
+		} else if stage == t.Name {
+			target = v
+		}
+	}
+	body, _ := json.Marshal(told) // plain data: it cannot fail
+	left := time.Until(time.Unix(0, int64(t.Until)))
+	order, narrowed := s.narrow(t)
+	end := rerun.Command{Op: rerun.OpEnd, Key: t.Key, Gen: t.Gen}
+	switch {
+	case left < time.Millisecond:
+		end.Cause, end.Text = policy.NeverRan, "its time was over before it could be begun"
+		if s.promised(ctx, id) { // by an earlier one that acted
+			end.Cause = policy.Late
+		}
+	case narrowed && len(order) == 0 && !s.promised(ctx, id):
+		end.Cause, end.Text = policy.Refused, fmt.Sprintf("no worker of class %s is left by %s", t.Class, t.Where)
+	default:
+		for ctx.Err() == nil {
+			_, err := s.jobs.Promise(ctx, &promisev1.PromiseRequest{Id: id, Job: &promisev1.Job{
+				Class: t.Class, Tenant: t.Tenant, Payload: body, WorkUs: uint64(t.Work.Microseconds()), Target: target,
+				WithinMs: uint64(max(1, left.Milliseconds())), KeepMs: uint64(keepEnd.Milliseconds()), Order: order,
+			}})
+			code := status.Code(err)
+			if err == nil || code == codes.AlreadyExists { // promised by whoever acted before, whose list was another
+				break
+			}
+			if code == codes.InvalidArgument {
+				s.end(ctx, g, rerun.Command{Op: rerun.OpEnd, Key: t.Key, Gen: t.Gen, Cause: policy.Refused, Text: status.Convert(err).Message()})
+				return
+			}
+			wait(ctx, pause)
+		}
+		var over bool
+		if end, over = s.await(ctx, id, end); !over {
+			return // whoever acts next takes it up
+		}
+	}
+	s.end(ctx, g, end)
+	s.jobs.Forget(ctx, &promisev1.ForgetRequest{Id: id})
+}
+
+// promised tells whether a job was, as far as is known.
+func (s *Server) promised(ctx context.Context, id string) bool {
+	_, err := s.jobs.Await(ctx, &promisev1.AwaitRequest{Id: id})
+	return status.Code(err) != codes.NotFound
+}
+
+// await waits for a job's end; false: this dispatcher ends first.
+func (s *Server) await(ctx context.Context, id string, end rerun.Command) (rerun.Command, bool) {
+	for ctx.Err() == nil {
+		a, err := s.jobs.Await(ctx, &promisev1.AwaitRequest{Id: id, WaitMs: uint32(mostAwait.Milliseconds())})
+		if status.Code(err) == codes.NotFound { // its end was kept no longer, or its group is lost
+			end.Cause, end.Text = policy.MayHaveRun, "nothing is kept of it"
+			return end, true
+		}
+		if err != nil || a.End == nil {
+			wait(ctx, pause)
+			continue
+		}
+		place := s.place(a.End.Instance)
+		end.Place, end.Text = &place, a.End.Reason
+		switch a.End.Kind {
+		case promisev1.Kind_KIND_DONE:
+			var o Outcome
+			if json.Unmarshal(a.End.Result, &o) != nil { // a text of its own
+				o = Outcome{Text: string(a.End.Result)}
+			}
+			end.OK, end.Text, end.Input = true, o.Text, o.Input
+			if o.Outcome == policy.RanFailed || o.Outcome == policy.BadInput || o.Outcome == policy.OutputLost {
+				end.OK, end.Cause = false, o.Outcome
+			}
+		case promisev1.Kind_KIND_REFUSED:
+			end.Cause = policy.NeverRan
+			if strings.HasPrefix(a.End.Reason, "no encoder can do it") {
+				end.Cause = policy.Refused
+			}
+		default:
+			if end.Cause = policy.RanFailed; strings.Contains(a.End.Reason, "may have run") || a.End.Reason == promise.MayHaveRun {
+				end.Cause = policy.MayHaveRun
+			}
+		}
+		return end, true
+	}
+	return end, false
+}
+
+// end tells a group how a turn ended, until it has heard.
+func (s *Server) end(ctx context.Context, g uint32, c rerun.Command) {
+	for ctx.Err() == nil {
+		if _, err := s.propose(ctx, g, c); err == nil {
+			return
+		}
+		wait(ctx, pause)
+	}
+}
+
+// place is where a worker stands.
+func (s *Server) place(worker string) policy.Place {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return placeOf(worker, s.members.Members()[worker])
+}
+
+func placeOf(worker string, m dispatch.Member) policy.Place {
+	p := policy.Place{Worker: worker, Kind: m.Kind, Zone: m.Zone}
+	if m.ID != "" {
+		p.Site = strconv.Itoa(m.Cell)
+	}
+	return p
+}
+
+// narrow is the workers that a rerun may go to; false: it is as the class says. It takes away from those that the
+// class allows: ready ones of its kind.
+func (s *Server) narrow(t rerun.Go) (order []string, narrowed bool) {
+	if t.First || t.Where == "" || t.Where == policy.Anywhere || t.Failed.Worker == "" {
+		return nil, false
+	}
+	kind := s.o.Site.Classes[t.Class].Kind
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, m := range s.members.Members() {
+		if m.State == decide.Ready && (kind == "" || kind == m.Kind) && t.Where.Allows(t.Failed, placeOf(id, m)) {
+			order = append(order, id)
+		}
+	}
+	slices.Sort(order)
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return order[:min(len(order), mostOrder)], true
+}
+
+// Submit answers once a majority has the run on disk.
+func (s *Server) Submit(ctx context.Context, q *pipelinev1.SubmitRequest) (*pipelinev1.SubmitResponse, error) {
+	if err := promise.CheckID(q.Id); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	params := map[string]string{}
+	for k, v := range q.Params {
+		if strings.HasPrefix(k, targetKey) {
+			return nil, status.Errorf(codes.InvalidArgument, "a parameter must not begin with %q", targetKey)
+		}
+		params[k] = v
+	}
+	for k, v := range q.Targets {
+		params[targetKey+k] = v
+	}
+	r, err := s.ask(ctx, q.Id, rerun.Command{Op: rerun.OpSubmit, ID: q.Id, Pipeline: q.Pipeline, Tenant: q.Tenant, Params: params})
+	switch {
+	case err != nil:
+		return nil, err
+	case r.OK:
+		return &pipelinev1.SubmitResponse{}, nil
+	case strings.Contains(r.Why, "is full"):
+		return nil, status.Error(codes.ResourceExhausted, r.Why)
+	case strings.Contains(r.Why, "is another"):
+		return nil, status.Error(codes.AlreadyExists, r.Why)
+	case strings.Contains(r.Why, "no policy yet"):
+		return nil, status.Error(codes.Unavailable, r.Why)
+	}
+	return nil, status.Error(codes.InvalidArgument, r.Why)
+}
+
+// ask has a run's group agree on a command, again and again: each is such that twice does no harm.
+func (s *Server) ask(ctx context.Context, id string, c rerun.Command) (rerun.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	for {
+		r, err := s.propose(ctx, rerun.GroupOfRun(id, s.host.Groups()), c)
+		if err == nil {
+			return r, nil
+		}
+		if errors.Is(err, replica.ErrTooLarge) {
+			return r, status.Error(codes.InvalidArgument, "it is too large")
+		}
+		wait(ctx, pause)
+		if ctx.Err() != nil {
+			return r, status.Error(codes.Unavailable, "no majority answers: call again with the same id")
+		}
+	}
+}
+
+// Await waits for a run's answer.
+func (s *Server) Await(ctx context.Context, q *pipelinev1.AwaitRequest) (*pipelinev1.AwaitResponse, error) {
+	select {
+	case s.calls <- struct{}{}:
+		defer func() { <-s.calls }()
+	default:
+		return nil, status.Error(codes.ResourceExhausted, "as many calls wait as may")
+	}
+	until := time.Now().Add(min(time.Duration(q.WaitMs)*time.Millisecond, mostAwait))
+	group := rerun.GroupOfRun(q.Id, s.host.Groups())
+	for {
+		s.mu.Lock()
+		moved := s.moved
+		s.mu.Unlock()
+		open := false
+		here := s.host.View(group, replica.Reruns, func(m replica.Machine) {
+			r := m.(*rerun.Machine).Run(q.Id)
+			open = r != nil && r.Answer == nil
+		})
+		if !here || !open || !time.Now().Before(until) {
+			r, err := s.ask(ctx, q.Id, rerun.Command{Op: rerun.OpLook, ID: q.Id})
+			switch {
+			case err != nil:
+				return nil, err
+			case !r.OK:
+				return nil, status.Error(codes.NotFound, r.Why)
+			case r.Answer != nil:
+				a := r.Answer
+				return &pipelinev1.AwaitResponse{Answer: &pipelinev1.Answer{
+					Kind: string(a.Kind), Stage: a.Stage, Cause: string(a.Cause), Reason: a.Reason, Result: a.Result, Reruns: uint32(a.Reruns), WorkUs: uint64(a.Work.Microseconds()),
+				}}, nil
+			case !time.Now().Before(until) || ctx.Err() != nil:
+				return &pipelinev1.AwaitResponse{}, nil
+			}
+			wait(ctx, min(farPause, time.Until(until)))
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil, status.FromContextError(ctx.Err()).Err()
+		case <-moved:
+		case <-time.After(time.Until(until)):
+		}
+	}
+}
+
+// Explain tells of a run.
+func (s *Server) Explain(ctx context.Context, q *pipelinev1.ExplainRequest) (*pipelinev1.ExplainResponse, error) {
+	r, err := s.ask(ctx, q.Id, rerun.Command{Op: rerun.OpLook, ID: q.Id})
+	if err != nil {
+		return nil, err
+	}
+	if !r.OK {
+		return nil, status.Error(codes.NotFound, r.Why)
+	}
+	text, err := json.Marshal(r.Explained)
+	return &pipelinev1.ExplainResponse{Text: string(text)}, err
+}
+
+// CallOff takes a run back.
+func (s *Server) CallOff(ctx context.Context, q *pipelinev1.CallOffRequest) (*pipelinev1.CallOffResponse, error) {
+	r, err := s.ask(ctx, q.Id, rerun.Command{Op: rerun.OpCallOff, ID: q.Id})
+	if err == nil && !r.OK {
+		err = status.Error(codes.NotFound, r.Why)
+	}
+	return &pipelinev1.CallOffResponse{}, err
+}
+
+// Explained is a run as this dispatcher's own copy of its group has it; false: there is none here.
+func (s *Server) Explained(id string) (e rerun.Explained, ok bool) {
+	s.host.View(rerun.GroupOfRun(id, s.host.Groups()), replica.Reruns, func(m replica.Machine) { e, ok = m.(*rerun.Machine).Explain(id) })
+	return e, ok
+}
+
+// Figures is what operators go by.
+func (s *Server) Figures() string {
+	runs, open := 0, 0
+	for g := range s.host.Groups() {
+		s.host.View(g, replica.Reruns, func(m replica.Machine) {
+			r, o := m.(*rerun.Machine).Size()
+			runs, open = runs+r, open+o
+		})
+	}
+	return fmt.Sprintf("proxy.pipelines.groups_acted_for=%d\nproxy.pipelines.runs_here=%d\nproxy.pipelines.open_here=%d\nproxy.pipelines.stages_started=%d\nproxy.pipelines.reruns_started=%d\n",
+		s.acting.Load(), runs, open, s.Started.Load(), s.Reruns.Load())
+}
--- /dev/null
+++ b/internal/rerun/plant/plant.go
@@ -0,0 +1,260 @@
+// Package plant is stand-in workers of pipelines' stages on loopback: they read what a job's body says of its inputs,
+// know which outputs are spoilt, and say so in their results. Tests and measurements stand on it.
+package plant
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	"caperrelay/internal/net/pipelines"
+	"caperrelay/internal/rig"
+)
+
+// Worker is one, and where it stands.
+type Worker struct {
+	ID, Zone, Kind string
+	Cell           int
+}
+
+// Run is one run of a stage at a worker, by its own word.
+type Run struct {
+	Worker Worker
+	pipelines.Told
+	Class        string
+	Began, Ended time.Time // Ended zero: it was killed or called off
+	Outcome      pipelines.Outcome
+}
+
+// Plant is all workers. Decide is asked when a run's work is done, and Work when it begins.
+type Plant struct {
+	Workers []Worker
+	Work    func(Run) time.Duration
+	Decide  func(Run) pipelines.Outcome
+
+	mu      sync.Mutex
+	runs    []*Run
+	down    map[string]bool
+	servers []*http.Server
+	calls   http.Client
+	done    chan struct{}
+	wg      sync.WaitGroup
+}
+
+// New returns a plant.
+func New(workers []Worker) *Plant {
+	return &Plant{
+		Workers: workers, down: map[string]bool{}, done: make(chan struct{}), calls: http.Client{Timeout: 2 * time.Second},
+		Work:   func(Run) time.Duration { return 20 * time.Millisecond },
+		Decide: func(Run) pipelines.Outcome { return pipelines.Outcome{} },
+	}
+}
+
+// Close ends it.
+func (p *Plant) Close() {
+	close(p.done)
+	for _, s := range p.servers {
+		s.Close()
+	}
+	p.calls.CloseIdleConnections()
+	p.wg.Wait()
+}
+
+// Runs is all runs so far.
+func (p *Plant) Runs() (all []Run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.runs {
+		all = append(all, *r)
+	}
+	return all
+}
+
+// Down has a worker's process be dead, with all it runs, or alive again.
+func (p *Plant) Down(worker string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down[worker] = down
+}
+
+func (p *Plant) listen(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	p.servers = append(p.servers, s)
+	go s.Serve(l)
+	return l.Addr().String(), nil
+}
+
+var discovery = regexp.MustCompile(`(?m)^discovery = .*$`)
+
+// Join has a rig's daemons, not started yet, find these workers instead of the rig's encoders, and take runs of the
+// pipelines of a policy's file.
+func (p *Plant) Join(r *rig.Rig, policy string) error {
+	for n := range r.Daemons {
+		d := r.Daemon(n)
+		type member struct {
+			ID      string  `json:"id"`
+			Address string  `json:"host_port"`
+			Zone    string  `json:"locality"`
+			Kind    string  `json:"flavor"`
+			Cell    int     `json:"cell"`
+			Phase   string  `json:"phase"`
+			Size    float64 `json:"size"`
+		}
+		var members []member
+		for _, w := range p.Workers {
+			at, err := p.listen(p.door(w, n, r))
+			if err != nil {
+				return err
+			}
+			members = append(members, member{w.ID, at, w.Zone, w.Kind, w.Cell, "in_service", 1})
+		}
+		text, err := json.Marshal(map[string]any{"revision": 1, "complete": true, "members": members})
+		if err != nil {
+			return err
+		}
+		at, err := p.listen(p.list(text))
+		if err != nil {
+			return err
+		}
+		file, err := os.ReadFile(d.File())
+		if err != nil {
+			return err
+		}
+		if !discovery.Match(file) {
+			return errors.New("plant: the daemon's file names no discovery")
+		}
+		file = discovery.ReplaceAll(file, fmt.Appendf(nil, "discovery = %q", at))
+		file = fmt.Appendf(file, "\n[pipelines]\nfile = %q\n", policy)
+		if err := os.WriteFile(d.File(), file, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// list is the name table, and a watch on it, in which nothing changes.
+func (p *Plant) list(text []byte) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path != "/catalog/members" {
+			http.NotFound(w, q)
+			return
+		}
+		w.Write(text)
+		if q.URL.Query().Get("stream") != "1" {
+			return
+		}
+		w.Write([]byte("\n"))
+		tick := time.NewTicker(500 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-q.Context().Done():
+				return
+			case <-p.done:
+				return
+			case <-tick.C:
+				if _, err := w.Write([]byte("\n")); err != nil {
+					return
+				}
+			}
+		}
+	})
+}
+
+// door is where a daemon finds a worker.
+func (p *Plant) door(worker Worker, daemon int, r *rig.Rig) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		p.mu.Lock()
+		down := p.down[worker.ID]
+		p.mu.Unlock()
+		id := q.Header.Get("X-Correlation-Id")
+		switch {
+		case down:
+			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				c.Close()
+			}
+			return
+		case q.Method != "POST" || id == "":
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		run := &Run{Worker: worker, Class: q.Header.Get("X-Service-Class"), Began: time.Now()}
+		body, err := io.ReadAll(io.LimitReader(q.Body, 1<<20))
+		if err == nil {
+			err = json.Unmarshal(body, &run.Told)
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		p.mu.Lock()
+		p.runs = append(p.runs, run)
+		p.mu.Unlock()
+		w.WriteHeader(http.StatusAccepted)
+		p.wg.Go(func() { p.do(run, id, daemon, r) })
+	})
+}
+
+func (p *Plant) do(run *Run, id string, daemon int, r *rig.Rig) {
+	p.call(r, daemon, map[string]any{"id": id, "from": run.Worker.ID, "state": "started"}, 1)
+	select {
+	case <-p.done:
+		return
+	case <-time.After(p.Work(*run)):
+	}
+	p.mu.Lock()
+	down := p.down[run.Worker.ID]
+	p.mu.Unlock()
+	if down {
+		return
+	}
+	o := p.Decide(*run)
+	p.mu.Lock()
+	run.Ended, run.Outcome = time.Now(), o
+	p.mu.Unlock()
+	p.call(r, daemon, map[string]any{"id": id, "from": run.Worker.ID, "state": "done", "result": o}, 40)
+}
+
+// call tells a daemon, the job's own first and then any that answers.
+func (p *Plant) call(r *rig.Rig, daemon int, news map[string]any, tries int) {
+	body, _ := json.Marshal(news) // plain data: it cannot fail
+	for n := range tries {
+		at := daemon
+		if n > 0 {
+			at = rand.IntN(r.Daemons)
+			select {
+			case <-p.done:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		a, err := p.calls.Post("http://"+r.Daemon(at).Listen+"/_jobs/news", "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		io.Copy(io.Discard, a.Body)
+		if a.Body.Close(); a.StatusCode/100 == 2 {
+			return
+		}
+	}
+}
+
+// Stage is a run's stage and generation, for messages.
+func (r Run) String() string {
+	return fmt.Sprintf("%s %s@%d at %s %s", r.Told.Run, r.Told.Stage, r.Generation, r.Worker.ID, strings.TrimSpace(string(r.Outcome.Outcome)+" "+r.Outcome.Input))
+}
