Prove promises: two minutes of lost machines, bad disks, cuts and pauses, histories checked by porcupine

Need: a measurement that fails when something promised is lost, and that can fail. Change: make prove-promise: five dispatchers, three copies, six askers and a probe of each group; whoever acts for most is killed with its disk, has its disk's bits flipped, is cut off one way and both, stands still; each when the last is mended. Ends are asked for twice, at different dispatchers, some forgotten; the history goes through porcupine id by id, ends are held against the encoders' ledger; the same with one copy must lose some.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 SHELL := /bin/bash
-.PHONY: build test lint fuzz run proto demo prove-plugin prove-import prove-memory prove-coldstart prove-mass prove-deployments
+.PHONY: prove-rerun build test lint fuzz run proto demo prove-plugin prove-import prove-memory prove-coldstart prove-mass prove-deployments prove-promise prove-gang
 
 # As deploy/balancer.toml spells it: against the C library, for the bench's large fleet.
 build:
@@ -22,9 +22,18 @@
 prove-plugin: build
 	bin/winglb prove plugin
 
+prove-rerun: build
+	bin/winglb prove rerun
+
 prove-coldstart: build
 	bin/winglb prove coldstart
 
+prove-promise: build
+	bin/winglb prove promise
+
+prove-gang: build
+	bin/winglb prove gang
+
 prove-memory: build
 	bin/winglb prove memory
 
