Bound the hand-over whatever the other process, its disk or its log does; tell both of drains

Checked on the program as it was. The disk under load: 0.25 s at most for a file in four minutes. Found, each reproduced: - A log line that is not read: ready never (8 s), `health` not answered. program.go wrote the line of a new phase under the program's lock (`change`), cordons.go that of a cordon under both (`cordon`): with the older one's pipe full, its next cordons are not answered and do not count (skipped_encoders stays 6) while it goes on sending, and health hangs. It makes both halves. - cordons.go `store` before `pool.Cordon`, under the lock that `greet` needs: a cordon counted once the disk had answered. - cordons.go `store`: both processes replaced one file by way of one name. One's rename took the other's ("no such file"), which then undid the cordon: in 25 hand-overs with quick cordons 35 were turned down at the older, and once the newer served leaving out 3 of 4.

Change: what is said counts first, at both, then one process writes the file under a name of its own; who said it waits 0.5 s at most for the disk. No lock is held over a log line, a file or a peer; log lines wait 20 ms for their reader, then queue (1,024). Ready 3.5 s after the start at the latest: 2.5 s for discovery, 1 s to yield. From a silent door no list: then it waits for discovery first. Each process tells the other the list as it hears it; the own watch telling again takes nothing back.

Each test fails with its part undone (one name; disk first; no list told; told again; 3.5 s; the fault).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,9 +50,9 @@
 	}
 	switch format {
 	case "", "text":
-		return slog.New(slog.NewTextHandler(os.Stderr, o)), nil
+		return slog.New(slog.NewTextHandler(newLines(os.Stderr), o)), nil
 	case "json":
-		return slog.New(slog.NewJSONHandler(os.Stderr, o)), nil
+		return slog.New(slog.NewJSONHandler(newLines(os.Stderr), o)), nil
 	}
 	return nil, fmt.Errorf("WINGLB_LOG: %q is neither text nor json", format)
 }
--- a/internal/program/cordons.go
+++ b/internal/program/cordons.go
@@ -6,19 +6,32 @@
 	"fmt"
 	"maps"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"caperrelay/internal/net/handover"
 )
 
-// cordons is which instances people leave out. It outlives the process: a file holds it.
+// cordons is which instances people leave out. It outlives the process: a file holds it. What is said counts before it
+// is written, and nothing waits for the disk but who said it.
 type cordons struct {
-	mu  sync.Mutex
-	out map[string]bool
+	write func(path string, text []byte) error // replaces the file; it may take any time
+
+	mu      sync.Mutex // never held over a file, a log line or a peer
+	out     map[string]bool
+	unkept  bool         // another process has told of some, and writes them
+	writing bool         // somebody does
+	waits   []chan error // of those who want to know of the next file; each holds one
 }
 
+const (
+	keepPatience = 500 * time.Millisecond // of an operator, with the disk
+	mostWaits    = 64                     // for the disk; who comes beyond is told so
+)
+
 // cordoning is what processes tell each other of one.
 type cordoning struct {
 	ID  string
@@ -37,45 +50,104 @@
 		return fmt.Errorf("%s is not known", c.ID)
 	}
 	p.cordons.mu.Lock()
-	defer p.cordons.mu.Unlock()
-	before := p.cordons.out[c.ID]
 	if p.cordons.out[c.ID] = c.Out; !c.Out {
 		delete(p.cordons.out, c.ID)
 	}
-	if err := p.store(); err != nil {
-		if p.cordons.out[c.ID] = before; !before {
-			delete(p.cordons.out, c.ID)
-		}
-		return err
-	}
 	p.pool.Cordon(c.ID, c.Out)
 	p.loop.Cordon(c.ID, c.Out)
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	for _, l := range []*handover.Link{p.older, p.newer} {
 		if l != nil && l != from {
 			l.Tell(cordoned, c)
 		}
 	}
+	p.mu.Unlock()
 	ids := slices.Sorted(maps.Keys(p.cordons.out))
 	p.each(func(t Part) { t.Cordoned(ids) })
-	p.log.Info("cordoned", "ids", ids)
+	var kept <-chan error
+	if p.cordons.unkept = from != nil; from == nil { // else that process writes the file, or this one once that has gone
+		kept = p.keep()
+	}
+	p.cordons.mu.Unlock()
+	if p.log.Info("cordoned", "ids", ids); from != nil {
+		return nil
+	}
+	err := errors.New("the disk does not answer")
+	select {
+	case err = <-kept:
+	case <-time.After(keepPatience):
+	}
+	if err != nil {
+		return fmt.Errorf("done, but the next process may not know: %w", err)
+	}
 	return nil
 }
 
+// keep has the file written as things stand, and returns where the outcome will be. The lock is held.
+func (p *Program) keep() <-chan error {
+	kept := make(chan error, 1)
+	if len(p.cordons.waits) >= mostWaits { // the next file holds this too
+		kept <- errors.New("the disk does not answer")
+		return kept
+	}
+	p.cordons.waits = append(p.cordons.waits, kept)
+	if !p.cordons.writing {
+		p.cordons.writing = true
+		go p.store()
+	}
+	return kept
+}
+
 func (p *Program) cordonsFile() string { return strings.TrimSuffix(p.path(), ".sock") + ".cordons" }
 
-// store writes the file beside the old one and puts it in its place: who reads finds one of both.
-func (p *Program) store() error {
-	text, err := json.Marshal(slices.Sorted(maps.Keys(p.cordons.out)))
+// keepAll has it written once another process has gone that may not have come to it.
+func (p *Program) keepAll() {
+	p.cordons.mu.Lock()
+	defer p.cordons.mu.Unlock()
+	if p.cordons.unkept {
+		p.keep()
+	}
+}
+
+// store writes files until nobody waits for one.
+func (p *Program) store() {
+	for {
+		p.cordons.mu.Lock()
+		waits := p.cordons.waits
+		if p.cordons.waits = nil; len(waits) == 0 {
+			p.cordons.writing = false
+			p.cordons.mu.Unlock()
+			return
+		}
+		text, err := json.Marshal(slices.Sorted(maps.Keys(p.cordons.out)))
+		p.cordons.mu.Unlock()
+		if err == nil {
+			err = p.cordons.write(p.cordonsFile(), text)
+		}
+		if err != nil {
+			p.log.Error("cordons", "err", err)
+		}
+		for _, w := range waits {
+			w <- err
+		}
+	}
+}
+
+// replace writes a file beside the old one and puts it in its place: who reads finds one of both. The name beside is
+// nobody else's: two processes replace the same file while one takes over from the other.
+func replace(path string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*.new")
 	if err != nil {
 		return err
 	}
-	fresh := p.cordonsFile() + ".new"
-	if err := os.WriteFile(fresh, text, 0o600); err != nil {
-		return err
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		os.Remove(f.Name())
 	}
-	return os.Rename(fresh, p.cordonsFile())
+	return err
 }
 
 // leftOut is who was left out last: by the file, which is of this moment, or where the machine has lost that by a
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -21,9 +21,11 @@
 // Relief is how one process takes over from another that serves the same address. The newer
 // calls at the older's door; docs/design.md says who does what.
 
+// Whatever the older does, or does not, this one serves after freshPatience + answerPatience at the latest, 3.5 s from
+// its start: what an answer takes before the wait for discovery is part of that wait.
 const (
 	answerPatience = time.Second             // with the older process, for each of its answers
-	freshPatience  = 3500 * time.Millisecond // with discovery, before the older's list must do
+	freshPatience  = 2500 * time.Millisecond // with discovery, before the older's list must do
 )
 
 // What the processes tell each other, by kind of message.
@@ -37,6 +39,7 @@
 	left       = "left"       // the older: the id of a command whose client has left
 	became     = "became"     // the older: a dispatch.Fate
 	cordoned   = "cordoned"   // either: a cordoning
+	listed     = "listed"     // either: a listing, as it has just been told
 	news       = "news"       // either: a dispatch.News that matches nothing there
 )
 
@@ -48,6 +51,12 @@
 	Cordons   []string
 }
 
+// listing is the whole list, and whose revision it has.
+type listing struct {
+	dispatch.List
+	Discovery string
+}
+
 // handed is all that it hands over, but for commands.
 type handed struct {
 	dispatch.Handed
@@ -61,11 +70,12 @@
 	if err != nil {
 		return nil
 	}
-	state := make(chan standing, 1)
+	state, gone := make(chan standing, 1), make(chan struct{})
 	p.mu.Lock()
 	p.older = link
 	p.mu.Unlock()
 	go func() {
+		defer close(gone)
 		r := relief{Program: p, link: link, state: state}
 		link.Run(func(m handover.Message, f *os.File) {
 			if err := r.take(ctx, m, f); err != nil {
@@ -84,6 +94,8 @@
 	if p.before.List == nil {
 		p.log.Warn("what answers at the door hands nothing over")
 		link.Close()
+		<-gone // or a late word of it could still count
+		p.mute = true
 		return nil
 	}
 	p.watcher.From(p.before.Discovery, p.before.List.Revision)
@@ -139,18 +151,42 @@
 	p.mu.Lock()
 	phase, since, older := p.phase, p.since, p.older
 	p.mu.Unlock()
-	late := now.Sub(since) >= freshPatience
+	fresh := false
 	select {
 	case <-p.fresh:
-		late = true
+		fresh = true
 	default:
 	}
-	switch {
-	case older == nil || phase == Relieving && now.Sub(since) >= answerPatience:
+	switch turn(phase, now.Sub(since), fresh, older != nil, p.mute) {
+	case serves:
 		p.serve(ctx)
-	case phase == Starting && late && p.enter(Relieving, Starting):
-		older.Tell(ready, nil)
+	case asks:
+		if p.enter(Relieving, Starting) {
+			older.Tell(ready, nil)
+		}
+	}
+}
+
+// step is what a process that takes over does next.
+type step int
+
+const (
+	waits step = iota
+	asks       // the older to yield
+	serves
+)
+
+// turn says which, after so long in a phase. fresh: discovery has told. older: such a process is connected; mute: it
+// was, and told nothing, and may serve on by a list that the configuration's is older than.
+func turn(phase Phase, since time.Duration, fresh, older, mute bool) step {
+	late := fresh || since >= freshPatience
+	switch {
+	case phase == Relieving && (!older || since >= answerPatience), phase == Starting && !older && (!mute || late):
+		return serves
+	case phase == Starting && older && late:
+		return asks
 	}
+	return waits
 }
 
 // serve begins to take commands in.
@@ -195,6 +231,7 @@
 
 // greet serves a newer process, one at a time.
 func (p *Program) greet(ctx context.Context, link *handover.Link) {
+	p.cordons.mu.Lock() // whoever is left out later is told of later
 	p.mu.Lock()
 	taken := p.newer != nil
 	if !taken {
@@ -204,14 +241,15 @@
 	quiesced := p.phase == Quiescing || p.phase == Quiesced
 	discovery := p.discovery
 	p.mu.Unlock()
+	if !taken {
+		link.Pass(told, standing{&list, discovery, quiesced, slices.Sorted(maps.Keys(p.cordons.out))}, kept{p.listener})
+	}
+	p.cordons.mu.Unlock()
 	if taken {
 		link.Close()
 		return
 	}
 	p.resize()
-	p.cordons.mu.Lock() // whoever is left out later is told of later
-	link.Pass(told, standing{&list, discovery, quiesced, slices.Sorted(maps.Keys(p.cordons.out))}, kept{p.listener})
-	p.cordons.mu.Unlock()
 	link.Run(func(m handover.Message, f *os.File) {
 		switch m.Kind {
 		case ready:
@@ -221,6 +259,11 @@
 			if m.Read(&c) == nil {
 				p.cordon(c, link)
 			}
+		case listed:
+			var l listing
+			if m.Read(&l) == nil {
+				p.heard(l, false)
+			}
 		case news:
 			var n dispatch.News
 			if m.Read(&n) == nil {
@@ -251,6 +294,7 @@
 		if !link.Tell(yielded, handed{given, p.server.Connections()}) {
 			return false
 		}
+		p.pool.Unsend()
 		p.server.Yield(heir{link})
 		p.listener.SetDeadline(time.Unix(1, 0)) // the socket is shared, this is not
 		p.mu.Lock()
@@ -270,6 +314,7 @@
 
 // newerGone takes everything up again, unless this process is ending.
 func (p *Program) newerGone(ctx context.Context) {
+	p.keepAll()
 	p.mu.Lock()
 	p.newer = nil
 	list, given := p.table.List(), p.given
@@ -357,6 +402,12 @@
 			return err
 		}
 		return r.cordon(c, r.link)
+	case listed:
+		var l listing
+		if err := m.Read(&l); err != nil {
+			return err
+		}
+		r.heard(l, true)
 	case news:
 		var n dispatch.News
 		if err := m.Read(&n); err != nil {
@@ -370,6 +421,7 @@
 
 // olderGone is the end of the older process: all is this one's.
 func (p *Program) olderGone() {
+	p.keepAll()
 	p.mu.Lock()
 	p.older = nil
 	p.mu.Unlock()
@@ -382,11 +434,12 @@
 // leave ends the links, once all that was told is written.
 func (p *Program) leave() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.door != nil {
-		p.door.Close()
+	door, links := p.door, []*handover.Link{p.older, p.newer}
+	p.mu.Unlock()
+	if door != nil {
+		door.Close()
 	}
-	for _, l := range []*handover.Link{p.older, p.newer} {
+	for _, l := range links {
 		if l != nil {
 			l.Close()
 		}
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -1,14 +1,17 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -224,3 +227,162 @@
 	}
 	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
 }
+
+// A sending that no instance had confirmed when the newer process died ended the older one with a fault.
+func TestUnconfirmedSendingOutlivesTheNewerProcess(t *testing.T) {
+	let := make(chan bool)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		if id(q) == "c1" {
+			return <-let
+		}
+		w.news(id(q), "s-1", "done", "r")
+		return answer(c, 202)
+	})
+	w.command(w.dial(), "c1", "once", "30000m")
+	w.await(func() bool { return w.figure("upstream_tries") == "1" })
+	link, err := handover.Call(w.program.path())
+	require.NoError(t, err)
+	took := make(chan string, 99)
+	go link.Run(func(m handover.Message, f *os.File) {
+		took <- m.Kind
+		if f != nil {
+			f.Close()
+		}
+	})
+	link.Tell(ready, nil)
+	for kind := ""; kind != yielded; kind = <-took {
+	}
+	link.Close()
+	w.await(func() bool { return w.program.Phase() == Serving })
+	let <- false // the connection breaks
+	c := w.dial()
+	w.command(c, "c2", "safe", "30000m")
+	require.Equal(t, 200, w.read(c).Status)
+}
+
+// Two processes replaced the same file by way of one name: one's rename took the other's, whose word was then undone.
+// What is said to either while one takes over holds at both, however quick, and in the file.
+func TestLeftOutAtBothWhileTakingOver(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	line := member(w.instance.Addr().String(), "in_service")
+	all := line
+	for _, other := range []string{"s-2", "s-3"} {
+		all += "," + strings.Replace(line, "s-1", other, 1)
+	}
+	tellTable(<-w.watches, 8, true, all)
+	w.await(func() bool { return w.program.pool.Knows("s-3") })
+	older := w.beside()
+	newest := <-w.watches
+	w.await(func() bool { return w.program.pool.Knows("s-3") })
+	said := make(chan error, 9)
+	for id, p := range map[string]*Program{"s-1": older.program, "s-2": older.program, "s-3": w.program} {
+		go func() {
+			for range 100 {
+				if err := errors.Join(p.Cordon(id), p.Uncordon(id)); err != nil {
+					said <- err
+					return
+				}
+			}
+			said <- p.Cordon(id)
+		}()
+	}
+	for range 3 {
+		require.NoError(t, <-said)
+	}
+	tellTable(newest, 9, true, all)
+	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
+	for _, p := range []*Program{older.program, w.program} {
+		w.await(func() bool { return !p.pool.Takes("s-1") && !p.pool.Takes("s-2") && !p.pool.Takes("s-3") })
+	}
+	older.signals <- syscall.SIGTERM
+	require.NoError(t, <-older.ended)
+	w.await(func() bool { return w.kept() && slices.Equal(w.program.stored(), []string{"s-1", "s-2", "s-3"}) })
+}
+
+// kept tells whether nobody is left to write who is left out.
+func (w *world) kept() bool {
+	w.program.mu.Lock()
+	alone := w.program.older == nil
+	w.program.mu.Unlock()
+	w.program.cordons.mu.Lock()
+	defer w.program.cordons.mu.Unlock()
+	return alone && !w.program.cordons.writing
+}
+
+// The word to leave an instance out waited for the disk before it counted, and a process that takes over waited for that.
+// It counts at once, at both, while the disk does not answer; who said it is told so.
+func TestLeftOutWhateverTheDiskDoes(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	<-w.watches
+	answers, writes := make(chan bool), make(chan string, 9)
+	w.program.cordons.write = func(path string, text []byte) error {
+		writes <- string(text)
+		<-answers
+		return replace(path, text)
+	}
+	said := make(chan string, 1)
+	go func() { said <- w.call("cordon s-1") }()
+	require.Equal(t, `["s-1"]`, <-writes)
+	require.False(t, w.program.pool.Takes("s-1"))
+	older := w.beside()
+	tellTable(<-w.watches, 8, true, member(w.instance.Addr().String(), "in_service"))
+	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
+	require.False(t, w.program.pool.Takes("s-1"))
+	require.Contains(t, <-said, "ERR done, but the next process may not know")
+	close(answers)
+	w.await(func() bool { return older.kept() && len(w.program.stored()) == 1 })
+}
+
+// What the name table told one of two processes the other learned from its own watch alone, which may be the later one by
+// seconds. It holds for both, and what the own watch tells once more does not take it back.
+func TestDrainToldToEitherProcess(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	first := <-w.watches
+	up, down := member(w.instance.Addr().String(), "in_service"), member(w.instance.Addr().String(), "terminating")
+	older := w.beside()
+	second := <-w.watches
+	w.await(func() bool { return w.program.pool.Takes("s-1") })
+	tellTable(first, 9, false, down)
+	w.await(func() bool { return !w.program.pool.Takes("s-1") })
+	tellTable(second, 8, false, up) // of before
+	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
+	require.False(t, w.program.pool.Takes("s-1"))
+	tellTable(second, 10, false, up)
+	w.await(func() bool { return w.program.pool.Takes("s-1") && older.program.pool.Takes("s-1") })
+	tellTable(second, 11, false, down)
+	w.await(func() bool { return !w.program.pool.Takes("s-1") && !older.program.pool.Takes("s-1") })
+}
+
+// A process that takes over serves within 3.5 s, whatever the older one does: is silent, goes, or does not yield.
+func TestServesWhateverTheOlderDoes(t *testing.T) {
+	require.LessOrEqual(t, freshPatience+answerPatience, 3500*time.Millisecond)
+	for _, story := range []struct {
+		phase              Phase
+		since              time.Duration
+		fresh, older, mute bool
+		next               step
+	}{
+		{Starting, 0, false, false, false, serves}, // there is none
+		{Starting, 0, false, true, false, waits},
+		{Starting, 0, true, true, false, asks},
+		{Starting, freshPatience, false, true, false, asks},
+		{Starting, 0, false, false, true, waits}, // silent: its list is unknown
+		{Starting, 0, true, false, true, serves},
+		{Starting, freshPatience, false, false, true, serves},
+		{Relieving, 0, true, true, false, waits},
+		{Relieving, 0, true, false, false, serves}, // gone
+		{Relieving, answerPatience, true, true, false, serves},
+	} {
+		require.Equal(t, story.next, turn(story.phase, story.since, story.fresh, story.older, story.mute), "%+v", story)
+	}
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+	<-w.watches
+	w.program.door.Close()
+	silent, err := handover.Open(w.program.path()) // takes calls and says nothing
+	require.NoError(t, err)
+	defer silent.Close()
+	w.beside()
+	tellTable(<-w.watches, 8, true, member(w.instance.Addr().String(), "terminating"))
+	w.await(func() bool { return w.program.Phase() == Serving })
+	require.False(t, w.program.pool.Takes("s-1"), "by a list of now, not by the configuration's")
+}
