--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -98,6 +98,18 @@
 	return x.written
 }
 
+// unsend aborts the exchange unless the instance may have got something of it.
+func (x *exchange) unsend() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.written {
+		return
+	}
+	if x.aborted = true; x.conn != nil {
+		x.conn.Close()
+	}
+}
+
 // enter puts the exchange on a connection unless it was aborted before.
 func (x *exchange) enter(c net.Conn) bool {
 	x.mu.Lock()
@@ -224,6 +236,10 @@
 		return end{stage: unsent}
 	}
 	x.mu.Lock()
+	if x.aborted {
+		x.mu.Unlock()
+		return end{stage: unsent}
+	}
 	x.written = true // it may be whole before Write returns
 	x.mu.Unlock()
 	if n, err := c.nc.Write(text); err != nil && n < len(text) {
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -177,6 +177,16 @@
 	p.takeBack(a, 2)
 }
 
+// Unsend ends all attempts of which nothing is written yet, as never sent: another process has them from now on, and may
+// give one up and send it elsewhere while it still waits here for its connection.
+func (p *Pool) Unsend() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.out {
+		x.unsend()
+	}
+}
+
 func (p *Pool) takeBack(a *dispatch.Attempt, tries int) {
 	p.start(a.Instance, &exchange{
 		method: "DELETE", target: "/jobs/" + a.Command.ID, deadline: time.Now().Add(courtesy),
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -179,6 +179,29 @@
 	require.WithinRange(t, time.Now(), a.Deadline.Add(courtesy), a.Deadline.Add(time.Minute))
 }
 
+// An attempt that waited for its connection went out after another process had taken it over, given it up and sent it
+// elsewhere: two copies at once. Nothing is written of what was not begun by then; what was is the instance's.
+func TestNothingIsBegunOnceAnotherProcessHasIt(t *testing.T) {
+	p, _, seen := pool(t, 9, "s-1")
+	ends := make(chan end, 9)
+	send := func(target string, expired func(time.Time) bool) {
+		x := &exchange{method: "POST", target: target, id: "c1", deadline: time.Now().Add(time.Minute), expired: expired,
+			done: func(e end) { ends <- e }}
+		p.mu.Lock()
+		p.out[&dispatch.Attempt{}] = x
+		p.mu.Unlock()
+		p.start("s-1", x)
+	}
+	send("/late", func(time.Time) bool { p.Unsend(); return false }) // its connection is up by then
+	require.Equal(t, unsent, (<-ends).stage)
+	send("/begun", nil)
+	require.Equal(t, "/begun", (<-seen).Target)
+	p.Unsend()
+	send("/take", nil)
+	require.Equal(t, "/take", (<-seen).Target)
+	require.Equal(t, answered, (<-ends).stage, "the one before goes on")
+}
+
 func TestUnknownInstanceIsNeverSentTo(t *testing.T) {
 	p, r, _ := pool(t, 9)
 	p.Send(attempt("s-9"))
