--- a/internal/gang/coordinator.go
+++ b/internal/gang/coordinator.go
@@ -61,6 +61,7 @@
 	ran    map[string]map[int]bool // and those that know that all run
 	known  map[string]map[int]Fate // and what the home has been told of them
 	began  map[string]time.Duration
+	homes  map[string]uint32        // of the gangs that are known here
 	seen   map[string]time.Duration // undecided holds, by gang and round: since when
 	view   View
 	looked time.Duration
@@ -78,7 +79,7 @@
 func NewCoordinator() *Coordinator {
 	return &Coordinator{
 		flying: map[string]Propose{}, asked: map[string]time.Duration{}, told: map[string]time.Duration{}, clocks: map[string]*Clock{}, heard: map[string]heard{},
-		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, seen: map[string]time.Duration{},
+		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, homes: map[string]uint32{}, seen: map[string]time.Duration{},
 	}
 }
 
@@ -208,6 +209,7 @@
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	})
 	for _, e := range all {
+		c.homes[e.Spec.ID] = group
 		for _, d := range e.Due {
 			// The gang's home goes along, to be told of it.
 			c.propose(now, d.Group, Command{Op: d.Op, Gang: e.Spec.ID, Round: d.Round, Group: group})
@@ -230,18 +232,19 @@
 			}
 		case Running:
 			c.running(now, group, e)
-		case Ended:
-			c.forget(e.Spec.ID)
+		}
+	}
+	for id, home := range c.homes {
+		if e := m.Gangs[id]; home == group && (e == nil || e.State == Ended) {
+			c.forget(id)
 		}
 	}
 	c.orphans(now, group, m)
 }
 
 func (c *Coordinator) forget(gang string) {
-	if _, known := c.began[gang]; !known {
-		return
-	}
 	delete(c.began, gang)
+	delete(c.homes, gang)
 	for _, m := range []map[string]map[int]bool{c.armed, c.ran} {
 		maps.DeleteFunc(m, func(id string, _ map[int]bool) bool { return strings.HasPrefix(id, gang+"/") })
 	}
@@ -323,7 +326,7 @@
 func (c *Coordinator) held(now time.Duration, group uint32, e *Entry, encoders []Encoder) {
 	id, p := e.Spec.ID, e.Plan
 	if _, known := c.began[id]; !known {
-		c.began[id] = now
+		c.began[e.Spec.ID] = now
 	}
 	recalled := ""
 	if now < p.Start-ArmAhead && c.fresh(now, watchFor) {
--- a/internal/gang/machine.go
+++ b/internal/gang/machine.go
@@ -162,6 +162,21 @@
 	return r
 }
 
+// Open is the gangs that have not ended, or of which groups are still to be told, and what is held here, for a
+// coordinator to go by while the machine goes on.
+func (m *Machine) Open() *Machine {
+	c := &Machine{home: home{map[string]*Entry{}}, keeper: keeper{nil, slices.Clone(m.Standing), nil}, At: m.At}
+	for id, e := range m.Gangs {
+		if e.State == Ended && len(e.Due) == 0 {
+			continue
+		}
+		o := *e
+		o.Votes, o.Fates, o.Due = slices.Clone(e.Votes), slices.Clone(e.Fates), slices.Clone(e.Due)
+		c.Gangs[id] = &o
+	}
+	return c
+}
+
 // Taken is room of an encoder that a gang has.
 type Taken struct {
 	Gang string `json:"gang"`
--- a/internal/gang/start.go
+++ b/internal/gang/start.go
@@ -199,9 +199,15 @@
 
 // Tick does what is due.
 func (s *Starter) Tick(now time.Duration) {
-	for _, key := range slices.Sorted(maps.Keys(s.parts)) {
+	var due []string
+	for key, p := range s.parts {
+		if !p.over() && !p.running && now >= p.at {
+			due = append(due, key)
+		}
+	}
+	slices.Sort(due)
+	for _, key := range due {
 		switch p := s.parts[key]; {
-		case p.over() || p.running || now < p.at:
 		case !p.sent && (!p.going || now > p.at+p.skew/4): // never told to go, or it slept over its start
 			if p.going {
 				s.Stats.Late++
--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -68,11 +68,12 @@
 type Core interface {
 	Take(*dispatch.Command)
 	Lapse(*dispatch.Command)
+	// TakeBack has an encoder drop what another dispatcher sent.
+	TakeBack(instance, id string)
+	// Hold says what is held of an encoder.
+	Hold(id string, slots float64, spans []decide.Span)
 }
 
-// takesBack is a loop that can have an encoder drop what another dispatcher sent.
-type takesBack interface{ TakeBack(instance, id string) }
-
 // Server is a dispatcher's part in gangs.
 type Server struct {
 	gangv1.UnimplementedGangsServer
@@ -248,6 +249,7 @@
 			s.tell(ctx, name, gang.Word{}, 0)
 		}
 	}
+	s.hold(now, all)
 	s.active, s.leads = false, nil
 	states := map[string]int{}
 	homes := map[string]uint32{}
@@ -256,24 +258,29 @@
 		if !ok || replicas.Now() >= until {
 			continue
 		}
+		var open *gang.Machine
 		s.host.View(g, replica.Gangs, func(m replica.Machine) {
 			k, ours := m.(*gang.Machine)
 			if !ours {
 				return
 			}
-			s.leads = append(s.leads, g)
 			s.accounts(ctx, g, k, all)
-			s.c.Step(now, g, k, all)
-			for id, e := range k.Entries() {
+			open = k.Open()
+			for _, e := range k.Entries() {
 				states[string(e.State)]++
 				if e.State == gang.Ended {
 					states[e.Verdict]++
 				}
-				if homes[id] = g; e.State != gang.Ended || len(e.Due) > 0 {
-					s.active = true
-				}
 			}
 		})
+		if open == nil {
+			continue
+		}
+		s.leads = append(s.leads, g)
+		s.c.Step(now, g, open, all)
+		for id := range open.Entries() {
+			homes[id], s.active = g, true
+		}
 	}
 	s.homes = homes
 	s.tellFigures(states)
@@ -468,7 +475,7 @@
 		case gang.Launch:
 			m := a.Member
 			cmd := &dispatch.Command{
-				ID: a.Key, Class: m.Class, Key: m.Key, Work: m.Work, Slots: float64(m.Slots), Order: []string{a.Encoder},
+				ID: a.Key, Class: m.Class, Key: m.Key, Work: m.Work, Slots: float64(m.Slots), Order: []string{a.Encoder}, Held: true,
 				Deadline: time.Now().Add(2*m.Work + 5*time.Second),
 				Payload: &http1.Request{Method: "POST", Target: m.Target, Body: m.Payload, Header: http1.Header{
 					{Name: "X-Correlation-Id", Value: a.Key}, {Name: "X-Service-Class", Value: m.Class},
@@ -484,9 +491,7 @@
 				s.core.Lapse(cmd)
 			}
 		case gang.TakeBack:
-			if l, can := s.core.(takesBack); can {
-				l.TakeBack(a.Encoder, a.Key)
-			}
+			s.core.TakeBack(a.Encoder, a.Key)
 		}
 	}
 }
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -38,6 +38,7 @@
 	refuse string
 	begun  map[string]time.Time
 	ended  map[string]string
+	held   map[string]int // by encoder: spans that the loop was told of at one time, at most
 }
 
 func (e *encoders) Take(c *dispatch.Command) {
@@ -67,12 +68,20 @@
 	}
 }
 
+func (e *encoders) TakeBack(string, string) {}
+
+func (e *encoders) Hold(id string, _ float64, spans []decide.Span) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held[id] = max(e.held[id], len(spans))
+}
+
 // Three daemons on sockets: a gang over two sites starts together; one whose member is refused has the other called off
 // within 500 ms; and a partner that lends too little has nothing planned.
 func TestGangsOverSockets(t *testing.T) {
 	const n = 3
 	alone := replicas.NewAlone(3, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
-	run := &encoders{begun: map[string]time.Time{}, ended: map[string]string{}}
+	run := &encoders{begun: map[string]time.Time{}, ended: map[string]string{}, held: map[string]int{}}
 	var listeners []net.Listener
 	sites := map[string]string{}
 	for i := range n {
@@ -121,6 +130,7 @@
 	run.mu.Lock()
 	require.Len(t, run.begun, 2)
 	require.Less(t, run.begun["gang-one-1-0"].Sub(run.begun["gang-one-1-1"]).Abs(), 250*time.Millisecond)
+	require.Equal(t, 1, run.held[g.GetEncoders()[0]], "the loops were not told of the hold")
 	run.refuse = g.GetEncoders()[1]
 	clear(run.begun)
 	run.mu.Unlock()
--- /dev/null
+++ b/internal/net/gangs/hold.go
@@ -0,0 +1,45 @@
+package gangs
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"caperrelay/decide"
+	"caperrelay/internal/gang"
+)
+
+// hold tells the loop what is held of each encoder, but for members that it has itself: those count as they are.
+func (s *Server) hold(now time.Duration, all []gang.Encoder) {
+	mine := map[string]int{}
+	for key, cmd := range s.sent {
+		if t, ok := s.s.Of(key); ok {
+			mine[t+"/"+gang.Encoder{ID: cmd.Order[0]}.Account()] += int(cmd.Slots)
+		}
+	}
+	spans := map[string][]decide.Span{}
+	once := map[gang.Taken]bool{} // two may say that they lead a group
+	for _, held := range s.held {
+		for _, t := range held {
+			own := mine[t.Gang+"/"+t.Resource]
+			if once[t] || t.Until <= now || t.Slots <= own && t.From <= now {
+				continue
+			}
+			if once[t] = true; t.From <= now {
+				t.Slots -= own
+			}
+			spans[t.Resource] = append(spans[t.Resource], decide.Span{From: t.From, Until: t.Until, Slots: float64(t.Slots)})
+		}
+	}
+	for _, e := range all {
+		what := spans[e.Account()]
+		slices.SortFunc(what, func(a, b decide.Span) int {
+			return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.Until, b.Until), cmp.Compare(a.Slots, b.Slots))
+		})
+		if text := fmt.Sprint(e.Slots, what); text != s.spans[e.ID] && (len(what) > 0 || s.spans[e.ID] != "") {
+			s.spans[e.ID] = text
+			s.core.Hold(e.ID, float64(e.Slots), what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/prove/rerun.go
@@ -0,0 +1,391 @@
+package prove
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"caperrelay/internal/load"
+	"caperrelay/internal/net/pipelines"
+	"caperrelay/internal/rerun"
+	"caperrelay/internal/rerun/plant"
+	"caperrelay/internal/rerun/policy"
+	"caperrelay/internal/rig"
+	pipelinev1 "caperrelay/proto/winglb/pipeline/v1"
+)
+
+const (
+	rerunDaemons   = 5
+	rerunRuns      = 120
+	rerunAssets    = 24 // that five runs each share the ingest of
+	rerunWithin    = 45 * time.Second
+	rerunFleet     = 0.4
+	rerunSpare     = 60 * time.Second
+	rerunStageWork = 1 * time.Second
+)
+
+// rerunPolicy is the policy of the measurement; plain: what fails is repeated where it failed, nothing above it.
+func rerunPolicy(plain bool) string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "version = \"1\"\n[budget]\nfleet = \"%g%%\"\nspare = %q\n[[pipeline]]\nname = \"lecture\"\nresult = [\"publish\"]\nwithin = %q\nothers = 1\n", 100*rerunFleet, rerunSpare, rerunWithin)
+	stage := func(name, class, needs, more string) {
+		fmt.Fprintf(&s, "[[pipeline.stage]]\nname = %q\nclass = %q\nwork = %q\nneeds = [%s]\n%s\n", name, class, rerunStageWork, needs, more)
+	}
+	stage("ingest", "preview", "", `shared = "asset"`)
+	stage("high", "preview", `"ingest"`, "")
+	stage("low", "preview", `"ingest"`, "")
+	stage("package", "preview", `"high", "low"`, "")
+	stage("publish", "publish", `"package"`, "")
+	rule := func(on, when, target, where string, most int) {
+		fmt.Fprintf(&s, "[[pipeline.rerun]]\non = %q\nwhen = '%s'\nrerun = %q\nwhere = %q\nafter = \"50ms..1s\"\nmost = %d\nbudget = \"fleet\"\n", on, when, target, where, most)
+	}
+	for _, on := range []string{"high", "low", "package"} {
+		if plain {
+			rule(on, `cause.kind in ["bad_input", "output_lost"]`, "self", "other-worker", 3)
+		} else {
+			rule(on, `cause.kind in ["bad_input", "output_lost"]`, "cause.input", "other-site", 3)
+		}
+	}
+	for _, on := range []string{"ingest", "high", "low", "package"} {
+		rule(on, `cause.kind in ["failed", "may_have_run", "never_ran", "late"]`, "self", "other-worker", 3)
+	}
+	return s.String()
+}
+
+// rerunFigures is what one of the two parts came to.
+type rerunFigures struct {
+	finished, person, dead, missing, twice int
+	p99                                    time.Duration
+	work                                   int // runs of stages at workers
+	reruns, least, useless, floods         int // runs of generations over the first
+	budget, bound, ended                   int
+	faults                                 int
+}
+
+// Rerun has pipelines run through daemons as processes, with a site that spoils what it makes, a worker that calls every
+// input bad, another that dies, and daemons that are killed; and the same with plain repeats of what failed.
+func Rerun(o Options) error {
+	ours, err := reruns(o, false)
+	if err != nil {
+		return err
+	}
+	plain, err := reruns(o, true)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("prove rerun: processes=%d pipelines=%d faults=%d finished=%d needs_person=%d dead=%d useless_reruns=%d reruns_over_least=%.2f floods=%d budget_passed=%d doubled_unsafe=%d ended_not_once=%d bound_passed=%d work_over_retry_only=%.2f finished_retry_only=%d finish_p99_over_retry_only=%.2f\n",
+		rerunDaemons, rerunRuns, ours.faults, ours.finished, ours.person, ours.dead, ours.useless, float64(ours.reruns)/float64(max(1, ours.least)), ours.floods, ours.budget, ours.twice,
+		ours.ended+ours.missing, ours.bound, float64(ours.work)/float64(max(1, plain.work)), plain.finished, ours.p99.Seconds()/plain.p99.Seconds())
+	var broken error
+	for _, f := range []rerunFigures{ours, plain} {
+		if f.floods+f.budget+f.twice+f.ended+f.missing+f.bound > 0 {
+			broken = errors.Join(broken, fmt.Errorf("a rule does not hold: %+v", f))
+		}
+	}
+	if ours.finished <= plain.finished {
+		broken = errors.Join(broken, fmt.Errorf("%d finished, %d by plain repeats", ours.finished, plain.finished))
+	}
+	return broken
+}
+
+// spoiler is which outputs are, and who lies.
+type spoiler struct {
+	mu   sync.Mutex
+	bad  map[string]bool // output@generation
+	made map[string]plant.Worker
+}
+
+func at(key string, gen int64) string { return fmt.Sprint(key, "@", gen) }
+
+func (s *spoiler) decide(r plant.Run) pipelines.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, in := range r.Inputs {
+		if s.bad[at(in.Output, in.Generation)] {
+			return pipelines.Outcome{Outcome: policy.BadInput, Input: in.Stage}
+		}
+	}
+	if r.Worker.ID == "s-8" && len(r.Inputs) > 0 && r.Stage != "publish" { // it lies
+		return pipelines.Outcome{Outcome: policy.BadInput, Input: r.Inputs[0].Stage}
+	}
+	s.made[at(r.Output, r.Generation)] = r.Worker
+	// One site spoils all renditions, and of the others one in eight is spoilt when it is first made, the same ones by
+	// both policies.
+	h := fnv.New32a()
+	h.Write([]byte(r.Output))
+	if site := r.Worker.Zone == "a" && r.Worker.Cell == 0; (r.Stage == "high" || r.Stage == "low") && (site || r.Generation == 1 && h.Sum32()%8 == 0) {
+		s.bad[at(r.Output, r.Generation)] = true
+	}
+	return pipelines.Outcome{}
+}
+
+func reruns(o Options, plain bool) (f rerunFigures, err error) {
+	dir, err := os.MkdirTemp("", "winglb-prove-")
+	if err != nil {
+		return f, err
+	}
+	defer os.RemoveAll(dir)
+	r, err := rig.New(rig.Options{
+		Encoders: 1, Slots: 8, Daemons: rerunDaemons, Promises: true, Dir: dir, Tenants: []string{"ups"}, Lines: 1, Command: o.Command,
+		Classes: []load.Class{{Name: "preview", Work: 20 * time.Millisecond, Left: time.Minute}, {Name: "publish", Once: true, Work: 20 * time.Millisecond, Left: time.Minute}},
+	})
+	if err != nil {
+		return f, err
+	}
+	defer r.Close()
+	var workers []plant.Worker
+	for i := range 16 {
+		workers = append(workers, plant.Worker{ID: fmt.Sprint("s-", i+1), Zone: []string{"a", "b"}[i%2], Kind: "m2", Cell: i / 2 % 4})
+	}
+	p := plant.New(workers)
+	defer p.Close()
+	s := &spoiler{bad: map[string]bool{}, made: map[string]plant.Worker{}}
+	p.Decide = s.decide
+	text := rerunPolicy(plain)
+	file := filepath.Join(dir, "reruns.toml")
+	if err := errors.Join(os.WriteFile(file, []byte(text), 0o600), p.Join(r, file)); err != nil {
+		return f, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+	defer cancel()
+	if err := r.StartAll(ctx); err != nil {
+		return f, err
+	}
+	var clients []pipelinev1.PipelinesClient
+	for n := range r.Daemons {
+		conn, err := grpc.NewClient("passthrough:///"+r.Daemon(n).Control, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			return f, err
+		}
+		defer conn.Close()
+		clients = append(clients, pipelinev1.NewPipelinesClient(conn))
+	}
+	// until asks one daemon after the other.
+	until := func(call func(context.Context, pipelinev1.PipelinesClient) (bool, error)) error {
+		for n := rand.IntN(len(clients)); ; n++ {
+			one, done := context.WithTimeout(ctx, 3*time.Second)
+			ok, err := call(one, clients[n%len(clients)])
+			if done(); ok {
+				return nil
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Join(ctx.Err(), err)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var took []time.Duration
+	answers := map[string]*pipelinev1.Answer{}
+	one := func(i int) {
+		id, began := fmt.Sprint("run", i), time.Now()
+		until(func(ctx context.Context, c pipelinev1.PipelinesClient) (bool, error) {
+			_, err := c.Submit(ctx, &pipelinev1.SubmitRequest{Id: id, Pipeline: "lecture", Tenant: "ups", Params: map[string]string{"asset": fmt.Sprint("a", i%rerunAssets)}})
+			return err == nil, err
+		})
+		until(func(ctx context.Context, c pipelinev1.PipelinesClient) (bool, error) {
+			a, err := c.Await(ctx, &pipelinev1.AwaitRequest{Id: id, WaitMs: 2000})
+			if err != nil || a.Answer == nil {
+				return false, err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id] = a.Answer
+			if a.Answer.Kind == string(rerun.Done) {
+				took = append(took, time.Since(began))
+			}
+			return true, nil
+		})
+	}
+	began := time.Now()
+	for i := range rerunRuns {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 80 * time.Millisecond) // a load, not a wait for something
+			one(i)
+		})
+	}
+	// faults, at their times: the daemon that has begun most is killed twice, and a worker is dead for a while
+	for _, fault := range []struct {
+		at time.Duration
+		do func() error
+	}{
+		{2 * time.Second, func() error { p.Down("s-3", true); return nil }},
+		{3 * time.Second, func() error { return rerunKill(r) }},
+		{5 * time.Second, func() error { p.Down("s-3", false); return nil }},
+		{7 * time.Second, func() error { return rerunKill(r) }},
+	} {
+		time.Sleep(time.Until(began.Add(fault.at)))
+		if err := fault.do(); err != nil {
+			return f, err
+		}
+		f.faults++
+	}
+	all.Wait()
+	f.faults += 2 + len(s.bad) // the site, the worker that lies, and what is spoilt
+	explained := map[string]rerun.Explained{}
+	for i := range rerunRuns {
+		id := fmt.Sprint("run", i)
+		if answers[id] == nil {
+			f.missing++
+			continue
+		}
+		until(func(ctx context.Context, c pipelinev1.PipelinesClient) (bool, error) {
+			e, err := c.Explain(ctx, &pipelinev1.ExplainRequest{Id: id})
+			var x rerun.Explained
+			if err == nil {
+				err = json.Unmarshal([]byte(e.Text), &x)
+			}
+			if err == nil && (x.Answer == nil || string(x.Answer.Kind) != answers[id].Kind || x.Answer.Reason != answers[id].Reason) {
+				f.ended++
+			}
+			explained[id] = x
+			return err == nil, err
+		})
+		switch rerun.Kind(answers[id].Kind) {
+		case rerun.Done:
+			f.finished++
+		case rerun.Person:
+			f.person++
+		default:
+			f.dead++
+		}
+	}
+	slices.Sort(took)
+	if len(took) > 0 {
+		f.p99 = took[len(took)*99/100]
+	}
+	if err := rerunCount(&f, p.Runs(), s, explained, text); err != nil {
+		return f, err
+	}
+	why := map[string]int{}
+	for _, a := range answers {
+		if a.Kind != string(rerun.Done) {
+			why[a.Kind+": "+a.Stage+": "+a.Cause+": "+a.Reason]++
+		}
+	}
+	fmt.Fprintf(o.Progress, "%s: %d of %d finished in %.1f s, p99 %.2f s; %d runs of stages, %d reruns where the least is %d; others: %v\n",
+		map[bool]string{false: "reruns upstream", true: "plain repeats"}[plain], f.finished, rerunRuns, time.Since(began).Seconds(), f.p99.Seconds(), f.work, f.reruns, f.least, why)
+	return f, nil
+}
+
+// rerunKill has the daemon that has begun most stages die, and start again.
+func rerunKill(r *rig.Rig) error {
+	acting, most := 0, int64(-1)
+	for n := range r.Daemons {
+		if started := r.Daemon(n).Figure("pipelines.stages_started"); started > most {
+			acting, most = n, started
+		}
+	}
+	r.Daemon(acting).Kill()
+	return r.Daemon(acting).Start()
+}
+
+// rerunCount counts what workers were asked to do, by their own word.
+func rerunCount(f *rerunFigures, runs []plant.Run, s *spoiler, explained map[string]rerun.Explained, text string) error {
+	site := policy.Site{Classes: map[string]policy.Class{"preview": {}, "publish": {Once: true}}, Zones: []string{"a", "b"}}
+	pol, err := policy.Parse("reruns.toml", []byte(text), site)
+	if err != nil {
+		return err
+	}
+	bound := pol.Pipelines["lecture"]
+	published := map[string]int{}
+	generations := map[string]bool{}
+	stages := map[string]map[string]int{} // by run and stage, those of its own
+	verdict := time.Time{}
+	for _, r := range runs {
+		f.work++
+		if r.Stage == "publish" {
+			if published[r.Told.Run]++; published[r.Told.Run] > 1 {
+				f.twice++
+			}
+		}
+		if r.Stage == "package" && r.Outcome.Outcome == "" && !r.Ended.IsZero() && slices.ContainsFunc(r.Inputs, func(i pipelines.Input) bool { return i.Generation > 1 }) && (verdict.IsZero() || r.Ended.Before(verdict)) {
+			verdict = r.Ended
+		}
+		key := at(r.Output, r.Generation)
+		if generations[key] {
+			continue // the same generation, sent again
+		}
+		generations[key] = true
+		if r.Stage != "ingest" {
+			if stages[r.Told.Run] == nil {
+				stages[r.Told.Run] = map[string]int{}
+			}
+			stages[r.Told.Run][r.Stage]++
+		}
+		if r.Generation > 1 {
+			f.reruns++
+			if r.Stage == "package" && slices.ContainsFunc(r.Inputs, func(i pipelines.Input) bool { return s.bad[at(i.Output, i.Generation)] }) {
+				known := slices.ContainsFunc(runs, func(o plant.Run) bool { // that input was called bad before
+					return o.Output == r.Output && o.Generation < r.Generation && o.Outcome.Outcome == policy.BadInput && slices.ContainsFunc(r.Inputs, func(i pipelines.Input) bool {
+						return i.Stage == o.Outcome.Input && slices.Contains(o.Inputs, i) && s.bad[at(i.Output, i.Generation)]
+					})
+				})
+				if known {
+					f.useless++
+				}
+			}
+		}
+	}
+	// the least: each first output that is spoilt once more, and its package, which is only found out by that
+	packages := map[string]bool{}
+	for key := range s.bad {
+		if output, gen, _ := strings.Cut(key, "@"); gen == "1" {
+			f.least++
+			packages[output[:strings.LastIndexByte(output, '/')]] = true
+		}
+	}
+	f.least += len(packages)
+	// before the first good verdict, one rerun of high and low each, by place of the spoilt one, may be out
+	if !verdict.IsZero() {
+		tried := map[string]int{}
+		for _, r := range runs {
+			if r.Generation == 2 && (r.Stage == "high" || r.Stage == "low") && r.Began.Before(verdict) && s.bad[at(r.Output, 1)] {
+				w := s.made[at(r.Output, 1)]
+				tried[fmt.Sprint(r.Stage, w.Zone, w.Cell, r.Told.Run)]++
+			}
+		}
+		byPlace := map[string]int{}
+		for key := range tried {
+			byPlace[key[:strings.Index(key, "run")]]++
+		}
+		for _, n := range byPlace {
+			f.floods += max(0, n-1)
+		}
+	}
+	work, first := time.Duration(0), 0
+	for _, e := range explained {
+		work += e.Work
+	}
+	for key := range generations {
+		if strings.HasSuffix(key, "@1") {
+			first++
+		}
+	}
+	if most := rerunSpare + time.Duration(rerunFleet*float64(first)*float64(rerunStageWork)); work > most {
+		f.budget++
+	}
+	for _, one := range slices.Collect(maps.Values(stages)) {
+		for i, stage := range bound.Stages {
+			if one[stage.Name] > bound.Bound.Runs[i] {
+				f.bound++
+			}
+		}
+	}
+	return nil
+}
--- a/internal/rerun/objects.go
+++ b/internal/rerun/objects.go
@@ -366,8 +366,9 @@
 	}
 }
 
-// claimant has what is known of a worker's claims take a letter. The first is believed. While that is neither confirmed
-// nor refuted, a second one is looked into by another worker first; who was refuted is not believed for a while.
+// claimant has what is known of a worker's claims take a letter. The first ones are believed. While those are neither
+// confirmed nor refuted, a further one is looked into by another worker first: if that says so too, more are believed
+// from then on; who was refuted is not believed for a while.
 func (m *Machine) claimant(l *Letter) {
 	c := m.s.Claimants[l.To]
 	if c == nil {
@@ -377,7 +378,7 @@
 			}
 			return
 		}
-		c = &Claimant{Since: m.s.At}
+		c = &Claimant{Since: m.s.At, Trust: trustFirst}
 		m.s.Claimants[l.To] = c
 		m.wake(m.s.At+claimFor, "claimant", l.To)
 	}
@@ -385,8 +386,8 @@
 	if l.Kind == "opinion" {
 		c.Open = slices.DeleteFunc(c.Open, same)
 		if l.OK { // another worker says so too: its claims are worth something
-			c.Open, c.Refuted = nil, 0
-		} else if c.Refuted++; c.Refuted >= refutedMost {
+			c.Open, c.Refuted, c.Trust = nil, 0, min(2*c.Trust, trustMost)
+		} else if c.Refuted, c.Trust = c.Refuted+1, 0; c.Refuted >= refutedMost {
 			c.Until = m.s.At + claimFor
 		}
 		return
@@ -396,10 +397,10 @@
 	case m.s.At < c.Until:
 		answer.OK, answer.Text = false, "its worker's claims were refuted"
 	case slices.ContainsFunc(c.Open, same):
-	case len(c.Open) == 0 && c.Refuted == 0:
+	case len(c.Open) < c.Trust:
 		c.Open = append(c.Open, Claim{Key: l.Key, Gen: l.Gen})
 	default:
-		answer.OK, answer.Text = false, "its worker calls more than one input bad"
+		answer.OK, answer.Text = false, "its worker calls many inputs bad"
 		if len(c.Open) < 64 {
 			c.Open = append(c.Open, Claim{Key: l.Key, Gen: l.Gen})
 		}
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -37,6 +37,8 @@
 	badInRow     = 3              // trials, until all that wait for a fingerprint are told no
 	cool         = 5 * time.Minute
 	claimFor     = 10 * time.Minute // a claim that an input is bad is remembered
+	trustFirst   = 2                // claims of a worker that are believed though nobody else has looked; doubled once one has
+	trustMost    = 64
 	refutedMost  = 2                // claims of a worker, until it is not believed
 	usualRoom    = 8                // reruns at once for one fingerprint, where nobody told its place's room
 	giveFrom     = 10 * time.Second // of work that a group does not need, that it gives back
@@ -243,6 +245,7 @@
 // Claimant is a worker that called outputs bad.
 type Claimant struct {
 	Open    []Claim       `json:"open,omitempty"` // neither confirmed nor refuted
+	Trust   int           `json:"trust"`          // how many may be open and are believed
 	Since   time.Duration `json:"since"`
 	Refuted int           `json:"refuted,omitempty"`
 	Until   time.Duration `json:"until,omitempty"` // it is not believed
@@ -813,6 +816,7 @@
 		}
 	case "believed":
 		if n := s.Next; n != nil && n.Phase == "claim" {
+			m.verdict(r, s, false, !l.OK)
 			if !l.OK {
 				n.Second, n.Target, n.Bad, n.Failed = true, l.Stage, s.Over, l.At
 				m.tell(r, n.Rule, "%s: %s; another worker is asked first", l.Text, r.p.Stages[l.Stage].Name)
@@ -886,8 +890,12 @@
 func (m *Machine) failed(r *Run, l *Letter) {
 	i, s, stage := l.Stage, r.Stages[l.Stage], r.p.Stages[l.Stage]
 	s.Over = max(s.Over, l.Gen)
-	m.verdict(r, s, false, false)
 	input := r.p.Stage(l.Input)
+	// That another input is bad, or that a second opinion is the same, tells nothing of what was tried.
+	blamed := s.Tried == nil || s.Doubt == nil && (!l.Cause.NamesInput() || !slices.Contains(stage.Needs, input) || strings.HasSuffix(s.Tried.Key, "/"+stage.Name) || r.Key(input) == s.Tried.Key)
+	if !blamed || l.Cause != policy.BadInput || l.At.Worker == "" { // else once it is known whether its worker is believed
+		m.verdict(r, s, false, !blamed)
+	}
 	if l.Cause.NamesInput() && !slices.Contains(stage.Needs, input) { // what is no input of it cannot be its cause
 		l.Cause, l.Input, l.Text = policy.RanFailed, "", "it names an input that it does not have"
 	}
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -580,3 +580,30 @@
 		require.NoError(t, err)
 	})
 }
+
+// Both inputs are spoilt, and the package names one at a time: that the other is bad says nothing of the first one's
+// rerun, so that nobody who waits for its verdict is told no.
+func TestAnotherInputIsNoVerdict(t *testing.T) {
+	w := newWorld(t, 9, 4, 1000)
+	stage := func(name, needs string) string {
+		return fmt.Sprintf("[[pipeline.stage]]\nname=%q\nclass=\"light\"\nwork=\"5s\"\nneeds=[%s]\n", name, needs)
+	}
+	w.policy(words("1", "100%", "60m", "[[pipeline]]\nname=\"pair\"\nresult=[\"package\"]\nwithin=\"1h\"\n"+stage("high", "")+stage("low", "")+stage("package", `"high","low"`)+
+		"[[pipeline.rerun]]\non=\"package\"\nwhen='cause.kind == \"bad_input\"'\nrerun=\"cause.input\"\nmost=3\nbudget=\"fleet\"\n"))
+	w.outcome = func(w *world, g Go) Command {
+		if stageOf(g.Key) == "package" {
+			for i, name := range []string{"high", "low"} {
+				if g.Of[i] == 1 {
+					return Command{Cause: policy.BadInput, Input: name}
+				}
+			}
+		}
+		return Command{OK: true, Place: worker(1, "s1", "a")}
+	}
+	for i := range 20 {
+		w.submit(name(i), "pair", "t", nil)
+	}
+	w.finish(50_000)
+	require.Equal(t, map[Kind]int{Done: 20}, w.ends(20, name))
+	require.Equal(t, 20*4, w.reruns)
+}
