Do not call a promise refused while an attempt may have run: found by the model one step deeper

Cause: explored to 8 steps (7 before), a job that may repeat ran, its sender heard of a failure, handed it in again, and that hand-in was turned away as of no use: it ended "refused", which promises that it never ran. An owner knows its own hand-in only. Change: the owner remembers that an earlier hand-in may have run, and the table itself ends as failed what has an intent without an end (or one that made room). Depth 8 is the default now.

--- a/internal/promise/machine.go
+++ b/internal/promise/machine.go
@@ -136,6 +136,7 @@
 	Digest  string   `json:"digest"`
 	Hands   int      `json:"hands"` // the highest number that an intent bore
 	Intents []Intent `json:"intents,omitempty"`
+	Ran     bool     `json:"ran,omitempty"` // it may have, by an intent that made room
 	End     *End     `json:"end,omitempty"`
 }
 
@@ -352,7 +353,7 @@
 			}
 		}
 		if len(e.Intents) == maxIntents {
-			e.Intents = slices.Delete(e.Intents, 0, 1)
+			e.Intents, e.Ran = slices.Delete(e.Intents, 0, 1), true
 		}
 		e.Intents = append(e.Intents, Intent{Gen: c.Gen, Hand: c.Hand, N: c.N, Instance: c.Instance, Until: c.Until})
 		e.Hands = max(e.Hands, c.Hand)
@@ -362,7 +363,11 @@
 		if c.Kind != Failed && c.Kind != Refused {
 			return Answer{Why: Malformed, Text: "an owner ends what failed or is refused"}
 		}
-		m.end(e, &End{Kind: c.Kind, Reason: c.Reason, At: at})
+		end := &End{Kind: c.Kind, Reason: c.Reason, At: at}
+		if end.Kind == Refused && (len(e.Intents) > 0 || e.Ran) { // not as far as this table knows
+			end.Kind, end.Reason = Failed, "an attempt may have run; then: "+end.Reason
+		}
+		m.end(e, end)
 	}
 	return Answer{OK: true, Receipt: &e.Receipt}
 }
--- a/internal/promise/model_test.go
+++ b/internal/promise/model_test.go
@@ -418,7 +418,7 @@
 	return len(seen), depth, ""
 }
 
-var depthFlag = flag.Int("depth", 7, "of the exploration of the change of owner")
+var depthFlag = flag.Int("depth", 8, "of the exploration of the change of owner")
 
 // From a dispatcher that has the lease and a job in hand, all that may happen within so many steps.
 func TestOwnerChangeModel(t *testing.T) {
@@ -440,7 +440,7 @@
 	}{
 		{"intent not committed before send", Faults{}, OwnerFaults{SendFirst: true}, bounds{ticks: 3, crashes: 1}, "ran twice"},
 		{"lease ignored", Faults{}, OwnerFaults{NoLease: true}, bounds{ticks: 3}, "sent after its lease"},
-		{"generation not compared", Faults{AnyGen: true}, OwnerFaults{}, bounds{ticks: 4}, "refused, and it ran"},
+		{"generation not compared", Faults{AnyGen: true}, OwnerFaults{}, bounds{ticks: 4}, "ran after its end"},
 		{"end not once", Faults{EndTwice: true}, OwnerFaults{}, bounds{ticks: 3}, "end not once"},
 	} {
 		m.most.depth, m.most.grants, m.most.attempts, m.most.states = 14, 2, 1, 1<<30
--- a/internal/promise/owner.go
+++ b/internal/promise/owner.go
@@ -420,6 +420,8 @@
 	case v == Served:
 		h.ending, h.sent = &Command{Op: OpLook}, 1 // nothing else may end it here
 		h.retry = c.Mono + bookWithin
+	case v == NoUse && h.ran:
+		o.finish(id, h, Failed, "no encoder can do it as it stands, though one may have")
 	case v == NoUse:
 		o.finish(id, h, Refused, "no encoder can do it as it stands")
 	case v == Broken && !o.repeats(h.class):
