Catch a voter that forgot its lease, an unvouched store and an end of calm in the replica core's tests

Three mutations of the core's safety rules survived its random worlds: the wait after a start, the wait for others' vouching, the epoch of silence. Each has a story of its own now that catches it (lease overlaps by true time, or a vote given unvouched), the random worlds also silence leaders and begin all followers anew, and whoever acts must have applied all that was confirmed.

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -488,8 +488,6 @@
 	case p.boot != b.Boot: // it waits to be told what is known of its store
 		n.beats = 0
 		n.rouse(p, now)
-	case now-p.heard >= ElectionAfter && !p.silent:
-		n.rouse(p, now)
 	}
 	p.boot, p.number, p.member, p.heard, p.silent = b.Boot, b.Number, b.Member, now, false
 	if b.Led {
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -266,6 +266,12 @@
 			if h.name != d.name {
 				require.Less(w.t, h.until, w.now, "group %d: %s holds it and %s does", g, h.name, d.name)
 				require.Greater(w.t, term, h.term)
+				said := fmt.Sprint(w.lines(w.number(d.name), g), "\n") // all that was confirmed before it acted
+				for cmd := range w.oaths {
+					if of, line, _ := strings.Cut(cmd, " "); of == fmt.Sprint(g) {
+						require.Contains(w.t, said, " "+line, "group %d: %s acts without it", g, d.name)
+					}
+				}
 			}
 			w.holders[g] = holder{d.name, term, time.Duration(float64(until) / d.rate)}
 		}
@@ -387,7 +393,25 @@
 		n := 0
 		for range rapid.IntRange(3, 12).Draw(t, "steps") {
 			i, j := rapid.IntRange(0, 4).Draw(t, "who"), rapid.IntRange(0, 4).Draw(t, "whom")
-			switch what := rapid.IntRange(0, 7).Draw(t, "what"); {
+			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case what == 8: // whoever acts for a group is heard by nobody
+				if leader := w.number(w.leader(uint32(i % groupsHere))); leader >= 0 {
+					for k := range w.nodes {
+						w.cut[[2]int{leader, k}] = true
+					}
+				}
+			case what == 9: // it falls silent, and a follower that has confirmed its lease begins anew
+				if leader := w.number(w.leader(uint32(i % groupsHere))); leader >= 0 {
+					for k := range w.nodes {
+						w.cut[[2]int{leader, k}], w.cut[[2]int{k, leader}] = true, true
+					}
+					for k := range w.nodes {
+						if k != leader && w.nodes[k].node != nil {
+							w.kill(k)
+							w.start(k, false)
+						}
+					}
+				}
 			case what == 7:
 				w.run(2500 * time.Millisecond) // groups become calm
 			case what == 0 && w.nodes[i].node != nil:
@@ -539,3 +563,69 @@
 	w.led(5 * time.Second)
 	w.kept()
 }
+
+// A follower that does not hear the leader asks for votes all the while; the other, whose word holds the leader's lease,
+// begins anew and has forgotten it. It gives nobody its vote until that lease is over.
+func TestVoterThatBeganAnewWaits(t *testing.T) {
+	for seed := range uint64(25) {
+		w := newWorld(t, 100+seed, 3)
+		w.led(5 * time.Second)
+		for g := range uint32(groupsHere) {
+			w.propose(g, "c;")
+		}
+		w.run(200 * time.Millisecond)
+		leader := w.number(w.leader(1))
+		deaf, other := (leader+1)%3, (leader+2)%3
+		w.cut[[2]int{leader, deaf}] = true
+		w.run(1500 * time.Millisecond) // with nothing new: its log is as good as any
+		require.Equal(t, w.nodes[leader].name, w.leader(1))
+		w.kill(other)
+		w.start(other, false)
+		w.cut[[2]int{leader, other}] = true
+		w.run(3 * time.Second) // which looks at leases all the while
+		w.led(10 * time.Second)
+	}
+}
+
+// Groups are calm. One follower does not hear the leader until it has taken it for silent; then it hears it again, and
+// the other does not. The first one's confirmations of beats hold no lease of before.
+func TestSilenceEndsCalm(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newWorld(t, 200+seed, 3)
+		w.led(5 * time.Second)
+		w.calmed()
+		leader := w.number(w.leader(1))
+		first, second := (leader+1)%3, (leader+2)%3
+		w.cut[[2]int{leader, first}] = true
+		w.run(ElectionAfter + 200*time.Millisecond)
+		delete(w.cut, [2]int{leader, first})
+		w.cut[[2]int{leader, second}] = true
+		w.run(3 * time.Second)
+		clear(w.cut)
+		w.led(10 * time.Second)
+	}
+}
+
+// A daemon that begins anew says nothing before another has vouched that its store is not an old one.
+func TestUnvouchedSaysNothing(t *testing.T) {
+	w := newWorld(t, 17, 3)
+	w.led(5 * time.Second)
+	w.propose(1, "c;")
+	w.run(time.Second)
+	w.kill(2)
+	w.start(2, false)
+	n, self := w.nodes[2].node, w.nodes[2].disk.member
+	vote := &pb.Message{Type: pb.MessageType_MsgPreVote.Enum(), From: new(w.nodes[0].disk.member.ID()), To: new(self.ID()), Term: new(uint64(99)), LogTerm: new(uint64(98)), Index: new(uint64(999))}
+	says := func(at time.Duration) bool {
+		n.Step(at, 1, vote)
+		return slices.ContainsFunc(n.Did(at).Sends, func(s Send) bool { return s.Raft != nil })
+	}
+	at := w.clock(w.nodes[2])
+	for range 100 {
+		at += Tick
+		n.Tick(at)
+		require.False(t, says(at))
+	}
+	n.Beaten(at, &Beat{Member: w.nodes[0].disk.member, Boot: 77, Number: 1, Full: true, Known: map[uint64]uint64{self.ID(): w.nodes[2].disk.written}})
+	require.True(t, says(at))
+}
