--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,7 +55,7 @@
 	confirmPart   = 2       // part of its aim for which a job may lack its worker's confirmation
 	idleDouble    = 4       // windows of the rule on cold workers in which trust in idle connections doubles
 	recheck       = 8       // one in so many repeatable jobs still tries an old connection
-	moveShare     = 0.03    // of the requests, that are moved from where they queue: they may run twice,
+	moveShare     = 0.01    // of the requests, that are moved from where they queue: they may run twice,
 	leastMoves    = 2       // and so many in the time that a client waits
 	ringPoints    = 8       // places of a worker on the ring of keys
 	sweepTicks    = 4       // granularity steps between sweeps
