Wait for the answered connection before the end in a test of the clients' side

Seen once in a run under load (20 s, then failed): `TestNothingOutlastsTheEnd` called `Finish`, which the program repeats every 10 ms and the test calls once, while the goroutine of an answered connection had not gone back to waiting.

--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -295,6 +295,7 @@
 	fmt.Fprint(half, ready[:9])
 	until(t, s, func(c *conn) bool { return c.state == reading })
 	require.Equal(t, 200, ask(t, kept, ready).Status)
+	until(t, s, func(c *conn) bool { return c.state == waiting && c.answered })
 	require.Eventually(t, func() bool { return s.Connections() == 4 }, 20*time.Second, time.Millisecond)
 	s.Finish(time.Now())
 	for _, c := range []net.Conn{mute, half} {
