Wait for an older process that its machine holds up, 4 s from the start in all

Need: on a machine short of time an older process was held up for 1.7 s, was given up on after 1 s, and what waited in its listener was lost. Change: the older's answer at the door shares the 2.5 s with discovery, and it has 1.5 s to yield (relief.go). Result: the story of an older process that stands still for 1.5 s passes, and fails with the wait of 1 s.

--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -21,11 +21,12 @@
 // Relief is how one process takes over from another that serves the same address. The newer
 // calls at the older's door; docs/design.md says who does what.
 
-// Whatever the older does, or does not, this one serves after freshPatience + answerPatience at the latest, 3.5 s from
-// its start: what an answer takes before the wait for discovery is part of that wait.
+// Whatever the older does, or does not, this one serves after freshPatience + yieldPatience at the latest, 4 s from
+// its start: the wait for the older's list is part of that for discovery. A machine short of time holds the older up for
+// a second or two: whoever is given up on then loses what it holds, and what waits in its listener.
 const (
-	answerPatience = time.Second             // with the older process, for each of its answers
-	freshPatience  = 2500 * time.Millisecond // with discovery, before the older's list must do
+	freshPatience = 2500 * time.Millisecond // with discovery, and with the older's list, which must do then
+	yieldPatience = 1500 * time.Millisecond // with the older, to yield
 )
 
 // What the processes tell each other, by kind of message.
@@ -89,7 +90,7 @@
 	}()
 	select {
 	case p.before = <-state:
-	case <-time.After(answerPatience):
+	case <-time.After(time.Until(p.since.Add(freshPatience))): // nothing has changed the phase yet
 	}
 	if p.before.List == nil {
 		p.log.Warn("what answers at the door hands nothing over")
@@ -181,7 +182,7 @@
 func turn(phase Phase, since time.Duration, fresh, older, mute bool) step {
 	late := fresh || since >= freshPatience
 	switch {
-	case phase == Relieving && (!older || since >= answerPatience), phase == Starting && !older && (!mute || late):
+	case phase == Relieving && (!older || since >= yieldPatience), phase == Starting && !older && (!mute || fresh || since >= freshPatience+yieldPatience):
 		return serves
 	case phase == Starting && older && late:
 		return asks
