Start members of gangs apart from the record's loop, and run stages again that are late

Need: a member's start waited behind the loop's commits; a stage of which nothing was heard was late only with its whole pipeline. Change: starts have a lock and a path of their own in internal/net/gangs; 'within' of a stage bounds one run (policy, rerun, plant: a dead worker takes no connections, its agent tells of the loss). Result: tests of gang, net/gangs, rerun and policy pass, TestStageIsLate: another run within a minute instead of the pipeline's hour.

--- a/internal/gang/coordinator.go
+++ b/internal/gang/coordinator.go
@@ -119,7 +119,7 @@
 		return
 	}
 	switch p.Op {
-	case "commit", "undo", "end":
+	case "commit", "undo", "end", "lapse":
 		if p.By == "" { // else the home knows the gang no more
 			c.propose(now, p.Command.Group, Command{Op: "told", Gang: p.Gang, Told: &Due{p.Group, p.Round, p.Op}})
 		}
@@ -359,7 +359,7 @@
 		c.plan(now, group, e, moved)
 		return
 	}
-	if now < p.Start-ArmAhead {
+	if c.sends(now, group, e, encoders) || now < p.Start-ArmAhead {
 		return
 	}
 	if now > p.Start-GoBy {
@@ -373,6 +373,22 @@
 	c.tell(now, e, Arm, tellEvery)
 }
 
+// sends has another dispatcher send what whoever coordinates by now would: the home may have changed hands since.
+func (c *Coordinator) sends(now time.Duration, group uint32, e *Entry, encoders []Encoder) bool {
+	self, p := c.view.Self, e.Plan
+	if !slices.Contains(p.Starters, self) || now < p.Start-2*ArmAhead || now > p.Start-ArmAhead || !c.fresh(now, viewFor) {
+		return false
+	}
+	v := c.view
+	v.Now, v.Encoders = now, encoders
+	next, _ := Find(v, e, p)
+	if next == nil || slices.Contains(next.Starters, self) {
+		return false
+	}
+	c.plan(now, group, e, next)
+	return true
+}
+
 // recalled tells whether a partner lends too little by now for what the gang holds and older ones do: the younger give way.
 func (c *Coordinator) recalled(e *Entry) string {
 	k := keeper{Resources: c.view.Accounts}
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -203,7 +203,7 @@
 				w.post(time.Duration(1+w.IntN(6))*ms, func() { c.Answered(d.clock(w.now), a.Key, r, !lost) })
 			})
 		case Look:
-			v := View{Lenders: w.lenders, Accounts: map[string]Resource{}}
+			v := View{Self: d.name, Lenders: w.lenders, Accounts: map[string]Resource{}}
 			for _, m := range w.groups {
 				maps.Copy(v.Accounts, m.Resources)
 				text, _ := json.Marshal(m.Standing)
--- a/internal/gang/home.go
+++ b/internal/gang/home.go
@@ -39,7 +39,7 @@
 type Due struct {
 	Group uint32 `json:"group"`
 	Round uint64 `json:"round"`
-	Op    string `json:"op"` // commit, undo or end
+	Op    string `json:"op"` // commit, undo, end or lapse
 }
 
 // Entry is a gang at its home.
@@ -239,7 +239,9 @@
 
 // due has a group be told; word that it overtakes need not be.
 func (e *Entry) due(group uint32, round uint64, op string) {
-	e.Due = slices.DeleteFunc(e.Due, func(d Due) bool { return d.Group == group && (op == "end" && d.Round <= round || d.Round == round) })
+	e.Due = slices.DeleteFunc(e.Due, func(d Due) bool {
+		return d.Group == group && d.Op != "lapse" && (op != "commit" && op != "undo" && d.Round <= round || d.Round == round)
+	})
 	e.Due = append(e.Due, Due{group, round, op})
 }
 
@@ -261,10 +263,18 @@
 	e.State = Waiting
 }
 
-// release gives up holds that stood; nothing has started.
+// over is how holds are given up: at once where it is known of all members that they do not run, or have been called off.
+func (e *Entry) over() string {
+	if slices.ContainsFunc(e.Fates, func(f Fate) bool { return f == Unknown || f == Began || f == Died }) {
+		return "lapse"
+	}
+	return "end"
+}
+
+// release gives up holds that stood; nothing runs, as far as it is known.
 func (e *Entry) release(at time.Duration, why string) {
 	for _, g := range e.Plan.groups() {
-		e.due(g, e.Plan.Round, "end")
+		e.due(g, e.Plan.Round, e.over())
 	}
 	e.State, e.Plan, e.Votes, e.Why, e.Retry = Waiting, nil, nil, why, at
 }
@@ -334,8 +344,9 @@
 			return
 		}
 	}
-	e.MayRun, e.Fates = nil, nil
+	e.MayRun = nil
 	e.release(at, e.Why)
+	e.Fates = nil
 	if e.Verdict == Cancelled {
 		e.end(at, Cancelled, "")
 	}
@@ -362,7 +373,7 @@
 func (e *Entry) end(at time.Duration, verdict, why string) {
 	for _, p := range []*Plan{e.Old, e.Plan} {
 		for _, g := range p.groups() {
-			e.due(g, p.Round, "end")
+			e.due(g, p.Round, e.over())
 		}
 	}
 	e.State, e.Verdict, e.Over, e.Old, e.Votes = Ended, verdict, at, nil, nil
--- a/internal/gang/keeper.go
+++ b/internal/gang/keeper.go
@@ -40,6 +40,8 @@
 	Age       time.Duration `json:"age"` // when the gang was submitted
 	Holds     []Hold        `json:"holds"`
 	Committed bool          `json:"committed,omitempty"`
+	// Lapses: its gang is done with it, and a member may run on that nobody hears of: it stays until its time is over.
+	Lapses bool `json:"lapses,omitempty"`
 }
 
 // keeper is the accounts of a group. A hold stays until the gang's home says otherwise, or its time is past: nothing
@@ -65,10 +67,10 @@
 // until its gang has ended, lest a job that is late run beside others that were given its slots.
 func (k *keeper) past(at time.Duration) {
 	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool {
-		return !s.Committed && !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at })
+		return (!s.Committed || s.Lapses) && !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at })
 	})
 	for i, s := range k.Standing {
-		if !s.Committed || !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until <= at }) {
+		if !s.Committed || s.Lapses || !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until <= at }) {
 			continue
 		}
 		holds := slices.Clone(s.Holds) // others may read the old ones
@@ -201,6 +203,10 @@
 					n += of(h)
 				}
 			}
+			if all[i].Lapses { // beside what the gang has got since
+				sum += n
+				continue
+			}
 			most = max(most, n)
 		}
 		sum += most
@@ -240,9 +246,17 @@
 
 // end drops all of a gang's holds up to a round: its home has so decided after it committed them.
 func (k *keeper) end(at time.Duration, gang string, round uint64) Result {
-	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool { return s.Gang == gang && s.Round <= round })
+	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool { return s.Gang == gang && s.Round <= round && !s.Lapses })
 	if k.Over[gang].Round < round {
 		k.Over[gang] = over{round, at}
 	}
 	return Result{OK: true}
 }
+
+// lapse is end, but for holds of a round that members may go on to use, though nobody hears of them.
+func (k *keeper) lapse(at time.Duration, gang string, round uint64) Result {
+	if i, have := k.find(gang, round); have && k.Standing[i].Committed {
+		k.Standing[i].Lapses = true
+	}
+	return k.end(at, gang, round)
+}
--- a/internal/gang/machine.go
+++ b/internal/gang/machine.go
@@ -117,6 +117,8 @@
 		return m.keeper.abort(at, c.Gang, c.Round)
 	case "end":
 		return m.keeper.end(at, c.Gang, c.Round)
+	case "lapse":
+		return m.lapse(at, c.Gang, c.Round)
 	case "look":
 		return m.Look()
 	case "told":
--- a/internal/gang/start.go
+++ b/internal/gang/start.go
@@ -73,6 +73,13 @@
 	Member  Member
 }
 
+// A member that is given up is dropped by its encoder, which is told some times more: word of it may be lost, or overtake
+// the job.
+const (
+	dropAgain = 3
+	dropEvery = 40 * time.Millisecond
+)
+
 // mostParts bounds the members in a starter's hand.
 const mostParts = 4096
 
@@ -100,6 +107,7 @@
 	fate    Fate
 	why     string
 	changed time.Duration
+	again   int // that its encoder is still to be told to drop it
 }
 
 // over tells whether nothing more can become of a member.
@@ -193,7 +201,7 @@
 		return
 	}
 	s.Stats.GivenUp++
-	p.fate = MayRun
+	p.fate, p.again = MayRun, dropAgain
 	s.out = append(s.out, Act{Key: Key(p.gang, p.round, p.Member), Do: GiveUp, Encoder: p.Encoder, Member: p.Spec})
 }
 
@@ -201,6 +209,10 @@
 func (s *Starter) Tick(now time.Duration) {
 	var due []string
 	for key, p := range s.parts {
+		if p.again > 0 && now >= p.changed+dropEvery {
+			p.again, p.changed = p.again-1, now
+			s.out = append(s.out, Act{Key: key, Do: TakeBack, Encoder: p.Encoder})
+		}
 		if !p.over() && !p.running && now >= p.at {
 			due = append(due, key)
 		}
@@ -228,11 +240,14 @@
 // Next is when something is due; false: nothing is.
 func (s *Starter) Next() (at time.Duration, some bool) {
 	for _, p := range s.parts {
-		if p.over() || p.running {
+		due := p.at
+		switch {
+		case p.again > 0:
+			due = p.changed + dropEvery
+		case p.over() || p.running:
 			continue
 		}
-		due := p.at
-		if p.sent {
+		if p.sent && p.again == 0 {
 			due += OffAt
 		}
 		if !some || due < at {
--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -88,10 +88,14 @@
 	peers map[string]gangv1.PeersClient
 	conns []*grpc.ClientConn
 
-	// The loop's own.
+	// Members start in time whatever the groups' disks do: they have a loop of their own.
+	starts sync.Mutex // of s and sent; nothing is waited for under it
+	s      *gang.Starter
+	sent   map[string]*dispatch.Command
+	news   chan func() // for that loop, with the lock held
+
+	// The coordinating loop's own.
 	c       *gang.Coordinator
-	s       *gang.Starter
-	sent    map[string]*dispatch.Command
 	homes   map[string]uint32 // of gangs that are coordinated here
 	pinged  time.Duration
 	leads   []uint32
@@ -107,9 +111,9 @@
 	table  dispatch.Table
 	out    map[string]bool // left out by hand
 
-	gangs, lates, errors atomic.Int64
-	figures              atomic.Pointer[string]
-	once                 atomic.Pointer[map[string]bool]
+	errors  atomic.Int64
+	figures atomic.Pointer[string]
+	once    atomic.Pointer[map[string]bool]
 }
 
 // New returns a server that does nothing before Open.
@@ -117,7 +121,7 @@
 	s := &Server{
 		o: o, host: host, core: core, log: logger, began: time.Now(), in: make(chan func(), 1024), room: make(chan struct{}, mostAsked),
 		peers: map[string]gangv1.PeersClient{}, c: gang.NewCoordinator(), s: gang.NewStarter(), out: map[string]bool{},
-		sent: map[string]*dispatch.Command{}, homes: map[string]uint32{}, set: map[string]uint64{},
+		sent: map[string]*dispatch.Command{}, news: make(chan func(), 1024), homes: map[string]uint32{}, set: map[string]uint64{},
 		held: map[string][]gang.Taken{}, spans: map[string]string{},
 	}
 	s.once.Store(&o.Once)
@@ -150,7 +154,13 @@
 	}
 	ctx, s.ends = context.WithCancel(ctx)
 	s.stopped = make(chan struct{})
-	go s.run(ctx, s.stopped)
+	go func(stopped chan struct{}) {
+		defer close(stopped)
+		var both sync.WaitGroup
+		both.Go(func() { s.run(ctx) })
+		both.Go(func() { s.runStarts(ctx) })
+		both.Wait()
+	}(s.stopped)
 }
 
 // Close ends: another process goes on.
@@ -176,8 +186,7 @@
 	}
 }
 
-func (s *Server) run(ctx context.Context, stopped chan struct{}) {
-	defer close(stopped)
+func (s *Server) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -185,9 +194,6 @@
 		if s.active {
 			wait = busy
 		}
-		if at, some := s.s.Next(); some {
-			wait = max(0, min(wait, at-s.now()))
-		}
 		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
@@ -205,12 +211,57 @@
 				more = false
 			}
 		}
-		s.s.Tick(s.now())
-		s.start()
 		s.act(ctx)
 	}
 }
 
+// runStarts sends and calls off members when it is time.
+func (s *Server) runStarts(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		s.starts.Lock()
+		wait := idle
+		if at, some := s.s.Next(); some {
+			wait = max(0, min(wait, at-s.now()))
+		}
+		s.starts.Unlock()
+		timer.Reset(wait)
+		do := func() {}
+		select {
+		case <-ctx.Done():
+			return
+		case do = <-s.news:
+		case <-timer.C:
+		}
+		s.starts.Lock()
+		do()
+		s.s.Tick(s.now())
+		acts := s.s.Did()
+		s.starts.Unlock()
+		s.start(acts)
+	}
+}
+
+// tellStarts has the loop of starts do something.
+func (s *Server) tellStarts(do func()) {
+	select {
+	case s.news <- do:
+	default:
+		s.errors.Add(1)
+	}
+}
+
+// word has the own starter take a word.
+func (s *Server) word(w gang.Word) gang.Said {
+	s.starts.Lock()
+	said := s.s.Word(s.now(), w)
+	s.starts.Unlock()
+	s.tellStarts(func() {})
+	said.Now, said.Site = s.now(), s.o.Site
+	return said
+}
+
 // group is the one that keeps a key's account, or a gang's home.
 func (s *Server) group(key string) uint32 { return replica.GroupOf(key, s.host.Groups()) }
 
@@ -408,10 +459,9 @@
 func (s *Server) tell(ctx context.Context, to string, w gang.Word, home uint32) {
 	sent := s.now()
 	if to == s.o.Name {
-		said := s.s.Word(sent, w)
-		said.Site, s.held[to] = s.o.Site, s.taken(sent)
-		s.start()
-		s.c.Said(sent, sent, to, w, said, home)
+		said := s.word(w)
+		s.held[to] = s.taken(sent)
+		s.c.Said(s.now(), sent, to, w, said, home)
 		return
 	}
 	peer := s.peers[to]
@@ -450,27 +500,24 @@
 	if len(q.GetWord()) > mostText || json.Unmarshal(q.GetWord(), &w) != nil {
 		return nil, status.Error(codes.InvalidArgument, "not a word")
 	}
-	answer := make(chan gang.Said, 1)
-	s.post(func() {
-		said := s.s.Word(s.now(), w)
-		if said.Site = s.o.Site; w.Kind == "" {
-			said.Held = s.taken(s.now())
+	said := s.word(w)
+	if w.Kind == "" { // asked for the clock alone
+		answer := make(chan []gang.Taken, 1)
+		s.post(func() { answer <- s.taken(s.now()) })
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case said.Held = <-answer:
 		}
 		said.Now = s.now()
-		answer <- said
-	})
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case said := <-answer:
-		text, _ := json.Marshal(said)
-		return &gangv1.TellResponse{Said: text}, nil
 	}
+	text, _ := json.Marshal(said)
+	return &gangv1.TellResponse{Said: text}, nil
 }
 
 // start sends and calls off members.
-func (s *Server) start() {
-	for _, a := range s.s.Did() {
+func (s *Server) start(acts []gang.Act) {
+	for _, a := range acts {
 		switch a.Do {
 		case gang.Launch:
 			m := a.Member
@@ -482,12 +529,16 @@
 				}},
 			}
 			cmd.Client = &client{s, a.Key}
+			s.starts.Lock()
 			s.sent[a.Key] = cmd
-			s.gangs.Add(1)
+			s.starts.Unlock()
 			s.core.Take(cmd)
 		case gang.GiveUp:
-			if cmd := s.sent[a.Key]; cmd != nil {
-				delete(s.sent, a.Key)
+			s.starts.Lock()
+			cmd := s.sent[a.Key]
+			delete(s.sent, a.Key)
+			s.starts.Unlock()
+			if cmd != nil {
 				s.core.Lapse(cmd)
 			}
 		case gang.TakeBack:
@@ -505,7 +556,7 @@
 // Started says that its encoder has it, and runs it where encoders tell.
 func (c *client) Started(_ string, runs bool) {
 	if runs || !c.o.TellsStart {
-		c.post(func() { c.s.Began(c.now(), c.key) })
+		c.tellStarts(func() { c.s.Began(c.now(), c.key) })
 	}
 }
 
@@ -520,7 +571,7 @@
 	case dispatch.Unusable:
 		fate, why = gang.NeverRan, "no encoder can do it as it stands"
 	}
-	c.post(func() {
+	c.tellStarts(func() {
 		delete(c.sent, c.key)
 		c.s.Over(c.now(), c.key, fate, why)
 	})
@@ -528,7 +579,7 @@
 
 // Pass says that another process has it: what becomes of it is not known here.
 func (c *client) Pass(bool) {
-	c.post(func() {
+	c.tellStarts(func() {
 		delete(c.sent, c.key)
 		c.s.Over(c.now(), c.key, gang.MayRun, "it changed hands")
 	})
@@ -679,7 +730,9 @@
 	for _, name := range []string{gang.Completed, gang.NotStarted, gang.DeadAfter, gang.Cancelled} {
 		fmt.Fprintf(&b, "proxy.gangs.%s=%d\n", name, states[name])
 	}
+	s.starts.Lock()
 	t := s.s.Stats
+	s.starts.Unlock()
 	fmt.Fprintf(&b, "proxy.gangs.members_sent=%d\nproxy.gangs.members_late=%d\nproxy.gangs.members_called_off=%d\nproxy.gangs.members_left_alone=%d\n", t.Launched, t.Late, t.GivenUp, t.Alone)
 	fmt.Fprintf(&b, "proxy.gangs.wounds=%d\nproxy.gangs.clock_error_us=%d\nproxy.gangs.overruns=%d\n", s.c.Stats.Wounds, s.c.Stats.WorstError.Microseconds(), s.errors.Load())
 	text := b.String()
--- a/internal/net/gangs/hold.go
+++ b/internal/net/gangs/hold.go
@@ -13,11 +13,13 @@
 // hold tells the loop what is held of each encoder, but for members that it has itself: those count as they are.
 func (s *Server) hold(now time.Duration, all []gang.Encoder) {
 	mine := map[string]int{}
+	s.starts.Lock()
 	for key, cmd := range s.sent {
 		if t, ok := s.s.Of(key); ok {
 			mine[t+"/"+gang.Encoder{ID: cmd.Order[0]}.Account()] += int(cmd.Slots)
 		}
 	}
+	s.starts.Unlock()
 	spans := map[string][]decide.Span{}
 	once := map[gang.Taken]bool{} // two may say that they lead a group
 	for _, held := range s.held {
--- a/internal/net/pipelines/pipelines.go
+++ b/internal/net/pipelines/pipelines.go
@@ -265,6 +265,9 @@
 	}
 	body, _ := json.Marshal(told) // plain data: it cannot fail
 	left := time.Until(time.Unix(0, int64(t.Until)))
+	if t.Within > 0 {
+		left = min(left, t.Within)
+	}
 	order, narrowed := s.narrow(t)
 	end := rerun.Command{Op: rerun.OpEnd, Key: t.Key, Gen: t.Gen}
 	switch {
--- a/internal/rerun/objects.go
+++ b/internal/rerun/objects.go
@@ -238,12 +238,20 @@
 	if m.Begun++; !t.First {
 		m.Reruns++
 	}
-	m.wake(t.Until+overdue, "turn", o.Key)
+	m.wake(t.over(), "turn", o.Key)
 	m.send(Letter{Kind: "begun", To: "r/" + t.Run, Stage: t.Stage, Gen: t.Gen, OK: t.First})
 	m.giveBack()
 	return Result{OK: true}
 }
 
+// over is when a turn that has started is late: it is waited for no longer.
+func (t *Turn) over() time.Duration {
+	if t.Within > 0 {
+		return min(t.Began+t.Within, t.Until+overdue)
+	}
+	return t.Until + overdue
+}
+
 func (m *Machine) queuedFirst() bool {
 	for _, o := range m.turns {
 		if o.Turn.Phase == Queued && o.Turn.First {
@@ -471,7 +479,7 @@
 				}
 			}
 		case "turn":
-			if o := m.s.Outputs[d.key]; o != nil && o.Turn != nil && o.Turn.Phase == Started && o.Turn.Until+overdue <= m.s.At {
+			if o := m.s.Outputs[d.key]; o != nil && o.Turn != nil && o.Turn.Phase == Started && o.Turn.over() <= m.s.At {
 				m.end(&Command{Key: d.key, Gen: o.Turn.Gen, Cause: policy.Late})
 			}
 		case "idle":
@@ -694,7 +702,7 @@
 			next.turns[key] = o
 		}
 		if o.Turn != nil && o.Turn.Phase == Started {
-			next.wake(o.Turn.Until+overdue, "turn", key)
+			next.wake(o.Turn.over(), "turn", key)
 		}
 		if o.Idle > 0 {
 			next.wake(o.Idle, "idle", key)
--- a/internal/rerun/plant/plant.go
+++ b/internal/rerun/plant/plant.go
@@ -42,13 +42,13 @@
 	Work    func(Run) time.Duration
 	Decide  func(Run) pipelines.Outcome
 
-	mu      sync.Mutex
-	runs    []*Run
-	down    map[string]bool
-	servers []*http.Server
-	calls   http.Client
-	done    chan struct{}
-	wg      sync.WaitGroup
+	mu    sync.Mutex
+	runs  []*Run
+	down  map[string]bool
+	doors []*place
+	calls http.Client
+	done  chan struct{}
+	wg    sync.WaitGroup
 }
 
 // New returns a plant.
@@ -63,8 +63,8 @@
 // Close ends it.
 func (p *Plant) Close() {
 	close(p.done)
-	for _, s := range p.servers {
-		s.Close()
+	for _, d := range p.doors {
+		d.server.Close()
 	}
 	p.calls.CloseIdleConnections()
 	p.wg.Wait()
@@ -80,20 +80,42 @@
 	return all
 }
 
-// Down has a worker's process be dead, with all it runs, or alive again.
-func (p *Plant) Down(worker string, down bool) {
+// Down has a worker's process be dead, with all it runs, or alive again: a dead one takes no connections.
+func (p *Plant) Down(worker string, down bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.down[worker] = down
+	for _, d := range p.doors {
+		if d.worker != worker {
+			continue
+		}
+		if down {
+			d.server.Close()
+			continue
+		}
+		l, err := net.Listen("tcp", d.at)
+		if err != nil {
+			return err
+		}
+		d.server = &http.Server{Handler: d.server.Handler, ReadHeaderTimeout: 5 * time.Second}
+		go d.server.Serve(l)
+	}
+	return nil
+}
+
+// place is where a server listens, over its lives.
+type place struct {
+	worker, at string
+	server     *http.Server
 }
 
-func (p *Plant) listen(h http.Handler) (string, error) {
+func (p *Plant) listen(worker string, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	p.servers = append(p.servers, s)
+	p.doors = append(p.doors, &place{worker, l.Addr().String(), s})
 	go s.Serve(l)
 	return l.Addr().String(), nil
 }
@@ -116,7 +138,7 @@
 		}
 		var members []member
 		for _, w := range p.Workers {
-			at, err := p.listen(p.door(w, n, r))
+			at, err := p.listen(w.ID, p.door(w, n, r))
 			if err != nil {
 				return err
 			}
@@ -126,7 +148,7 @@
 		if err != nil {
 			return err
 		}
-		at, err := p.listen(p.list(text))
+		at, err := p.listen("", p.list(text))
 		if err != nil {
 			return err
 		}
@@ -179,17 +201,8 @@
 // door is where a daemon finds a worker.
 func (p *Plant) door(worker Worker, daemon int, r *rig.Rig) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		p.mu.Lock()
-		down := p.down[worker.ID]
-		p.mu.Unlock()
 		id := q.Header.Get("X-Correlation-Id")
-		switch {
-		case down:
-			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
-				c.Close()
-			}
-			return
-		case q.Method != "POST" || id == "":
+		if q.Method != "POST" || id == "" {
 			w.WriteHeader(http.StatusOK)
 			return
 		}
@@ -220,7 +233,8 @@
 	p.mu.Lock()
 	down := p.down[run.Worker.ID]
 	p.mu.Unlock()
-	if down {
+	if down { // its machine's agent sees the process die
+		p.call(r, daemon, map[string]any{"id": id, "from": run.Worker.ID, "state": "lost"}, 40)
 		return
 	}
 	o := p.Decide(*run)
--- a/internal/rerun/policy/policy.go
+++ b/internal/rerun/policy/policy.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"slices"
@@ -59,6 +60,7 @@
 type Stage struct {
 	Name, Class, Shared string
 	Work                time.Duration // that one run takes at most, of one slot
+	Within              time.Duration // of one run, with all its waiting at workers: then it is late
 	Once                bool          // must not run twice
 	Result              bool          // it is what the pipeline is for
 	Needs               []int         // indices of stages
@@ -118,6 +120,7 @@
 	Name   string            `toml:"name"`
 	Class  string            `toml:"class"`
 	Work   siteconf.Duration `toml:"work"`
+	Within siteconf.Duration `toml:"within"`
 	Needs  []string          `toml:"needs"`
 	Shared string            `toml:"shared"`
 }
@@ -262,13 +265,16 @@
 		case s.Work <= 0:
 			return l.doc.At(at+".work", `missing: write work = "2m", what one run of it takes at most`)
 		}
+		if s.Within > 0 && (s.Within < s.Work || time.Duration(s.Within) > l.p.Within) {
+			return l.doc.At(at+".within", "%v: write from its work, %v, to the pipeline's within, %v", time.Duration(s.Within), time.Duration(s.Work), l.p.Within)
+		}
 		for _, n := range s.Needs {
 			if l.index(n) < 0 {
 				return l.doc.At(at+".needs", "%q is no stage of %q%s", n, l.text.Name, siteconf.Nearest(n, l.names(), "; remove it"))
 			}
 		}
 		l.p.Stages = append(l.p.Stages, &Stage{
-			Name: s.Name, Class: s.Class, Shared: s.Shared, Work: time.Duration(s.Work), Once: class.Once, Line: l.doc.Line(at),
+			Name: s.Name, Class: s.Class, Shared: s.Shared, Work: time.Duration(s.Work), Within: cmp.Or(time.Duration(s.Within), l.p.Within), Once: class.Once, Line: l.doc.Line(at),
 		})
 	}
 	return nil
--- a/internal/rerun/policy/policy_test.go
+++ b/internal/rerun/policy/policy_test.go
@@ -94,6 +94,7 @@
 		{`result = ["publish"]`, `result = ["package"]`, `[[pipeline.stage]]`, []string{"pipeline.stage[4]", `nobody reaches "publish"`}},
 		{`class = "encode"`, `class = "encde"`, `class = "encde"`, []string{"pipeline.stage[1].class", `write "encode"`}},
 		{`work = "2m"`, `work = 120`, `work = 120`, []string{"work", `"120s"`}},
+		{`work = "2m"`, `work = "2m"` + "\nwithin = \"1m\"", `within = "1m"`, []string{"stage[1].within", "from its work, 2m0s"}},
 		{`work = "2m"`, ``, `[[pipeline.stage]]`, []string{"stage[1].work", "missing"}},
 		{`needs = ["package"]`, `needs = ["packge"]`, `needs = ["packge"]`, []string{"stage[4].needs", `write "package"`}},
 		{`work = "30s"`, `work = "30s"` + "\nneeds = [\"package\"]", `needs`, []string{"needs", "a cycle: ", "ingest needs package", "remove one"}},
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -197,6 +197,7 @@
 	Of     []int64           `json:"of,omitempty"`
 	Inputs []string          `json:"inputs,omitempty"` // keys
 	Work   time.Duration     `json:"work"`
+	Within time.Duration     `json:"within"` // of one run
 	Until  time.Duration     `json:"until"`
 	Where  policy.Where      `json:"where,omitempty"`
 	Failed policy.Place      `json:"failed"`
@@ -664,7 +665,7 @@
 		s.Wants, s.Of = true, of
 		w := &Want{
 			Run: r.ID, Stage: i, Name: stage.Name, Class: stage.Class, Once: stage.Once, Tenant: r.Tenant, Params: r.Params,
-			Over: s.Over, Of: of, Inputs: inputs, Work: stage.Work, Until: r.Until, Failed: s.At, Spare: m.loaded[r.Policy].Spare,
+			Over: s.Over, Of: of, Inputs: inputs, Work: stage.Work, Within: stage.Within, Until: r.Until, Failed: s.At, Spare: m.loaded[r.Policy].Spare,
 		}
 		m.account(r, s, w)
 		m.send(Letter{Kind: "want", To: r.Key(i), From: r.ID, Want: w})
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -607,3 +607,21 @@
 	require.Equal(t, map[Kind]int{Done: 20}, w.ends(20, name))
 	require.Equal(t, 20*4, w.reruns)
 }
+
+// A stage of which nothing is heard is late after its own time, not its pipeline's, and runs again.
+func TestStageIsLate(t *testing.T) {
+	w := newWorld(t, 10, 3, 100)
+	w.policy(words("1", "100%", "60m", strings.Replace(film("fleet", 1, ""), "class=\"encode\"\nwork=\"10s\"", "class=\"encode\"\nwork=\"10s\"\nwithin=\"30s\"", 1)))
+	w.takes = func(w *world, g Go) time.Duration {
+		if stageOf(g.Key) == "encode" && g.Gen == 1 {
+			return time.Hour
+		}
+		return time.Second
+	}
+	w.submit("r0", "film", "t", map[string]string{"asset": "x"})
+	w.finish(1000)
+	r := w.run("r0")
+	require.Equal(t, Done, r.Answer.Kind, "%v", r.Story)
+	require.Less(t, r.Answer.At-r.Began, time.Minute)
+	require.Len(t, w.started["r/r0/encode"], 2)
+}
