--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -38,6 +38,7 @@
 	keepEntries   = 512      // behind a snapshot, for followers that are a little late
 	mostSnapshot  = 64 << 20 // bytes
 	snapshotEach  = time.Second
+	mostMoves     = 4 // groups led here that take in a new holder at once
 	mostKnown     = 4096
 	fullEach      = 10 // beats
 	nearlyThere   = 64 // entries that a learner may lack when it becomes a voter
@@ -346,8 +347,9 @@
 	if err := g.log.Append(s.Entries); err != nil {
 		return nil, err
 	}
+	// The heartbeats that renew leases are those of reads; the library's own are for when no read can be asked for yet.
 	raw, err := raft.NewRawNode(&raft.Config{
-		ID: n.id, ElectionTick: electionTicks, HeartbeatTick: int(HeartbeatEach / Tick), Storage: g.log, Applied: g.applied,
+		ID: n.id, ElectionTick: electionTicks, HeartbeatTick: 3 * int(HeartbeatEach/Tick), Storage: g.log, Applied: g.applied,
 		AsyncStorageWrites: true, MaxSizePerMsg: 256 << 10, MaxCommittedSizePerReady: 1 << 20, MaxUncommittedEntriesSize: mostLog,
 		MaxInflightMsgs: 64, MaxInflightBytes: mostLog, CheckQuorum: true, PreVote: true, Logger: quiet{}, DisableProposalForwarding: true,
 		StepDownOnRemoval: true,
@@ -976,7 +978,7 @@
 	switch {
 	case lost >= 0:
 		surplus = voters[lost]
-	case len(want) == n.c.Table.Copies:
+	case len(want) == n.c.Table.Copies && now-n.start >= n.c.Gone: // before, not all that live need have been heard
 		for _, id := range voters {
 			if id != n.id && !wanted(id) {
 				surplus = id
@@ -1014,6 +1016,15 @@
 		}
 		return
 	}
+	moving := 0
+	for _, o := range n.order {
+		if o.leader && len(o.conf.GetLearners()) > 0 {
+			moving++
+		}
+	}
+	if moving >= mostMoves {
+		return
+	}
 	for _, m := range want {
 		if id := m.ID(); !slices.Contains(voters, id) && !dead(id, SilentAfter) {
 			propose(change(pb.ConfChangeType_ConfChangeAddLearnerNode, id))
