--- a/internal/prove/gang.go
+++ b/internal/prove/gang.go
@@ -11,6 +11,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"caperrelay/internal/load"
 	"caperrelay/internal/rig"
 	"caperrelay/internal/standin/encoder"
+	"caperrelay/internal/standin/ledger"
 	"caperrelay/internal/standin/link"
 	"caperrelay/internal/standin/listservice"
 	gangv1 "caperrelay/proto/winglb/gang/v1"
@@ -40,13 +42,14 @@
 	smallWork    = 40 * time.Millisecond
 )
 
-// scene30 is an installation with gangs, under a network that is cut and daemons that die.
-type scene30 struct {
+// stage is an installation with gangs, under a network that is cut and daemons that die.
+type stage struct {
 	*rig.Rig
 	net     *link.Net
 	rng     *rand.Rand
 	callers []gangv1.GangsClient
 	small   http.Client
+	say     func(string, ...any)
 
 	mu    sync.Mutex
 	gangs []*wanted
@@ -74,7 +77,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	s := &scene30{net: link.New(1), rng: rand.New(rand.NewPCG(30, 2))}
+	s := &stage{net: link.New(1), rng: rand.New(rand.NewPCG(30, 2)), say: say}
 	defer s.net.Close()
 	lists := listservice.New(time.Millisecond, time.Second)
 	defer lists.Close()
@@ -121,7 +124,7 @@
 }
 
 // more is what a daemon's file has beside the record.
-func (s *scene30) more(n int) error {
+func (s *stage) more(n int) error {
 	f, err := os.OpenFile(s.Daemon(n).File(), os.O_APPEND|os.O_WRONLY, 0)
 	if err != nil {
 		return err
@@ -131,7 +134,7 @@
 }
 
 // warm waits until a gang is done.
-func (s *scene30) warm(ctx context.Context) error {
+func (s *stage) warm(ctx context.Context) error {
 	for i := 0; ctx.Err() == nil; i++ {
 		w := &wanted{id: fmt.Sprintf("first-%d", i), sites: []string{"a", "b"}, works: []time.Duration{smallWork, smallWork}, latest: time.Now().Add(3 * time.Second)}
 		if s.run(ctx, w); w.end.GetVerdict() == gang.Completed {
@@ -145,7 +148,7 @@
 type rates struct{ sent, served float64 }
 
 // phase lasts so long, with small jobs throughout.
-func (s *scene30) phase(ctx context.Context, long time.Duration, gangs, faults, alone bool) rates {
+func (s *stage) phase(ctx context.Context, long time.Duration, gangs, faults, alone bool) rates {
 	r := load.NewReport()
 	start := time.Now().Add(50 * time.Millisecond)
 	rate := 0.45 * gangEncoders * gangSlots / smallWork.Seconds()
@@ -155,7 +158,7 @@
 	ctx, cancel := context.WithDeadline(ctx, start.Add(long+gangWindow+10*time.Second))
 	defer cancel()
 	if faults {
-		all.Go(func() { s.faults(start.Add(long - 2*time.Second)) })
+		all.Go(func() { s.faults(start.Add(long-2*time.Second), s.say) })
 	}
 	for n := 0; gangs && time.Until(start.Add(long-2*time.Second)) > 0; n++ {
 		w := s.draw(fmt.Sprintf("%x-%d", start.UnixMilli()&0xffffff, n))
@@ -169,7 +172,7 @@
 }
 
 // draw is a gang of two to four members.
-func (s *scene30) draw(id string) *wanted {
+func (s *stage) draw(id string) *wanted {
 	w := &wanted{id: id, once: s.rng.IntN(2) == 0, latest: time.Now().Add(gangWindow)}
 	for i := range 2 + s.rng.IntN(3) {
 		w.sites = append(w.sites, []string{"a", "b"}[i%2])
@@ -188,7 +191,7 @@
 }
 
 // run asks for a gang and waits for its end; alone, its members are sent at one time to dispatchers of their sites.
-func (s *scene30) run(ctx context.Context, w *wanted) {
+func (s *stage) run(ctx context.Context, w *wanted) {
 	if w.alone {
 		time.Sleep(gang.Lead)
 		var all sync.WaitGroup
@@ -230,7 +233,7 @@
 }
 
 // Do sends a small job to some dispatcher.
-func (s *scene30) Do(ctx context.Context, a load.Arrival) (load.Verdict, error) {
+func (s *stage) Do(ctx context.Context, a load.Arrival) (load.Verdict, error) {
 	n := turn.Add(1)
 	q, err := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/api?work_us=%d&class=preview", s.Daemon(int(n%gangDaemons)).Listen, a.Work.Microseconds()), strings.NewReader("work"))
 	if err != nil {
@@ -241,7 +244,7 @@
 
 var turn atomic.Uint32
 
-func (s *scene30) post(q *http.Request, id, class string, work, left time.Duration) (load.Verdict, error) {
+func (s *stage) post(q *http.Request, id, class string, work, left time.Duration) (load.Verdict, error) {
 	q.Header.Set("X-Correlation-Id", id)
 	q.Header.Set("X-Service-Class", class)
 	q.Header.Set("X-Account", "ups")
@@ -263,7 +266,7 @@
 }
 
 // faults has one at a time, until a moment.
-func (s *scene30) faults(until time.Time) {
+func (s *stage) faults(until time.Time, say func(string, ...any)) {
 	a, b := []string{"n0", "n2", "n4"}, []string{"n1", "n3"}
 	oneWay := func(cut bool) {
 		for _, from := range b {
@@ -274,6 +277,7 @@
 	}
 	for n := 0; time.Now().Before(until); n++ {
 		d := s.Daemon(n % gangDaemons)
+		say("  %s: fault %d, n%d", time.Now().Format("05.000"), n%5, n%gangDaemons)
 		switch n % 5 {
 		case 0:
 			d.Kill()
@@ -315,10 +319,11 @@
 // round is one start of a gang, by encoders' own word.
 type round struct {
 	began, ended []time.Time
-	where        []string
+	where, from  []string
+	fates        []ledger.Fate
 }
 
-func (s *scene30) rounds() map[string]map[string]*round {
+func (s *stage) rounds() map[string]map[string]*round {
 	all := map[string]map[string]*round{}
 	for _, a := range s.Host.Ledger.Attempts() {
 		m := gangJob.FindStringSubmatch(a.Job)
@@ -338,12 +343,13 @@
 			end = time.Now()
 		}
 		r.began, r.ended, r.where = append(r.began, a.Started), append(r.ended, end), append(r.where, a.Encoder)
+		r.from, r.fates = append(r.from, a.Sender), append(r.fates, a.Fate)
 	}
 	return all
 }
 
 // tell prints the figures, and returns what broke.
-func (s *scene30) tell(alone, calm rates, say func(string, ...any)) error {
+func (s *stage) tell(alone, calm rates, say func(string, ...any)) error {
 	var began, notStarted, half, dead, stuck, late, moved, together, halfAlone, doubled int
 	var skews []float64
 	var held, ran float64
@@ -359,7 +365,8 @@
 		if gangs++; w.alone {
 			gangs--
 		}
-		for _, r := range rounds[w.id] {
+		for n, r := range rounds[w.id] {
+			runs := w.end.GetVerdict() == gang.Completed || w.end.GetVerdict() == gang.DeadAfter
 			first, last := slices.MinFunc(r.began, time.Time.Compare), slices.MaxFunc(r.began, time.Time.Compare)
 			over := slices.MaxFunc(r.ended, time.Time.Compare)
 			all := len(r.began) == len(w.sites)
@@ -368,7 +375,7 @@
 				if !all || last.Sub(first) > gangSkew {
 					halfAlone++
 				}
-			case all:
+			case all && runs && n == fmt.Sprint(lastOf(rounds[w.id])):
 				together++
 				skews = append(skews, last.Sub(first).Seconds()*1000)
 				if !w.trouble {
@@ -379,7 +386,10 @@
 				}
 			case over.Sub(first) > gangOff:
 				half++
-				say("by halves: %s: %d of %d ran, for %v", w.id, len(r.began), len(w.sites), over.Sub(first))
+				say("by halves: %s: %d of %d ran, for %v; then %v", w.id, len(r.began), len(w.sites), over.Sub(first), w.end)
+				for i := range r.began {
+					say("  at %v from %s at %s for %v: %v", r.began[i].Format("05.000"), r.from[i], r.where[i], r.ended[i].Sub(r.began[i]), r.fates[i])
+				}
 			}
 			for i := range r.began {
 				if !w.alone && s.site(r.where[i]) == "b" {
@@ -449,8 +459,18 @@
 	return nil
 }
 
+// lastOf is the last of a gang's rounds: the one that counts, where it was started.
+func lastOf(all map[string]*round) (last int) {
+	for n := range all {
+		if i, err := strconv.Atoi(n); err == nil {
+			last = max(last, i)
+		}
+	}
+	return last
+}
+
 // twice is how many members ran more than once.
-func (s *scene30) twice(id string) (n int) {
+func (s *stage) twice(id string) (n int) {
 	ran := map[string]int{}
 	for _, a := range s.Host.Ledger.Attempts() {
 		if m := gangJob.FindStringSubmatch(a.Job); m != nil && m[1] == id && !a.Started.IsZero() {
@@ -463,7 +483,7 @@
 }
 
 // site is an encoder's.
-func (s *scene30) site(id string) (site string) {
+func (s *stage) site(id string) (site string) {
 	for _, e := range s.Host.Encoders() {
 		if e.ID() == id {
 			e.Look(func(m *encoder.Encoder) { site = m.Zone })
--- a/internal/prove/promise.go
+++ b/internal/prove/promise.go
@@ -35,7 +35,7 @@
 	promiseAlone   = 12 * time.Second // with one copy
 	promiseWithin  = 6 * time.Second  // of each job
 	promiseCall    = 4 * time.Second  // until an asker goes on
-	mostUnheard    = 3 * time.Second  // until a group takes jobs again
+	mostUnheard    = 5 * time.Second  // until a group takes jobs again: a caller may wait 2 s at a dispatcher that stands still
 )
 
 // Promise hands jobs in for good while machines are lost with their disks, disks go bad, dispatchers are cut off and
@@ -607,16 +607,14 @@
 		}
 	}
 	for _, at := range s.faults {
-		for _, probes := range s.heard {
-			for _, p := range probes { // in order
-				if !p.call.Before(at) {
-					s.f.unheard = append(s.f.unheard, p.back.Sub(at))
-					break
-				}
-				if p.back.After(at) { // asked before, told after
-					s.f.unheard = append(s.f.unheard, p.back.Sub(at))
-					break
-				}
+		for g, probes := range s.heard { // in order
+			i := slices.IndexFunc(probes, func(p heardAt) bool { return !p.call.Before(at) || p.back.After(at) })
+			if i < 0 {
+				continue
+			}
+			after := probes[i].back.Sub(at)
+			if s.f.unheard = append(s.f.unheard, after); after > mostUnheard {
+				s.say("group %d took no jobs for %v after what went wrong at %.1f s", g, after.Round(time.Millisecond), at.Sub(s.began).Seconds())
 			}
 		}
 	}
--- a/internal/prove/rerun.go
+++ b/internal/prove/rerun.go
@@ -42,7 +42,7 @@
 	var s strings.Builder
 	fmt.Fprintf(&s, "version = \"1\"\n[budget]\nfleet = \"%g%%\"\nspare = %q\n[[pipeline]]\nname = \"lecture\"\nresult = [\"publish\"]\nwithin = %q\nothers = 1\n", 100*rerunFleet, rerunSpare, rerunWithin)
 	stage := func(name, class, needs, more string) {
-		fmt.Fprintf(&s, "[[pipeline.stage]]\nname = %q\nclass = %q\nwork = %q\nneeds = [%s]\n%s\n", name, class, rerunStageWork, needs, more)
+		fmt.Fprintf(&s, "[[pipeline.stage]]\nname = %q\nclass = %q\nwork = %q\nwithin = \"8s\"\nneeds = [%s]\n%s\n", name, class, rerunStageWork, needs, more)
 	}
 	stage("ingest", "preview", "", `shared = "asset"`)
 	stage("high", "preview", `"ingest"`, "")
@@ -224,9 +224,9 @@
 		at time.Duration
 		do func() error
 	}{
-		{2 * time.Second, func() error { p.Down("s-3", true); return nil }},
+		{2 * time.Second, func() error { return p.Down("s-3", true) }},
 		{3 * time.Second, func() error { return rerunKill(r) }},
-		{5 * time.Second, func() error { p.Down("s-3", false); return nil }},
+		{5 * time.Second, func() error { return p.Down("s-3", false) }},
 		{7 * time.Second, func() error { return rerunKill(r) }},
 	} {
 		time.Sleep(time.Until(began.Add(fault.at)))
@@ -307,12 +307,15 @@
 	generations := map[string]bool{}
 	stages := map[string]map[string]int{} // by run and stage, those of its own
 	verdict := time.Time{}
+	seen := map[string]plant.Run{}
 	for _, r := range runs {
 		f.work++
 		if r.Stage == "publish" {
 			if published[r.Told.Run]++; published[r.Told.Run] > 1 {
 				f.twice++
+				fmt.Fprintf(os.Stderr, "published twice: %v at %v, %v at %v: %+v\n", seen[r.Told.Run], seen[r.Told.Run].Began, r, r.Began, explained[r.Told.Run])
 			}
+			seen[r.Told.Run] = r
 		}
 		if r.Stage == "package" && r.Outcome.Outcome == "" && !r.Ended.IsZero() && slices.ContainsFunc(r.Inputs, func(i pipelines.Input) bool { return i.Generation > 1 }) && (verdict.IsZero() || r.Ended.Before(verdict)) {
 			verdict = r.Ended
@@ -369,8 +372,14 @@
 		}
 	}
 	work, first := time.Duration(0), 0
-	for _, e := range explained {
+	for id, e := range explained {
 		work += e.Work
+		for stage := range e.Stages { // a first run that came to nothing before it reached a worker is one too
+			met := slices.ContainsFunc(e.Story, func(l rerun.Line) bool { return strings.HasPrefix(l.Text, stage+": ") })
+			if own := "r/" + id + "/" + stage; stage != "ingest" && met && !generations[at(own, 1)] {
+				first++
+			}
+		}
 	}
 	for key := range generations {
 		if strings.HasSuffix(key, "@1") {
