See clients go that have sent more behind their request, and send nothing for the gone

A client was watched while its command waits by one look at the first byte behind the request: once there was one, its end was never seen, and the command was sent on however late (read off clients/conn.go, wait: Peek(1) returns at once). Now all that comes is read to its end: 64 KiB are kept for the requests in them, 1 MiB more is read and dropped, and such a connection ends with its answer. And an attempt that still waits for its connection when its client goes, or when its command is answered, is not begun: that hung on a call-off, which settings may bar.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -189,6 +189,9 @@
 // conclude marks a command as owed nothing more.
 func (l *Loop) conclude(h *held) {
 	h.answered = true
+	for _, a := range h.attempts {
+		a.vain.Store(true)
+	}
 	l.Books.holding.Add(-1)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -92,6 +92,7 @@
 	gate      gated
 	may       func() bool // nil: it waited at no gate
 	leaving   atomic.Bool // given up, and the instance has not confirmed it yet
+	vain      atomic.Bool // its command is owed nothing more
 }
 
 // Confirmed says that the instance knows the attempt as given up, or never will.
@@ -111,10 +112,11 @@
 	Release(instance string)
 }
 
-// Expired tells whether an attempt is not to be sent any more: the lease that it goes by has ended. Whoever
-// sends looks as late as possible: the process may have been stopped for a while.
+// Expired tells whether an attempt is not to be sent any more: its command is answered or its client has gone, be it while it
+// waited for a connection and nothing is called off, or the lease that it goes by has ended. Whoever sends looks as late as
+// possible: the process may have been stopped for a while.
 func (a *Attempt) Expired(now time.Time) bool {
-	return !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may()
+	return a.vain.Load() || !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may()
 }
 
 // NameTable tells of the instances, after Subscribe, by Loop.Listed and Loop.ListLost.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -92,6 +92,24 @@
 	require.Len(t, f.sent, 2)
 }
 
+// A client went while an attempt still waited for its connection, and where nothing is called off that was sent all the same.
+func TestNothingIsSentForWhoHasGone(t *testing.T) {
+	for name, over := range map[string]func(*Loop, *Attempt){
+		"gone":     func(l *Loop, a *Attempt) { l.Lapse(a.Command) },
+		"answered": func(l *Loop, a *Attempt) { l.fail(decide.FailRequest{Request: a.request}) },
+	} {
+		l, f, _ := begin(t)
+		s := l.settings
+		s.Limits.Cancel = false
+		require.NoError(t, l.mod.Retune(s))
+		require.False(t, f.sent[0].Expired(time.Now()), name)
+		over(l, f.sent[0])
+		l.batch()
+		require.Empty(t, f.givenUp, name)
+		require.True(t, f.sent[0].Expired(time.Now()), name)
+	}
+}
+
 // Answered, lapsed or over time: nothing of a command stays behind.
 func TestNothingStaysBehind(t *testing.T) {
 	for name, finish := range map[string]func(*Loop, *Attempt){
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -49,6 +49,7 @@
 	answered bool // it has asked for something before
 	instance bool // its last request was a call-back
 	passed   bool // to another process
+	flood    bool // so much has come behind a request that some is dropped: no other is read
 }
 
 // use is how much a connection is needed while others want its place, the least first.
@@ -98,11 +99,7 @@
 // serve answers what is asked until the connection is to end. Whatever has come by then has its answer, unless the
 // peer itself has ended the connection.
 func (c *conn) serve() {
-	var from io.Reader = c.nc
-	if len(c.rest) > 0 {
-		from = io.MultiReader(bytes.NewReader(c.rest), c.nc)
-	}
-	c.br = bufio.NewReaderSize(from, http1.MaxLine)
+	c.buffer(c.rest, http1.MaxLine)
 	if c.first != nil && !c.first() {
 		return
 	}
@@ -129,6 +126,12 @@
 	}
 }
 
+// buffer has the connection read by way of so much room at least, which holds what has come of it already.
+func (c *conn) buffer(come []byte, size int) {
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(come), c.nc), max(size, len(come)))
+	c.br.Peek(len(come)) // lest it is passed on without them
+}
+
 // next reads the next request.
 func (c *conn) next() (*http1.Request, error) {
 	if err := c.await(); err != nil {
@@ -170,7 +173,7 @@
 	if c.server.heir == nil || !ok {
 		return false
 	}
-	p.Answered, p.Instance = c.answered, c.instance
+	p.Answered, p.Instance, p.Flood = c.answered, c.instance, c.flood
 	p.Rest, _ = c.br.Peek(c.br.Buffered())
 	c.passed = true
 	c.server.heir.Pass(tcp, p)
@@ -260,6 +263,7 @@
 func (c *conn) reply(status int, h http1.Header, body string, end bool) bool {
 	c.server.mu.Lock()
 	c.answered = true
+	end = end || c.flood
 	due := c.evicted || c.server.crowded || c.server.draining && c.server.heir == nil && !c.instance
 	c.server.mu.Unlock()
 	if due && !end {
@@ -404,7 +408,7 @@
 		c.server.core.Lapse(w.cmd)
 		return false
 	}
-	if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.leaves() {
 		c.gone = true
 		c.server.core.Lapse(w.cmd)
 		return false
@@ -427,6 +431,48 @@
 	return c.relay(dispatch.Answer{Verdict: dispatch.Failed}, true)
 }
 
+// What a client may have behind the request that waits.
+const (
+	mostAhead   = http1.MaxBody // bytes that are kept
+	mostDropped = 1 << 20       // and read beyond that, to see whether it goes
+)
+
+// leaves waits until a read is ended from here, and tells whether the client has gone before. Whatever it has sent behind
+// its request stands before its end and is read for that: one that sends much at once and goes is gone all the same.
+func (c *conn) leaves() bool {
+	for {
+		_, err := c.br.Peek(c.br.Buffered() + 1)
+		switch size := c.br.Size(); {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case errors.Is(err, bufio.ErrBufferFull) && size < mostAhead:
+			come, _ := c.br.Peek(c.br.Buffered())
+			c.buffer(bytes.Clone(come), 2*size)
+		case errors.Is(err, bufio.ErrBufferFull):
+			return c.drops()
+		default:
+			return true
+		}
+	}
+}
+
+// drops is the same where what is kept is full. Who sends without an end is not looked at for ever.
+func (c *conn) drops() bool {
+	c.server.mu.Lock()
+	c.flood = true
+	c.server.mu.Unlock()
+	var some [4 << 10]byte
+	for left := mostDropped; left > 0; {
+		n, err := c.nc.Read(some[:])
+		if err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		left -= n
+	}
+	return false
+}
+
 // relay writes a command's final answer.
 func (c *conn) relay(a dispatch.Answer, end bool) bool {
 	switch a.Verdict {
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -97,6 +97,7 @@
 	Answered bool           `json:",omitempty"` // something was asked on it before
 	Instance bool           `json:",omitempty"` // by an instance
 	Rest     []byte         `json:",omitempty"` // what was read from it and not used
+	Flood    bool           `json:",omitempty"` // what came behind that was dropped
 	ID       string         `json:",omitempty"` // the command that its client waits for,
 	Request  *http1.Request `json:",omitempty"` // as it was read, unless it was handed over before
 	Deadline time.Time      `json:",omitzero"`  // of that
@@ -274,7 +275,7 @@
 			return
 		}
 	}
-	c := &conn{server: s, nc: nc, since: time.Now(), answered: p.Answered, instance: p.Instance, rest: p.Rest}
+	c := &conn{server: s, nc: nc, since: time.Now(), answered: p.Answered, instance: p.Instance, rest: p.Rest, flood: p.Flood}
 	switch {
 	case p.Request != nil:
 		c.state, c.first = handling, func() bool { return c.command(p.Request, p.Deadline) }
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -26,13 +26,14 @@
 
 // core holds each command until the test answers it.
 type core struct {
-	taken chan *dispatch.Command
-	told  chan dispatch.News
+	taken  chan *dispatch.Command
+	lapsed chan *dispatch.Command
+	told   chan dispatch.News
 }
 
-func (c *core) Take(cmd *dispatch.Command) { c.taken <- cmd }
-func (c *core) Lapse(*dispatch.Command)    {}
-func (c *core) News(n dispatch.News)       { c.told <- n }
+func (c *core) Take(cmd *dispatch.Command)  { c.taken <- cmd }
+func (c *core) Lapse(cmd *dispatch.Command) { c.lapsed <- cmd }
+func (c *core) News(n dispatch.News)        { c.told <- n }
 
 // next returns the next command taken. Bounded: a fault must fail the test, not hang it.
 func (c *core) next(t *testing.T) *dispatch.Command {
@@ -85,7 +86,7 @@
 func serveWith(t *testing.T, most, fails int, p patience) (*core, *Server, func() net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	c := &core{taken: make(chan *dispatch.Command, 9), told: make(chan dispatch.News, 9)}
+	c := &core{taken: make(chan *dispatch.Command, 9), lapsed: make(chan *dispatch.Command, 9), told: make(chan dispatch.News, 9)}
 	s := New(c, decide.Settings{Classes: []decide.Class{{Deadline: time.Minute}}}, wire.Names{Classes: []string{"safe"}},
 		most, func() string { return "" }, slog.New(slog.DiscardHandler))
 	s.patience = p
@@ -346,3 +347,49 @@
 	fmt.Fprint(kept, "POST /api HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: safe\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nx")
 	c.next(t)
 }
+
+// A client that had sent more behind its request was not looked at any more: it went, and its command was sent on seconds
+// later. However much it has sent, it is gone once it has closed; one that stays has its answer, and those behind it too
+// unless something of them was dropped.
+func TestClientThatSendsMuchAndGoes(t *testing.T) {
+	command := "POST /api HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: safe\r\nContent-Length: 0\r\n\r\n"
+	for _, behind := range []int{0, 1, 100, 300, 3000} { // requests
+		for _, goes := range []bool{true, false} {
+			c, s, dial := serve(t, 2, 0)
+			nc := dial()
+			_, err := fmt.Fprint(nc, command+strings.Repeat(command, behind))
+			require.NoError(t, err)
+			first := c.next(t)
+			if goes {
+				nc.Close()
+				select {
+				case gone := <-c.lapsed:
+					require.Same(t, first, gone)
+				case <-time.After(20 * time.Second):
+					require.FailNow(t, "nobody saw it go", "%d behind", behind)
+				}
+				require.Empty(t, c.taken)
+				continue
+			}
+			if behind == 3000 {
+				until(t, s, func(c *conn) bool { return c.flood })
+			}
+			first.Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+			br := bufio.NewReader(nc)
+			p, err := http1.ReadResponse(br, "POST")
+			require.NoError(t, err)
+			require.Equal(t, 503, p.Status)
+			if require.Equal(t, behind == 3000, p.Close); p.Close {
+				_, err = br.ReadByte()
+				require.ErrorIs(t, err, io.EOF)
+				continue
+			}
+			for range behind {
+				c.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+				p, err = http1.ReadResponse(br, "POST")
+				require.NoError(t, err)
+				require.Equal(t, 503, p.Status)
+			}
+		}
+	}
+}
