Agree on cordons and settings in the record's root group

The root group had no machine of its own: cordons were a file in $TMPDIR of one dispatcher, and each went by the settings of its own file. With [promises] a cordon is now committed there and counts at all; a dispatcher that is cut off leaves out for itself and puts back only by commit, also after a restart.

--- a/internal/full/replicas.go
+++ b/internal/full/replicas.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"caperrelay/internal/accord"
 	"caperrelay/internal/config"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/gang"
@@ -22,8 +23,12 @@
 )
 
 // machines is what each group of the record holds.
-func machines(uint32) replica.Mux {
-	return replica.Mux{replica.Promises: promise.New(), replica.Gangs: gang.New()}
+func machines(group uint32) replica.Mux {
+	m := replica.Mux{replica.Promises: promise.New(), replica.Gangs: gang.New()}
+	if group == replica.Root {
+		m[replica.Roots] = accord.New()
+	}
+	return m
 }
 
 // newReplicas makes this daemon's part of the record, which others call at the control listener.
--- a/internal/full/serve.go
+++ b/internal/full/serve.go
@@ -44,13 +44,21 @@
 			s.Leasing = decide.Leasing{On: true, Turn: -1, Turns: f.Control.Senders, Share: lease.TurnsShare}
 		}
 	}
-	c, err := config.LoadBy(getenv, adjust, func() ([]byte, error) {
+	read := func() ([]byte, error) {
 		f, err := siteconf.Load(path)
 		if err != nil {
 			return nil, err
 		}
 		return f.Platform()
-	})
+	}
+	var agreed *accords
+	if f.Promises != nil { // what all must have alike is agreed on
+		if agreed, err = newAccords(path, f, getenv, adjust); err != nil {
+			return nil, err
+		}
+		read = agreed.platform
+	}
+	c, err := config.LoadBy(getenv, adjust, read)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -68,7 +76,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.Parts = append(s.Parts, replicasPart(host), promisesPart(f, host, beside.add))
+		s.Parts = append(s.Parts, replicasPart(host), agreed.part(host), promisesPart(f, host, beside.add))
 		if f.Pipelines != nil {
 			part, err := pipelinesPart(f, host, beside)
 			if err != nil {
--- a/internal/program/cordons.go
+++ b/internal/program/cordons.go
@@ -38,18 +38,53 @@
 	Out bool
 }
 
+// Keeper is where cordons are kept that are not this dispatcher's alone. Its part's LeftOut tells them at the start.
+type Keeper interface {
+	// Cordon leaves an instance out, or uses it again, everywhere; an error says how far that is not so. It may wait for
+	// as long as a disk may.
+	Cordon(id string, out bool) error
+}
+
+// Cordons is what a Keeper does.
+type Cordons interface {
+	// KeepBy has cordons go by way of it. It must come before the program runs.
+	KeepBy(Keeper)
+	// Leave leaves instances out; only: and uses all others again.
+	Leave(ids []string, only bool)
+}
+
+type agreed struct{ p *Program }
+
+func (a agreed) KeepBy(k Keeper) { a.p.keeper = k }
+
+func (a agreed) Leave(ids []string, only bool) {
+	p := a.p
+	p.cordons.mu.Lock()
+	defer p.cordons.mu.Unlock()
+	var changes []cordoning
+	for _, id := range ids {
+		if !p.cordons.out[id] {
+			changes = append(changes, cordoning{id, true})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.cordons.out)) {
+		if only && !slices.Contains(ids, id) {
+			changes = append(changes, cordoning{id, false})
+		}
+	}
+	for _, c := range changes {
+		p.leaveOut(c, nil)
+	}
+}
+
 // Cordon leaves an instance out: from the yes on nothing new is sent there.
 func (p *Program) Cordon(id string) error { return p.cordon(cordoning{id, true}, nil) }
 
 // Uncordon uses it again.
 func (p *Program) Uncordon(id string) error { return p.cordon(cordoning{id, false}, nil) }
 
-// cordon does either. from is the process that told of it, nil: an operator here.
-func (p *Program) cordon(c cordoning, from *handover.Link) error {
-	if !p.pool.Knows(c.ID) && from == nil {
-		return fmt.Errorf("%s is not known", c.ID)
-	}
-	p.cordons.mu.Lock()
+// leaveOut does either here, and tells other processes but one. The lock is held.
+func (p *Program) leaveOut(c cordoning, from *handover.Link) (ids []string) {
 	if p.cordons.out[c.ID] = c.Out; !c.Out {
 		delete(p.cordons.out, c.ID)
 	}
@@ -62,8 +97,21 @@
 		}
 	}
 	p.mu.Unlock()
-	ids := slices.Sorted(maps.Keys(p.cordons.out))
+	ids = slices.Sorted(maps.Keys(p.cordons.out))
 	p.each(func(t Part) { t.Cordoned(ids) })
+	return ids
+}
+
+// cordon does either. from is the process that told of it, nil: an operator here.
+func (p *Program) cordon(c cordoning, from *handover.Link) error {
+	if !p.pool.Knows(c.ID) && from == nil {
+		return fmt.Errorf("%s is not known", c.ID)
+	}
+	if p.keeper != nil && from == nil {
+		return p.keeper.Cordon(c.ID, c.Out)
+	}
+	p.cordons.mu.Lock()
+	ids := p.leaveOut(c, from)
 	var kept <-chan error
 	if p.cordons.unkept = from != nil; from == nil { // else that process writes the file, or this one once that has gone
 		kept = p.keep()
@@ -104,7 +152,7 @@
 func (p *Program) keepAll() {
 	p.cordons.mu.Lock()
 	defer p.cordons.mu.Unlock()
-	if p.cordons.unkept {
+	if p.cordons.unkept && p.keeper == nil {
 		p.keep()
 	}
 }
@@ -153,7 +201,7 @@
 // leftOut is who was left out last: by the file, which is of this moment, or where the machine has lost that by a
 // part that keeps it for longer.
 func (p *Program) leftOut() (ids []string) {
-	if _, err := os.Stat(p.cordonsFile()); !errors.Is(err, os.ErrNotExist) {
+	if _, err := os.Stat(p.cordonsFile()); p.keeper == nil && !errors.Is(err, os.ErrNotExist) {
 		return p.stored()
 	}
 	p.each(func(t Part) {
--- a/internal/program/part.go
+++ b/internal/program/part.go
@@ -36,6 +36,11 @@
 	// Config is the one that the program starts with.
 	Config *config.Config
 	Lists  Lists
+	// Cordons are the instances that people leave out.
+	Cordons Cordons
+	// Reload has the configuration taken anew, as a SIGHUP does but for what parts do at that, and tells of the outcome
+	// once the program runs. It does not block.
+	Reload func(done func(error))
 }
 
 // NewPart makes a part.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -77,6 +78,8 @@
 	cordons cordons
 	fresh   chan struct{} // closed once discovery has told of the list
 	parts   []Part
+	keeper  Keeper // nil: cordons are in a file
+	reloads chan func(error)
 	sharer  Sharer          // nil: the list comes from the own watch alone
 	mute    bool            // who is at the door tells nothing
 	telling sync.Mutex      // of a list: one at a time
@@ -105,7 +108,7 @@
 func New(c *config.Config, logger *slog.Logger, parts ...NewPart) (*Program, error) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetGCPercent(collectAt)
-	p := &Program{config: c, log: logger, fresh: make(chan struct{}), cordons: cordons{out: map[string]bool{}, write: replace}, discovery: c.Discovery, since: time.Now()}
+	p := &Program{config: c, log: logger, fresh: make(chan struct{}), reloads: make(chan func(error), 4), cordons: cordons{out: map[string]bool{}, write: replace}, discovery: c.Discovery, since: time.Now()}
 	sockets := c.Limits.Sockets - reservedSockets
 	p.bounds.pool = sockets * 2 / 5
 	p.pool = instances.NewPool(instances.Limits{
@@ -128,7 +131,7 @@
 		p.parts = append(p.parts, &admin{program: p, address: c.Admin})
 	}
 	for _, n := range parts {
-		t, err := n(Core{Loop: p.loop, Log: logger, Config: c, Lists: lists{p}})
+		t, err := n(Core{Loop: p.loop, Log: logger, Config: c, Lists: lists{p}, Cordons: agreed{p}, Reload: p.again})
 		if err != nil {
 			return nil, err
 		}
@@ -262,8 +265,15 @@
 		select {
 		case <-ctx.Done():
 			return
+		case done := <-p.reloads:
+			done(p.reload())
 		case s := <-signals:
 			if s == syscall.SIGHUP {
+				p.each(func(t Part) {
+					if h, ok := t.(interface{ Asked() }); ok {
+						h.Asked()
+					}
+				})
 				p.reload()
 			} else {
 				p.end()
@@ -287,8 +297,17 @@
 	return s
 }
 
+// again has the configuration taken anew.
+func (p *Program) again(done func(error)) {
+	select {
+	case p.reloads <- done:
+	default:
+		go done(errors.New("the program has reloads to do already"))
+	}
+}
+
 // reload takes the configuration file as it is now. A faulty one changes nothing.
-func (p *Program) reload() {
+func (p *Program) reload() error {
 	next, err := p.config.Reload()
 	if err == nil {
 		err = p.loop.Retune(p.bound(next.Settings), next.Names) // the module has the last word
@@ -296,7 +315,7 @@
 	if err != nil {
 		p.loop.Books.LoadErrors.Add(1)
 		p.log.Error("configuration not reloaded", "err", err)
-		return
+		return err
 	}
 	p.server.Retune(next.Settings, next.Names)
 	p.loads.Retune(next.Names.Reports)
@@ -319,6 +338,7 @@
 			p.sharer.Moved()
 		}
 	}
+	return nil
 }
 
 // end has the program end in order.
--- a/internal/siteconf/siteconf.go
+++ b/internal/siteconf/siteconf.go
@@ -639,7 +639,7 @@
 // Platform is the file in the form of the platform's JSON, PROXY_CONFIG.
 func (f *File) Platform() ([]byte, error) {
 	type object = map[string]any
-	var classes, tenants []object
+	classes, tenants := []object{}, []object{} // an empty list is a list
 	var kinds []int
 	var stretch []float64
 	var skus []string
