--- /dev/null
+++ b/internal/gang/clock_test.go
@@ -0,0 +1,130 @@
+package gang
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// heldGang is a group in which a gang of two members is held, planned by the clock "n0/1".
+func heldGang(t *testing.T) (m *Machine, encoders []Encoder, start time.Duration) {
+	m, start = New(), unix+2*time.Second
+	p := &Plan{Round: 1, Start: start, Clock: "n0/1", Encoders: []string{"s-0", "s-1"}, Starters: []string{"n1", "n2"}}
+	for i, id := range p.Encoders {
+		x := Encoder{ID: id, Site: []string{"a", "b"}[i], Kind: "m2", Slots: 4, Gen: 1}
+		encoders = append(encoders, x)
+		m.apply(unix, Command{Op: "set", Resource: &Resource{ID: x.Account(), Slots: 4, Gen: 1}})
+		p.Holds = append(p.Holds, Hold{x.Account(), 0, 1, 1, start, start + time.Second})
+	}
+	one := Member{Slots: 1, Work: 500 * ms, Class: "live"}
+	for _, c := range []Command{
+		{Op: "submit", Spec: &Spec{ID: "g", Members: []Member{one, one}, LatestStart: start + time.Minute}},
+		{Op: "plan", Gang: "g", Plan: p},
+		{Op: "prepare", Standing: &Standing{Gang: "g", Round: 1, Holds: p.Holds, Clock: p.Clock}},
+		{Op: "vote", Gang: "g", Round: 1},
+		{Op: "commit", Gang: "g", Round: 1},
+	} {
+		r := m.apply(unix, c)
+		require.True(t, r.OK, r.Err)
+	}
+	return m, encoders, start
+}
+
+// words are those of a kind that a coordinator tells, by dispatcher.
+func words(c *Coordinator, kind Kind) map[string]Word {
+	all := map[string]Word{}
+	for _, a := range c.Did() {
+		if t, ok := a.(Tell); ok && t.Kind == kind {
+			all[t.To] = t.Word
+		}
+	}
+	return all
+}
+
+// measure has a coordinator learn of a dispatcher's clock, which is so far ahead of its own.
+func measure(c *Coordinator, now time.Duration, who, clock string, ahead, trip time.Duration) {
+	c.Said(now, now-trip, who, Word{}, Said{Now: now - trip/2 + ahead, Clock: clock}, 0)
+}
+
+// Whoever coordinates goes by the clock that a start was planned by: two whose clocks are 200 ms apart name the same
+// moment to a dispatcher. One that never measured that clock has the gang planned anew.
+func TestStartGoesByOneClock(t *testing.T) {
+	m, encoders, start := heldGang(t)
+	planner, next, stranger := NewCoordinator("n0/1"), NewCoordinator("n3/1"), NewCoordinator("n4/1")
+	at := start - 400*ms // by the planner's clock; n1's is 50 ms ahead of it, n2's 80 behind, and n3's 200 ahead
+	named := map[string]Word{}
+	for _, c := range []*Coordinator{planner, next} {
+		now, own := at, time.Duration(0)
+		if c == next {
+			own = 200 * ms
+			measure(c, now+own, "n0", "n0/1", -own, 2*ms)
+		}
+		measure(c, now+own, "n1", "n1/1", 50*ms-own, 2*ms)
+		measure(c, now+own, "n2", "n2/1", -80*ms-own, 2*ms)
+		c.Step(now+own, 0, m, encoders)
+		told := words(c, Arm)
+		require.Len(t, told, 2)
+		for who, w := range told {
+			require.Len(t, w.Parts, 1)
+			if before, was := named[who]; was {
+				require.LessOrEqual(t, (w.At - before.At).Abs(), w.Err+before.Err, who)
+			}
+			named[who] = w
+		}
+	}
+	require.InDelta(t, start+50*ms, named["n1"].At, float64(named["n1"].Err))
+	require.InDelta(t, start-80*ms, named["n2"].At, float64(named["n2"].Err))
+	stranger.Step(at, 0, m, encoders)
+	require.Contains(t, stranger.Did(), Propose{"0/drop/g/1/0/0//", 0, Command{Op: "drop", Gang: "g", Round: 1, Why: "the clock that its start goes by is not known"}})
+}
+
+// A dispatcher comes anew with its clock stepped by 200 ms, and is measured worse than before: the old measure is dropped,
+// whoever was ready by it is asked again, and where only its clock was put to another time, too.
+func TestClockThatWasPutToAnotherTime(t *testing.T) {
+	m, encoders, start := heldGang(t)
+	for _, clock := range []string{"n1/2", "n1/1"} {
+		c := NewCoordinator("n0/1")
+		now := start - 500*ms
+		for _, who := range []string{"n1", "n2"} {
+			measure(c, now, who, who+"/1", 0, ms)
+		}
+		c.Step(now, 0, m, encoders)
+		for who, w := range words(c, Arm) {
+			c.Said(now+ms, now, who, w, Said{Now: now, Clock: who + "/1", Parts: []PartSaid{{Member: w.Parts[0].Member, Armed: true}}}, 0)
+		}
+		require.Len(t, c.armed["g/1"], 2)
+		measure(c, now+20*ms, "n1", clock, 200*ms, 30*ms)
+		require.Empty(t, c.armed["g/1"])
+		require.EqualValues(t, 1, c.Stats.Jumps)
+		c.Step(now+20*ms, 0, m, encoders)
+		w := words(c, Arm)["n1"]
+		require.InDelta(t, start+200*ms, w.At, float64(w.Err))
+		require.GreaterOrEqual(t, w.Err, 15*ms)
+
+		// A word that was sent before makes nobody ready.
+		w.offset, w.Err = 0, ms
+		c.Said(now+25*ms, now, "n1", w, Said{Now: now + 212*ms, Clock: clock, Parts: []PartSaid{{Armed: true}}}, 0)
+		require.Empty(t, c.armed["g/1"])
+	}
+}
+
+// A starter that is told to go at another time than it was made ready for does not start: one of the clocks was put to
+// another time in between.
+func TestGoForAnotherTime(t *testing.T) {
+	for _, by := range []time.Duration{0, 4 * ms, 40 * ms, -200 * ms} {
+		s := NewStarter()
+		w := Word{Kind: Arm, Gang: "g", Round: 1, At: unix + 500*ms, Err: 3 * ms, Skew: 250 * ms, Parts: []Part{{Member: 1, Encoder: "s-1"}}}
+		require.True(t, s.Word(unix, w).Parts[0].Armed)
+		w.Kind, w.At = Go, w.At+by
+		said := s.Word(unix+10*ms, w).Parts[0]
+		s.Tick(unix + 500*ms)
+		if by.Abs() <= 6*ms {
+			require.Equal(t, Unknown, said.Fate)
+			require.Len(t, s.Did(), 1)
+			continue
+		}
+		require.Equal(t, NeverRan, said.Fate)
+		require.Empty(t, s.Did())
+	}
+}
--- a/internal/gang/coordinator.go
+++ b/internal/gang/coordinator.go
@@ -55,11 +55,15 @@
 	flying map[string]Propose       // under way, by key
 	asked  map[string]time.Duration // by key: not to be proposed again before
 	told   map[string]time.Duration // by dispatcher, gang and kind: when last
-	clocks map[string]*Clock
-	heard  map[string]heard        // of dispatchers
-	armed  map[string]map[int]bool // by gang and round: members whose dispatchers are ready
-	ran    map[string]map[int]bool // and those that know that all run
-	known  map[string]map[int]Fate // and what the home has been told of them
+	clock  string                   // the own one's name
+	clocks map[string]*Clock        // by their names
+	whose  map[string]string        // a dispatcher's clock
+	goes   map[string]string        // by gang and round: the clock that its plan goes by
+	heard  map[string]heard         // of dispatchers
+	armed  map[string]map[int]bool  // by gang and round: members whose dispatchers are ready
+	ran    map[string]map[int]bool  // and those that know that all run
+	free   map[string]map[int]bool  // and groups in which its room is free
+	known  map[string]map[int]Fate  // and what the home has been told of them
 	began  map[string]time.Duration
 	homes  map[string]uint32        // of the gangs that are known here
 	seen   map[string]time.Duration // undecided holds, by gang and round: since when
@@ -72,14 +76,16 @@
 // Stats counts what a coordinator did.
 type Stats struct {
 	Wounds, Stalls uint64
+	Jumps          uint64        // of clocks that were put to another time, and processes that came anew
 	WorstError     time.Duration // of a clock that was gone by
 }
 
-// NewCoordinator returns one that has nothing in hand.
-func NewCoordinator() *Coordinator {
+// NewCoordinator returns one that has nothing in hand. Its clock has a name that no other has, no former process either.
+func NewCoordinator(clock string) *Coordinator {
 	return &Coordinator{
+		clock: clock, whose: map[string]string{}, goes: map[string]string{},
 		flying: map[string]Propose{}, asked: map[string]time.Duration{}, told: map[string]time.Duration{}, clocks: map[string]*Clock{}, heard: map[string]heard{},
-		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, homes: map[string]uint32{}, seen: map[string]time.Duration{},
+		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, free: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, homes: map[string]uint32{}, seen: map[string]time.Duration{},
 	}
 }
 
@@ -125,6 +131,10 @@
 		}
 	case "prepare":
 		c.prepared(now, p, r)
+	case "ready":
+		if c.asked[key] = now + 2*askRival; r.OK {
+			mark(c.free, fmt.Sprint(p.Gang, "/", p.Round), int(p.Group))
+		}
 	case "ask":
 		if e := r.Entry; r.Gone || e != nil && (e.Plan == nil || e.Plan.Round != p.Round) && (e.Old == nil || e.Old.Round != p.Round) {
 			c.propose(now, p.Command.Group, Command{Op: "undo", Gang: p.Gang, Round: p.Round, By: "its home"})
@@ -143,7 +153,7 @@
 	s := p.Standing
 	switch {
 	case r.OK:
-		c.propose(now, s.Home, Command{Op: "vote", Gang: s.Gang, Round: s.Round, Group: p.Group})
+		c.propose(now, s.Home, Command{Op: "vote", Gang: s.Gang, Round: s.Round, Group: p.Group, At: c.when(now, s.Gang, s.Round)})
 	case len(r.With) > 0 && now-c.began[s.Gang] < prepareFor:
 		for _, o := range r.With { // the older goes first; a younger waits for it, so that no two wait for each other
 			if older(s.Age, s.Gang, o.Age, o.Gang) {
@@ -165,12 +175,7 @@
 
 // Said takes what a dispatcher said to a word that was sent at a time.
 func (c *Coordinator) Said(now, sent time.Duration, to string, w Word, s Said, home uint32) {
-	k := c.clocks[to]
-	if k == nil {
-		k = &Clock{}
-		c.clocks[to] = k
-	}
-	k.Measured(sent, s.Now, now)
+	k := c.measured(now, sent, to, s)
 	c.heard[to] = heard{now, s.Site}
 	if w.Kind == Back {
 		return
@@ -178,7 +183,7 @@
 	id := fmt.Sprint(w.Gang, "/", w.Round)
 	for _, t := range s.Parts {
 		switch {
-		case w.Kind == Arm && t.Armed && w.At > 0:
+		case w.Kind == Arm && t.Armed && w.At > 0 && k.still(now, w):
 			mark(c.armed, id, t.Member)
 		case w.Kind == Arm && t.Fate != Unknown:
 			c.propose(now, home, Command{Op: "drop", Gang: w.Gang, Round: w.Round, Why: fmt.Sprintf("member %d: %s: %s", t.Member, to, t.Why)})
@@ -190,11 +195,58 @@
 			mark(c.ran, id, t.Member)
 		}
 		if t.Fate != c.known[id][t.Member] {
-			c.propose(now, home, Command{Op: "report", Gang: w.Gang, Round: w.Round, Member: t.Member, Fate: t.Fate, Why: t.Why})
+			c.propose(now, home, Command{Op: "report", Gang: w.Gang, Round: w.Round, Member: t.Member, Fate: t.Fate, Why: t.Why, At: c.when(now, w.Gang, w.Round)})
 		}
 	}
 }
 
+// measured takes what an answer says of a dispatcher's clock. Where it was put to another time, whoever was ready may be so
+// for another start than the others: all are asked again.
+func (c *Coordinator) measured(now, sent time.Duration, to string, s Said) *Clock {
+	name := cmp.Or(s.Clock, to)
+	before, known := c.whose[to]
+	c.whose[to] = name
+	k := c.clocks[name]
+	if k == nil {
+		maps.DeleteFunc(c.clocks, func(_ string, k *Clock) bool { return now-k.at > forgetIn })
+		k = &Clock{}
+		c.clocks[name] = k
+	}
+	if jumped := k.Measured(sent, s.Now, now); jumped || known && before != name {
+		c.Stats.Jumps++
+		clear(c.armed)
+	}
+	return k
+}
+
+// time is now by the clock that a plan goes by, and by how much that may be wrong; false: that clock is not known.
+func (c *Coordinator) time(now time.Duration, clock string) (t, err time.Duration, ok bool) {
+	if clock == "" || clock == c.clock {
+		return now, 0, true
+	}
+	if k := c.clocks[clock]; k != nil {
+		offset, err, ok := k.Offset(now)
+		return now + offset, err, ok
+	}
+	return now, 0, false
+}
+
+// Ahead is how far a clock is ahead of the own one, as far as it is known.
+func (c *Coordinator) Ahead(now time.Duration, clock string) time.Duration {
+	t, _, _ := c.time(now, clock)
+	return t - now
+}
+
+// when is now by the clock that a gang's plan goes by; 0: it is not known.
+func (c *Coordinator) when(now time.Duration, gang string, round uint64) time.Duration {
+	if clock, known := c.goes[fmt.Sprint(gang, "/", round)]; known {
+		if t, _, ok := c.time(now, clock); ok {
+			return t
+		}
+	}
+	return 0
+}
+
 func mark(m map[string]map[int]bool, id string, n int) {
 	if m[id] == nil {
 		m[id] = map[int]bool{}
@@ -214,24 +266,33 @@
 			// The gang's home goes along, to be told of it.
 			c.propose(now, d.Group, Command{Op: d.Op, Gang: e.Spec.ID, Round: d.Round, Group: group})
 		}
+		t, ok := now, true // by the clock that its plan goes by
+		if e.Plan != nil {
+			c.goes[fmt.Sprint(e.Spec.ID, "/", e.Plan.Round)] = e.Plan.Clock
+			t, _, ok = c.time(now, e.Plan.Clock)
+		}
 		switch e.State {
 		case Waiting:
 			c.waiting(now, group, e, encoders)
 		case Preparing:
-			c.preparing(now, group, e)
+			c.preparing(now, t, group, e)
 		case Held:
-			c.held(now, group, e, encoders)
+			if !ok { // whoever planned it is gone, and nobody here ever measured its clock
+				c.propose(now, group, Command{Op: "drop", Gang: e.Spec.ID, Round: e.Plan.Round, Why: "the clock that its start goes by is not known"})
+				continue
+			}
+			c.held(now, t, group, e, encoders)
 		case Going:
-			if c.tell(now, e, Go, tellEvery); now > e.Plan.Start+Within {
-				c.propose(now, group, Command{Op: "off", Gang: e.Spec.ID, Round: e.Plan.Round})
+			if c.tell(now, e, Go, tellEvery); t > e.Plan.Start+Within {
+				c.propose(now, group, Command{Op: "off", Gang: e.Spec.ID, Round: e.Plan.Round, At: t})
 			}
 		case Off:
 			c.tell(now, e, No, tellEvery)
-			if c.takeBack(now, e); now >= e.Plan.Start+SettleAt {
-				c.propose(now, group, Command{Op: "settle", Gang: e.Spec.ID, Round: e.Plan.Round})
+			if c.takeBack(now, e); t >= e.Plan.Start+SettleAt {
+				c.propose(now, group, Command{Op: "settle", Gang: e.Spec.ID, Round: e.Plan.Round, At: t})
 			}
 		case Running:
-			c.running(now, group, e)
+			c.running(now, t, group, e)
 		}
 	}
 	for id, home := range c.homes {
@@ -245,9 +306,10 @@
 func (c *Coordinator) forget(gang string) {
 	delete(c.began, gang)
 	delete(c.homes, gang)
-	for _, m := range []map[string]map[int]bool{c.armed, c.ran} {
+	for _, m := range []map[string]map[int]bool{c.armed, c.ran, c.free} {
 		maps.DeleteFunc(m, func(id string, _ map[int]bool) bool { return strings.HasPrefix(id, gang+"/") })
 	}
+	maps.DeleteFunc(c.goes, func(id, _ string) bool { return strings.HasPrefix(id, gang+"/") })
 	maps.DeleteFunc(c.known, func(id string, _ map[int]Fate) bool { return strings.HasPrefix(id, gang+"/") })
 	for _, m := range []map[string]time.Duration{c.told, c.asked} {
 		if len(m) > mostHolds {
@@ -290,15 +352,20 @@
 // plan proposes a plan. What it takes is left alone by the plans that follow.
 func (c *Coordinator) plan(now time.Duration, group uint32, e *Entry, p *Plan) {
 	c.began[e.Spec.ID] = now
+	t := now
+	if p.Clock = c.clock; e.Plan != nil { // a move keeps the start, and so what it goes by
+		p.Clock = e.Plan.Clock
+		t, _, _ = c.time(now, p.Clock)
+	}
 	c.view.Standing = append(slices.Clone(c.view.Standing), Standing{Gang: e.Spec.ID, Round: p.Round, Home: group, Age: e.Age, Holds: p.Holds})
-	c.propose(now, group, Command{Op: "plan", Gang: e.Spec.ID, Round: p.Round, Plan: p})
+	c.propose(now, group, Command{Op: "plan", Gang: e.Spec.ID, Round: p.Round, Plan: p, At: t})
 }
 
-func (c *Coordinator) preparing(now time.Duration, group uint32, e *Entry) {
+func (c *Coordinator) preparing(now, t time.Duration, group uint32, e *Entry) {
 	if _, known := c.began[e.Spec.ID]; !known { // another coordinator's
 		c.began[e.Spec.ID] = now
 	}
-	if now > e.Plan.Start-voteBy || now-c.began[e.Spec.ID] > prepareFor+again {
+	if t > e.Plan.Start-voteBy || now-c.began[e.Spec.ID] > prepareFor+again {
 		c.propose(now, group, Command{Op: "abort", Gang: e.Spec.ID, Round: e.Plan.Round, Why: "its holds took too long"})
 		return
 	}
@@ -307,7 +374,7 @@
 			continue
 		}
 		c.propose(now, g, Command{Op: "prepare", Standing: &Standing{
-			Gang: e.Spec.ID, Round: e.Plan.Round, Home: group, Age: e.Age, Holds: e.Plan.of(g),
+			Gang: e.Spec.ID, Round: e.Plan.Round, Home: group, Age: e.Age, Clock: e.Plan.Clock, Holds: e.Plan.Of(g),
 		}})
 	}
 }
@@ -323,13 +390,13 @@
 	return false
 }
 
-func (c *Coordinator) held(now time.Duration, group uint32, e *Entry, encoders []Encoder) {
+func (c *Coordinator) held(now, t time.Duration, group uint32, e *Entry, encoders []Encoder) {
 	id, p := e.Spec.ID, e.Plan
 	if _, known := c.began[id]; !known {
 		c.began[e.Spec.ID] = now
 	}
 	recalled := ""
-	if now < p.Start-ArmAhead && c.fresh(now, watchFor) {
+	if t < p.Start-ArmAhead && c.fresh(now, watchFor) {
 		recalled = c.recalled(e)
 	}
 	for i := range e.Spec.Members {
@@ -338,7 +405,7 @@
 			continue
 		}
 		why = cmp.Or(why, fmt.Sprintf("member %d: %s cannot be used", i, p.Encoders[i]))
-		if now > p.Start-voteBy-again {
+		if t > p.Start-voteBy-again {
 			c.propose(now, group, Command{Op: "drop", Gang: id, Round: p.Round, Why: why})
 			return
 		}
@@ -359,24 +426,34 @@
 		c.plan(now, group, e, moved)
 		return
 	}
-	if c.sends(now, group, e, encoders) || now < p.Start-ArmAhead {
+	if c.sends(now, t, group, e, encoders) || t < p.Start-ArmAhead {
 		return
 	}
-	if now > p.Start-GoBy {
-		c.propose(now, group, Command{Op: "drop", Gang: id, Round: p.Round, Why: "not all dispatchers were ready"})
+	armed, free := len(c.armed[fmt.Sprint(id, "/", p.Round)]) == len(e.Spec.Members), c.free[fmt.Sprint(id, "/", p.Round)]
+	if t > p.Start-GoBy {
+		why := "not all dispatchers were ready"
+		if armed {
+			why = "what has its room before it had not ended"
+		}
+		c.propose(now, group, Command{Op: "drop", Gang: id, Round: p.Round, Why: why})
 		return
 	}
-	if armed := c.armed[fmt.Sprint(id, "/", p.Round)]; len(armed) == len(e.Spec.Members) {
-		c.propose(now, group, Command{Op: "go", Gang: id, Round: p.Round, Armed: p.Starters})
+	for _, g := range p.groups() {
+		if !free[int(g)] {
+			c.propose(now, g, Command{Op: "ready", Gang: id, Round: p.Round})
+		}
+	}
+	if armed && len(free) == len(p.groups()) {
+		c.propose(now, group, Command{Op: "go", Gang: id, Round: p.Round, Armed: p.Starters, At: t})
 		return
 	}
 	c.tell(now, e, Arm, tellEvery)
 }
 
 // sends has another dispatcher send what whoever coordinates by now would: the home may have changed hands since.
-func (c *Coordinator) sends(now time.Duration, group uint32, e *Entry, encoders []Encoder) bool {
+func (c *Coordinator) sends(now, t time.Duration, group uint32, e *Entry, encoders []Encoder) bool {
 	self, p := c.view.Self, e.Plan
-	if !slices.Contains(p.Starters, self) || now < p.Start-2*ArmAhead || now > p.Start-ArmAhead || !c.fresh(now, viewFor) {
+	if !slices.Contains(p.Starters, self) || t < p.Start-2*ArmAhead || t > p.Start-ArmAhead || !c.fresh(now, viewFor) {
 		return false
 	}
 	v := c.view
@@ -414,10 +491,15 @@
 	return ""
 }
 
-func (c *Coordinator) running(now time.Duration, group uint32, e *Entry) {
+func (c *Coordinator) running(now, t time.Duration, group uint32, e *Entry) {
 	every := tellEvery
 	if len(c.ran[fmt.Sprint(e.Spec.ID, "/", e.Plan.Round)]) == len(e.Spec.Members) {
 		every = tellSlow
+		for i, f := range e.Fates {
+			if f == Began && t > e.Plan.Start+e.Spec.Members[i].Work-tellSlow {
+				every = 2 * tellEvery // others wait for its room
+			}
+		}
 	}
 	kind := Run
 	if e.Stops() {
@@ -428,8 +510,8 @@
 		c.takeBack(now, e)
 	}
 	for i, f := range e.Fates {
-		if f == Began && now > e.Plan.Start+length(e.Spec.Members[i])+lostFor {
-			c.propose(now, group, Command{Op: "report", Gang: e.Spec.ID, Round: e.Plan.Round, Member: i, Fate: Died, Why: "no word of it"})
+		if f == Began && t > e.Plan.Start+length(e.Spec.Members[i])+lostFor {
+			c.propose(now, group, Command{Op: "report", Gang: e.Spec.ID, Round: e.Plan.Round, Member: i, Fate: Died, Why: "no word of it", At: t})
 		}
 	}
 }
@@ -456,11 +538,12 @@
 		c.told[key] = now
 		w := Word{Kind: kind, Gang: e.Spec.ID, Round: p.Round, Skew: e.Spec.Skew, Parts: to[name]}
 		offset, err, ok := time.Duration(0), time.Duration(0), false
-		if k := c.clocks[name]; k != nil {
+		if k := c.clocks[c.whose[name]]; k != nil {
 			offset, err, ok = k.Offset(now)
 		}
-		if ok && err <= e.Spec.Skew/4 { // else it is asked for its clock alone: such a word arms nobody
-			w.At = p.Start + offset
+		t, wrong, known := c.time(now, p.Clock)
+		if err += wrong; ok && known && err <= e.Spec.Skew/4 { // else it is asked for its clock alone: such a word arms nobody
+			w.At, w.Err, w.offset = p.Start+offset+now-t, err, offset
 			c.Stats.WorstError = max(c.Stats.WorstError, err)
 		} else if kind == Arm {
 			w.Parts = nil
--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -118,15 +118,17 @@
 	Until    time.Duration `json:"until"`
 }
 
-// length is for how long a member's slots are held at first: its work and a tenth. What is late keeps them.
-func length(m Member) time.Duration { return m.Work + m.Work/10 + 100*time.Millisecond }
+// length is for how long a member's slots are held at first: its work, and until its end is known to the accounts, before
+// the word to go of whoever is next. What is late keeps them.
+func length(m Member) time.Duration { return m.Work + m.Work/50 + GoBy + 150*time.Millisecond }
 
 // Plan is where and when a gang is to run.
 type Plan struct {
 	Round    uint64        `json:"round"`
 	Start    time.Duration `json:"start"`
-	Encoders []string      `json:"encoders"` // by member
-	Starters []string      `json:"starters"` // by member: the dispatcher that sends it
+	Clock    string        `json:"clock,omitempty"` // by which the start and the holds go: the planner's
+	Encoders []string      `json:"encoders"`        // by member
+	Starters []string      `json:"starters"`        // by member: the dispatcher that sends it
 	Holds    []Hold        `json:"holds"`
 }
 
@@ -142,8 +144,8 @@
 	return all
 }
 
-// of is the plan's part in a group.
-func (p *Plan) of(group uint32) (holds []Hold) {
+// Of is the plan's part in a group.
+func (p *Plan) Of(group uint32) (holds []Hold) {
 	for _, h := range p.Holds {
 		if h.Group == group {
 			holds = append(holds, h)
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -51,6 +51,8 @@
 	skew    time.Duration
 	waited  time.Duration
 	specs   map[string]Spec
+	late    time.Duration // by which members run longer than they said, at most
+	cap     int           // of slots lent, checked by what runs; 0: it is not
 }
 
 type daemon struct {
@@ -61,7 +63,7 @@
 	*Starter
 	offset time.Duration
 	rate   float64
-	leads  map[int]bool
+	clock  string
 }
 
 type run struct {
@@ -79,7 +81,7 @@
 	do func()
 }
 
-func (d *daemon) clock(now time.Duration) time.Duration {
+func (d *daemon) time(now time.Duration) time.Duration {
 	return now + d.offset + time.Duration(float64(now-unix)*d.rate)
 }
 
@@ -92,7 +94,7 @@
 		w.groups = append(w.groups, New())
 	}
 	for n := range daemons {
-		d := &daemon{n: n, name: fmt.Sprint("n", n), offset: time.Duration(w.Int64N(int64(80*ms))) - 40*ms, rate: (w.Float64() - 0.5) * 1e-4}
+		d := &daemon{n: n, name: fmt.Sprint("n", n), rate: (w.Float64() - 0.5) * 1e-4}
 		w.daemons = append(w.daemons, d)
 		w.boot(d)
 	}
@@ -111,32 +113,41 @@
 	w.do(g, Command{Op: "set", Resource: &Resource{ID: Lender("tuk"), Slots: slots, Gen: gen}})
 }
 
+// boot starts a daemon's process, whose clock goes on from the wall's: that was stepped by up to a fifth of a second.
 func (w *world) boot(d *daemon) {
-	d.up, d.Coordinator, d.Starter = true, NewCoordinator(), NewStarter()
-	d.leads = map[int]bool{}
+	w.stats["boots"]++
+	d.clock, d.offset = fmt.Sprint(d.name, "/", w.stats["boots"]), time.Duration(w.Int64N(int64(400*ms)))-200*ms
+	d.up, d.Coordinator, d.Starter = true, NewCoordinator(d.clock), NewStarter()
 }
 
 // do applies a command: what a group's majority does at once.
-func (w *world) do(group uint32, c Command) Result {
+func (w *world) do(group uint32, c Command) Result { return w.doBy(w.now, group, c) }
+
+// doBy applies one that is given its time by a daemon's clock.
+func (w *world) doBy(at time.Duration, group uint32, c Command) Result {
 	m := w.groups[group]
-	r, err := Decode(m.Apply(0, w.now, c.Encode()))
+	had := false
+	if c.Op == "prepare" {
+		_, had = m.find(c.Standing.Gang, c.Standing.Round)
+	}
+	r, err := Decode(m.Apply(0, at, c.Encode()))
 	require.NoError(w.t, err)
-	if c.Op == "prepare" && r.OK {
-		w.sums(m, c.Standing.Gang)
+	if c.Op == "prepare" && r.OK && !had {
+		w.sums(m, c.Standing.Gang, c.Standing.Round)
 	}
 	return r
 }
 
 // sums checks the accounts that a gang has just got room of, at each moment at which anything begins to be held.
-func (w *world) sums(m *Machine, gang string) {
+func (w *world) sums(m *Machine, gang string, round uint64) {
 	for _, mine := range m.Standing {
 		for _, h := range mine.Holds {
 			for _, o := range m.Standing {
 				for _, at := range o.Holds {
-					if mine.Gang != gang || at.Resource != h.Resource || at.From < h.From || at.From >= h.Until {
+					if mine.Gang != gang || mine.Round != round || at.Resource != h.Resource || at.From < h.From || at.From >= h.Until {
 						continue
 					}
-					if n := slotsAt(m, h.Resource, at.From); n > m.Resources[h.Resource].Slots {
+					if n := m.Used(h.Resource, at.From); n > m.Resources[h.Resource].Slots {
 						w.t.Errorf("%s: %d of %d slots", h.Resource, n, m.Resources[h.Resource].Slots)
 						w.t.FailNow()
 					}
@@ -146,24 +157,6 @@
 	}
 }
 
-// slotsAt is what is held of a resource at a moment; of a gang's rounds, the larger.
-func slotsAt(m *Machine, id string, at time.Duration) (all int) {
-	sum := map[string]int{}
-	for _, s := range m.Standing {
-		n := 0
-		for _, o := range s.Holds {
-			if o.Resource == id && o.From <= at && at < o.Until {
-				n += o.Slots
-			}
-		}
-		sum[s.Gang] = max(sum[s.Gang], n)
-	}
-	for _, n := range sum {
-		all += n
-	}
-	return all
-}
-
 func (w *world) post(after time.Duration, do func()) {
 	w.mail = append(w.mail, post{w.now + after, do})
 }
@@ -196,11 +189,11 @@
 			lost := w.Float64() < w.loss // the word, or the answer
 			w.post(time.Duration(1+w.IntN(6))*ms, func() {
 				if lost && w.IntN(2) == 0 {
-					w.post(200*ms, func() { c.Answered(d.clock(w.now), a.Key, Result{}, false) })
+					w.post(200*ms, func() { c.Answered(d.time(w.now), a.Key, Result{}, false) })
 					return
 				}
-				r := w.do(a.Group, a.Command)
-				w.post(time.Duration(1+w.IntN(6))*ms, func() { c.Answered(d.clock(w.now), a.Key, r, !lost) })
+				r := w.doBy(d.time(w.now), a.Group, a.Command)
+				w.post(time.Duration(1+w.IntN(6))*ms, func() { c.Answered(d.time(w.now), a.Key, r, !lost) })
 			})
 		case Look:
 			v := View{Self: d.name, Lenders: w.lenders, Accounts: map[string]Resource{}}
@@ -216,14 +209,15 @@
 					v.Starters = append(v.Starters, Dispatcher{o.name, []string{"a", "b"}[o.n%2]})
 				}
 			}
-			w.post(3*ms, func() { c.Viewed(d.clock(w.now), v) })
+			w.post(3*ms, func() { c.Viewed(d.time(w.now), v) })
 		case Tell:
-			to, sent := w.daemons[slices.IndexFunc(w.daemons, func(o *daemon) bool { return o.name == a.To })], d.clock(w.now)
+			to, sent := w.daemons[slices.IndexFunc(w.daemons, func(o *daemon) bool { return o.name == a.To })], d.time(w.now)
 			home := w.home(a.Gang)
 			w.send(d, to, func() {
-				said := to.Starter.Word(to.clock(w.now), a.Word)
+				said := to.Starter.Word(to.time(w.now), a.Word)
+				said.Clock = to.clock
 				w.begin(to)
-				w.send(to, d, func() { c.Said(d.clock(w.now), sent, a.To, a.Word, said, home) })
+				w.send(to, d, func() { c.Said(d.time(w.now), sent, a.To, a.Word, said, home) })
 			})
 		}
 	}
@@ -264,14 +258,18 @@
 			require.LessOrEqual(w.t, used, w.enc[i].Slots)
 			if w.enc[i].Out || used+p.slots > w.enc[i].Slots {
 				w.stats["refused"]++
-				w.post(2*ms, func() { s.Over(d.clock(w.now), a.Key, NeverRan, "refused") })
+				w.post(2*ms, func() { s.Over(d.time(w.now), a.Key, NeverRan, "refused") })
 				return
 			}
-			p.at, p.until = w.now, w.now+a.Member.Work
+			work := a.Member.Work
+			if w.late > 0 && w.IntN(3) == 0 {
+				work += time.Duration(w.Int64N(int64(w.late)))
+			}
+			p.at, p.until = w.now, w.now+work
 			w.runs[a.Key] = &p
 			w.sent[fmt.Sprint(p.gang, "/", p.member)]++
-			w.post(2*ms, func() { s.Began(d.clock(w.now), a.Key) })
-			w.post(a.Member.Work+2*ms, func() { s.Over(d.clock(w.now), a.Key, Done, "") })
+			w.post(2*ms, func() { s.Began(d.time(w.now), a.Key) })
+			w.post(work+2*ms, func() { s.Over(d.time(w.now), a.Key, Done, "") })
 		})
 	}
 }
@@ -290,13 +288,13 @@
 		}
 		for g, m := range w.groups {
 			if d := w.leader(g); d != nil {
-				d.Coordinator.Step(d.clock(w.now), uint32(g), m, w.enc)
+				d.Coordinator.Step(d.time(w.now), uint32(g), m, w.enc)
 				w.act(d)
 			}
 		}
 		for _, d := range w.daemons {
 			if d.up {
-				d.Starter.Tick(d.clock(w.now))
+				d.Starter.Tick(d.time(w.now))
 				w.begin(d)
 			}
 		}
@@ -304,9 +302,24 @@
 	}
 }
 
+// lent is the slots of partners' encoders that are in use.
+func (w *world) lent() (n int) {
+	for _, r := range w.runs {
+		i := slices.IndexFunc(w.enc, func(e Encoder) bool { return e.ID == r.encoder })
+		if w.enc[i].Partner != "" && r.at <= w.now && r.until > w.now {
+			n += r.slots
+		}
+	}
+	return n
+}
+
 // check looks for starts by halves: half a second and what clocks may be off after the first member's start, all run, or
 // have been done, or none does.
 func (w *world) check() {
+	if n := w.lent(); w.cap > 0 && n > w.cap {
+		w.t.Errorf("%d slots are used, and %d are lent", n, w.cap)
+		w.t.FailNow()
+	}
 	first := map[string]*run{}
 	for _, r := range w.runs {
 		id := fmt.Sprint(r.gang, "/", r.round)
@@ -397,7 +410,7 @@
 				switch w.IntN(5) {
 				case 0: // its members run on where they are: nobody can call them off
 					for _, e := range w.entries() {
-						if e.Plan != nil && slices.Contains(e.Plan.Starters, d.name) && w.now > e.Plan.Start-100*ms {
+						if e.Plan != nil && slices.Contains(e.Plan.Starters, d.name) && w.now > e.Plan.Start-300*ms {
 							w.killed[e.Spec.ID] = true
 						}
 					}
@@ -466,7 +479,34 @@
 	m.apply(at, Command{Op: "commit", Gang: "a", Round: 1})
 	late := midnight + 100*time.Minute // a's members still run
 	require.True(t, prepare(late, "d", 3, late+time.Millisecond, late+time.Minute).Full)
-	require.Equal(t, 4, slotsAt(m, "p/tuk", late+time.Millisecond), "a and b")
+	require.Equal(t, 4, m.Used("p/tuk", late+time.Millisecond), "a and b")
 	m.apply(midnight+3*time.Hour, Command{Op: "end", Gang: "a", Round: 1})
-	require.Equal(t, 0, slotsAt(m, "p/tuk", midnight+3*time.Hour))
+	require.Equal(t, 0, m.Used("p/tuk", midnight+3*time.Hour))
+}
+
+// Members run longer than they said by up to a second, with clocks 400 ms apart: nothing starts on room that is not free
+// yet, so what a partner lends is not passed by what runs either, and all gangs start.
+func TestLateMembersPassNoCap(t *testing.T) {
+	waits := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), 3, 4, 6)
+		w.late, w.cap = time.Second, 6
+		for i := range 9 {
+			var members []Member
+			for j := range 2 + w.IntN(2) {
+				members = append(members, Member{Site: []string{"a", "b"}[(i+j)%2], Kind: "m2", Slots: 1 + w.IntN(3), Work: time.Duration(300+w.IntN(1000)) * ms, Class: "live"})
+			}
+			w.submit(fmt.Sprint("g", i), time.Minute, members...)
+		}
+		for range 200 {
+			if w.run(500 * ms); w.open() == 0 {
+				break
+			}
+		}
+		for _, e := range w.entries() {
+			require.Equal(t, Completed, e.Verdict, "%s: %s", e.Spec.ID, e.Why)
+			waits += e.Plans
+		}
+	})
+	t.Log("plans made:", waits)
 }
--- a/internal/gang/home.go
+++ b/internal/gang/home.go
@@ -111,14 +111,15 @@
 
 func (e *Entry) take(at time.Duration, c Command) string {
 	now := e.Plan != nil && e.Plan.Round == c.Round
+	when := cmp.Or(c.At, at) // the log's time may be any dispatcher's, a start's is one's alone
 	switch c.Op {
 	case "plan":
-		return e.planned(at, c.Plan)
+		return e.planned(when, c.Plan)
 	case "vote":
 		if e.State != Preparing || !now {
 			return "another round"
 		}
-		return e.vote(at, c.Group)
+		return e.vote(at, when, c.Group)
 	case "abort":
 		if e.State != Preparing || !now {
 			return "another round"
@@ -140,7 +141,7 @@
 		switch {
 		case e.State != Held || !now:
 			return "too late"
-		case at > e.Plan.Start-GoBy:
+		case when > e.Plan.Start-GoBy:
 			e.release(at, "the word to go came too late")
 			return "too late"
 		case len(c.Armed) != len(e.Spec.Members):
@@ -151,14 +152,14 @@
 		if !now || c.Member < 0 || c.Member >= len(e.Fates) {
 			return "another round"
 		}
-		return e.report(at, c.Member, c.Fate)
+		return e.report(at, when, c.Member, c.Fate)
 	case "off":
-		if e.State != Going || !now || at <= e.Plan.Start+Within {
+		if e.State != Going || !now || when <= e.Plan.Start+Within {
 			return "not yet, or too late"
 		}
 		e.off("not all had started in time")
 	case "settle":
-		if e.State != Off || !now || at < e.Plan.Start+SettleAt {
+		if e.State != Off || !now || when < e.Plan.Start+SettleAt {
 			return "not yet"
 		}
 		e.settle(at)
@@ -193,7 +194,7 @@
 		return "another round"
 	case len(p.Encoders) != n || len(p.Starters) != n || len(p.Holds) < n || len(p.Holds) > 2*n || len(p.groups()) == 0:
 		return "not a plan"
-	case move && p.Start != e.Plan.Start:
+	case move && (p.Start != e.Plan.Start || p.Clock != e.Plan.Clock):
 		return "a move keeps the start"
 	case p.Start < e.Spec.NotBefore || p.Start > e.Spec.LatestStart || at > p.Start-voteBy:
 		return "out of its window"
@@ -206,12 +207,12 @@
 }
 
 // vote takes a group's yes. The last one decides, here and at no other place, that the holds stand.
-func (e *Entry) vote(at time.Duration, group uint32) string {
+func (e *Entry) vote(at, when time.Duration, group uint32) string {
 	all := e.Plan.groups()
 	if _, asked := search(all, group); !asked {
 		return "it was not asked"
 	}
-	if at > e.Plan.Start-voteBy {
+	if when > e.Plan.Start-voteBy {
 		e.abort(at, "its holds came too late")
 		return "too late"
 	}
@@ -279,7 +280,7 @@
 	e.State, e.Plan, e.Votes, e.Why, e.Retry = Waiting, nil, nil, why, at
 }
 
-func (e *Entry) report(at time.Duration, member int, f Fate) string {
+func (e *Entry) report(at, when time.Duration, member int, f Fate) string {
 	had := e.Fates[member]
 	if had == f {
 		return ""
@@ -291,7 +292,7 @@
 	case Going:
 		switch f {
 		case Began, Done: // a short one may be done before the last has begun
-			if at > e.Plan.Start+Within {
+			if when > e.Plan.Start+Within {
 				e.off("not all had started in time")
 				return "too late"
 			}
@@ -311,7 +312,7 @@
 			f = MayRun
 		}
 		e.Fates[member] = f
-		if !slices.ContainsFunc(e.Fates, func(f Fate) bool { return f == Unknown || f == Began }) && at >= e.Plan.Start {
+		if !slices.ContainsFunc(e.Fates, func(f Fate) bool { return f == Unknown || f == Began }) && when >= e.Plan.Start {
 			e.settle(at)
 		}
 	case Running:
--- a/internal/gang/keeper.go
+++ b/internal/gang/keeper.go
@@ -37,7 +37,8 @@
 	Gang      string        `json:"gang"`
 	Round     uint64        `json:"round"`
 	Home      uint32        `json:"home"`
-	Age       time.Duration `json:"age"` // when the gang was submitted
+	Age       time.Duration `json:"age"`             // when the gang was submitted
+	Clock     string        `json:"clock,omitempty"` // by which its holds go
 	Holds     []Hold        `json:"holds"`
 	Committed bool          `json:"committed,omitempty"`
 	// Lapses: its gang is done with it, and a member may run on that nobody hears of: it stays until its time is over.
@@ -67,7 +68,11 @@
 // until its gang has ended, lest a job that is late run beside others that were given its slots.
 func (k *keeper) past(at time.Duration) {
 	k.Standing = slices.DeleteFunc(k.Standing, func(s Standing) bool {
-		return (!s.Committed || s.Lapses) && !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at })
+		grace := time.Duration(0)
+		if !s.Committed {
+			grace = clocksApart
+		}
+		return (!s.Committed || s.Lapses) && !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until > at-grace })
 	})
 	for i, s := range k.Standing {
 		if !s.Committed || s.Lapses || !slices.ContainsFunc(s.Holds, func(h Hold) bool { return h.Until <= at }) {
@@ -84,6 +89,9 @@
 	}
 }
 
+// clocksApart is by how much dispatchers' clocks may differ before a hold that its home may yet decide on is dropped.
+const clocksApart = time.Minute
+
 // longer is for how long a hold goes on at a time that should be over.
 const longer = Lead
 
@@ -228,6 +236,42 @@
 	return Result{OK: true}
 }
 
+// ready tells whether a round that is about to start finds its room free. Accounts go by what was planned; what began
+// before and has not ended counts here until it has, whatever it said, and so does what its home has yet to decide on.
+func (k *keeper) ready(gang string, round uint64) Result {
+	i, have := k.find(gang, round)
+	if !have {
+		return Result{Err: "there is no such hold"}
+	}
+	mine := k.Standing[i]
+	// Where a partner lends less than was held, younger ones that start with this one give way.
+	all := slices.DeleteFunc(slices.Clone(k.Standing), func(s Standing) bool {
+		return s.Gang != gang && older(mine.Age, gang, s.Age, s.Gang) && s.Holds[0].From >= mine.Holds[0].From
+	})
+	for _, h := range mine.Holds {
+		n := used(all, h.Resource, func(o Hold) float64 {
+			if o.From <= h.From && o.Until > h.From {
+				return float64(o.Slots)
+			}
+			return 0
+		})
+		for _, s := range all {
+			if s.Gang == gang || s.Lapses {
+				continue
+			}
+			for _, o := range s.Holds {
+				if o.Resource == h.Resource && o.From < h.From && o.Until <= h.From {
+					n += float64(o.Slots)
+				}
+			}
+		}
+		if n > float64(k.Resources[h.Resource].Slots) {
+			return Result{Full: true, Err: "what " + h.Resource + " has before it has not ended"}
+		}
+	}
+	return Result{OK: true}
+}
+
 // abort drops a round's holds that were not committed.
 func (k *keeper) abort(at time.Duration, gang string, round uint64) Result {
 	i, have := k.find(gang, round)
--- a/internal/gang/machine.go
+++ b/internal/gang/machine.go
@@ -30,6 +30,7 @@
 	Armed    []string      `json:"armed,omitempty"` // dispatchers, by member
 	By       string        `json:"by,omitempty"`
 	Age      time.Duration `json:"age,omitempty"`
+	At       time.Duration `json:"at,omitempty"` // by the clock that the gang's plan goes by; 0: the log's time is taken
 	For      time.Duration `json:"for,omitempty"`
 	Why      string        `json:"why,omitempty"`
 }
@@ -93,6 +94,9 @@
 	return out
 }
 
+// Do takes a command as it stands: it is Apply without the text.
+func (m *Machine) Do(at time.Duration, c Command) Result { return m.apply(at, c) }
+
 func (m *Machine) apply(at time.Duration, c Command) Result {
 	m.past(at)
 	switch c.Op {
@@ -111,6 +115,8 @@
 			return Result{Err: "no holds"}
 		}
 		return m.prepare(at, *c.Standing)
+	case "ready":
+		return m.ready(c.Gang, c.Round)
 	case "commit":
 		return m.commit(at, c.Gang, c.Round)
 	case "undo":
@@ -197,6 +203,16 @@
 	return all
 }
 
+// Used is the slots that are held of a resource at a moment; of a gang's rounds only one will count, the larger is taken.
+func (m *Machine) Used(resource string, at time.Duration) int {
+	return int(used(m.Standing, resource, func(h Hold) float64 {
+		if h.From <= at && at < h.Until {
+			return float64(h.Slots)
+		}
+		return 0
+	}))
+}
+
 // Entries is the gangs whose home this is, to be read only.
 func (m *Machine) Entries() map[string]*Entry { return m.Gangs }
 
--- a/internal/gang/start.go
+++ b/internal/gang/start.go
@@ -35,9 +35,12 @@
 	Kind  Kind          `json:"kind"`
 	Gang  string        `json:"gang"`
 	Round uint64        `json:"round"`
-	At    time.Duration `json:"at"` // of the start, by the clock of whoever is told
+	At    time.Duration `json:"at"`            // of the start, by the clock of whoever is told
+	Err   time.Duration `json:"err,omitempty"` // by how much that may be wrong
 	Skew  time.Duration `json:"skew"`
 	Parts []Part        `json:"parts"`
+
+	offset time.Duration // of the clock, as At was reckoned
 }
 
 // Part is one member that a dispatcher is to send.
@@ -49,7 +52,8 @@
 
 // Said is what a dispatcher says of the members that it was told of.
 type Said struct {
-	Now   time.Duration `json:"now"` // by its clock
+	Now   time.Duration `json:"now"`             // by its clock
+	Clock string        `json:"clock,omitempty"` // which that is: each process has one of its own
 	Site  string        `json:"site"`
 	Held  []Taken       `json:"held,omitempty"` // of the groups that it leads, where it was asked nothing else
 	Parts []PartSaid    `json:"parts"`
@@ -92,13 +96,13 @@
 }
 
 // StarterStats counts what it did.
-type StarterStats struct{ Armed, Launched, Late, GivenUp, Alone uint64 }
+type StarterStats struct{ Armed, Launched, Late, GivenUp, Alone, Jumps uint64 }
 
 type part struct {
 	Part
 	gang    string
 	round   uint64
-	at      time.Duration
+	at, err time.Duration
 	skew    time.Duration
 	going   bool
 	sent    bool
@@ -153,7 +157,10 @@
 		switch {
 		case p.over():
 		case w.Kind == Arm && !p.going:
-			p.at = w.At // whoever coordinates now measures by its own clock
+			p.at, p.err = w.At, w.Err // whoever coordinates now measures by its own clock
+		case w.Kind == Go && !p.sent && w.At > 0 && (w.At-p.at).Abs() > w.Err+p.err:
+			s.Stats.Jumps++
+			p.fate, p.why, p.changed = NeverRan, "its dispatcher's clock was put to another time", now
 		case w.Kind == Go && !p.going && now < p.at:
 			p.going = true
 		case w.Kind == Run && p.sent:
@@ -179,7 +186,7 @@
 		}
 	}
 	s.Stats.Armed++
-	return &part{Part: t, gang: w.Gang, round: w.Round, at: w.At, skew: w.Skew, changed: now}
+	return &part{Part: t, gang: w.Gang, round: w.Round, at: w.At, err: w.Err, skew: w.Skew, changed: now}
 }
 
 // unknown is what is to be thought of a member that is not in hand: one that was to go may have been sent by a process
@@ -305,13 +312,16 @@
 	forgetIn = time.Minute
 )
 
-// Measured takes a question that was sent, answered by the other's clock, and whose answer has come.
-func (c *Clock) Measured(sent, theirs, came time.Duration) {
-	err := (came-sent)/2 + time.Microsecond
-	if _, now, ok := c.Offset(came); ok && now < err {
-		return
+// Measured takes a question that was sent, answered by the other's clock, and whose answer has come. It tells whether
+// one of the clocks was put to another time since the last one: then the old measure is worth nothing, however good it was.
+func (c *Clock) Measured(sent, theirs, came time.Duration) (jumped bool) {
+	offset, err := theirs-sent-(came-sent)/2, (came-sent)/2+time.Microsecond
+	had, was, ok := c.Offset(came)
+	if jumped = ok && (offset-had).Abs() > err+was; ok && !jumped && was < err {
+		return false
 	}
-	*c = Clock{theirs - sent - (came-sent)/2, err, came, true}
+	*c = Clock{offset, err, came, true}
+	return jumped
 }
 
 // Offset is how far the other's clock is ahead, and by how much that may be wrong; false: it was never measured.
@@ -321,3 +331,9 @@
 	}
 	return c.offset, c.err + time.Duration(drift*float64(now-c.at)), true
 }
+
+// still tells whether the start that a word named is the same by what is known of the clock now.
+func (c *Clock) still(now time.Duration, w Word) bool {
+	offset, err, ok := c.Offset(now)
+	return ok && (offset-w.offset).Abs() <= err+w.Err
+}
--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 	Cold       time.Duration                                      // of an encoder, until it is warm
 	Once       map[string]bool                                    // classes: whether a job must not run twice
 	TellsStart bool                                               // encoders tell when a job begins to run
+	Ahead      time.Duration                                      // put to the clock, for trials of clocks that are apart
 }
 
 // Core is the dispatcher's loop.
@@ -82,7 +84,8 @@
 	host  replicas.Host
 	core  Core
 	log   *slog.Logger
-	began time.Time
+	clock string // its name: of this process alone
+	began time.Duration
 	in    chan func()
 	room  chan struct{} // for what is under way
 	peers map[string]gangv1.PeersClient
@@ -118,9 +121,10 @@
 
 // New returns a server that does nothing before Open.
 func New(o Options, host replicas.Host, core Core, logger *slog.Logger) (*Server, error) {
+	clock := fmt.Sprintf("%s/%08x", o.Name, rand.Uint32())
 	s := &Server{
-		o: o, host: host, core: core, log: logger, began: time.Now(), in: make(chan func(), 1024), room: make(chan struct{}, mostAsked),
-		peers: map[string]gangv1.PeersClient{}, c: gang.NewCoordinator(), s: gang.NewStarter(), out: map[string]bool{},
+		o: o, host: host, core: core, log: logger, clock: clock, began: time.Duration(time.Now().UnixNano()) + o.Ahead - replicas.Now(), in: make(chan func(), 1024), room: make(chan struct{}, mostAsked),
+		peers: map[string]gangv1.PeersClient{}, c: gang.NewCoordinator(clock), s: gang.NewStarter(), out: map[string]bool{},
 		sent: map[string]*dispatch.Command{}, news: make(chan func(), 1024), homes: map[string]uint32{}, set: map[string]uint64{},
 		held: map[string][]gang.Taken{}, spans: map[string]string{},
 	}
@@ -174,8 +178,9 @@
 	}
 }
 
-// now is Unix time by a clock that goes on steadily.
-func (s *Server) now() time.Duration { return time.Duration(s.began.UnixNano()) + time.Since(s.began) }
+// now is Unix time by a clock that goes on steadily, also while the machine is suspended. A step of the wall clock counts
+// from the next process on.
+func (s *Server) now() time.Duration { return s.began + replicas.Now() }
 
 // post has the loop do something; it is not waited for.
 func (s *Server) post(do func()) {
@@ -258,7 +263,7 @@
 	said := s.s.Word(s.now(), w)
 	s.starts.Unlock()
 	s.tellStarts(func() {})
-	said.Now, said.Site = s.now(), s.o.Site
+	said.Now, said.Clock, said.Site = s.now(), s.clock, s.o.Site
 	return said
 }
 
@@ -734,7 +739,8 @@
 	t := s.s.Stats
 	s.starts.Unlock()
 	fmt.Fprintf(&b, "proxy.gangs.members_sent=%d\nproxy.gangs.members_late=%d\nproxy.gangs.members_called_off=%d\nproxy.gangs.members_left_alone=%d\n", t.Launched, t.Late, t.GivenUp, t.Alone)
-	fmt.Fprintf(&b, "proxy.gangs.wounds=%d\nproxy.gangs.clock_error_us=%d\nproxy.gangs.overruns=%d\n", s.c.Stats.Wounds, s.c.Stats.WorstError.Microseconds(), s.errors.Load())
+	fmt.Fprintf(&b, "proxy.gangs.wounds=%d\nproxy.gangs.clock_error_us=%d\nproxy.gangs.clock_jumps=%d\nproxy.gangs.clock_off_ms=%d\nproxy.gangs.overruns=%d\n",
+		s.c.Stats.Wounds, s.c.Stats.WorstError.Microseconds(), s.c.Stats.Jumps+t.Jumps, (s.now() - s.o.Ahead - time.Duration(time.Now().UnixNano())).Milliseconds(), s.errors.Load())
 	text := b.String()
 	s.figures.Store(&text)
 }
--- a/internal/prove/gang.go
+++ b/internal/prove/gang.go
@@ -1,10 +1,12 @@
 package prove
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +23,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"caperrelay/internal/gang"
+	"caperrelay/internal/gang/orders"
 	"caperrelay/internal/load"
 	"caperrelay/internal/rig"
 	"caperrelay/internal/standin/encoder"
@@ -40,6 +43,8 @@
 	gangSkew     = 250 * time.Millisecond
 	gangOff      = 500*time.Millisecond + 100*time.Millisecond // and what a loaded machine is late by
 	smallWork    = 40 * time.Millisecond
+	gangDepth    = 9  // commands that the model check goes
+	gangPacked   = 30 // gangs at once, for the use that is made of slots
 )
 
 // stage is an installation with gangs, under a network that is cut and daemons that die.
@@ -51,8 +56,16 @@
 	small   http.Client
 	say     func(string, ...any)
 
-	mu    sync.Mutex
-	gangs []*wanted
+	mu     sync.Mutex
+	gangs  []*wanted
+	broken []string
+}
+
+// check notes a bound that does not hold.
+func (s *stage) check(ok bool, what string, args ...any) {
+	if !ok {
+		s.broken = append(s.broken, fmt.Sprintf(what, args...))
+	}
 }
 
 // wanted is one gang, and what became of it.
@@ -79,6 +92,7 @@
 	defer os.RemoveAll(dir)
 	s := &stage{net: link.New(1), rng: rand.New(rand.NewPCG(30, 2)), say: say}
 	defer s.net.Close()
+	s.model()
 	lists := listservice.New(time.Millisecond, time.Second)
 	defer lists.Close()
 	s.Rig, err = rig.New(rig.Options{
@@ -119,8 +133,91 @@
 	rough := s.phase(ctx, 40*time.Second, true, true, false)
 	say("  %.0f of %.0f a second served", rough.served, rough.sent)
 	say("with faults, members sent on their own")
-	s.phase(ctx, 20*time.Second, true, true, true)
-	return s.tell(alone, calm, say)
+	s.phase(ctx, 16*time.Second, true, true, true)
+	say("%d gangs at once", gangPacked)
+	return s.tell(alone, calm, s.packed(ctx), say)
+}
+
+// model checks the commitment in all orders of its commands, and that faults put in are found.
+func (s *stage) model() {
+	m := orders.Explore(orders.Sound, gangDepth)
+	s.say("model: all orders of %d commands: %d states, in %d a gang is about to start; fault: %q", gangDepth, m.States, m.Going, m.Fault)
+	s.check(m.Fault == "" && m.Going > 0, "model: %s", m.Fault)
+	for _, bug := range orders.Mutants {
+		m := orders.Explore(bug, gangDepth)
+		s.say("mutant %q: found after %d states: %s", bug, m.States, m.Fault)
+		s.check(m.Fault != "", "the mutant %q was not found", bug)
+	}
+}
+
+// packed has many gangs asked for at once, alone, and returns the use that is made of slots as a share of what a planner
+// makes of them that sees all: every gang, its true work and all slots in one place, with nothing to commit or to tell.
+func (s *stage) packed(ctx context.Context) float64 {
+	var all sync.WaitGroup
+	var gangs []*wanted
+	began := time.Now()
+	for n := range gangPacked {
+		w := s.draw(fmt.Sprintf("packed-%d", n))
+		w.latest = began.Add(45 * time.Second)
+		for i := range w.works {
+			w.works[i] = time.Duration(2000+s.rng.IntN(1000)) * time.Millisecond
+		}
+		gangs = append(gangs, w)
+		all.Go(func() { s.run(ctx, w) })
+	}
+	all.Wait()
+	var ran, work, over float64
+	rounds := s.rounds()
+	for _, w := range gangs {
+		for _, r := range rounds[w.id] {
+			for i := range r.began {
+				ran += r.ended[i].Sub(r.began[i]).Seconds()
+				over = max(over, r.ended[i].Sub(began).Seconds())
+			}
+		}
+		for _, one := range w.works {
+			work += one.Seconds()
+		}
+	}
+	least := seesAll(gangs).Seconds()
+	s.say("  %.1f slot-seconds in %.1f s; a planner that sees all: %.1f in %.1f", ran, over, work, least)
+	return ran / over / (work / least)
+}
+
+// seesAll is the time in which all gangs are done where each starts as soon as it fits, the first asked for first, and
+// what fits beside goes before.
+func seesAll(gangs []*wanted) (now time.Duration) {
+	type run struct {
+		site string
+		ends time.Duration
+	}
+	var runs []run
+	free := map[string]int{"a": gangEncoders / 2 * gangSlots, "b": gangLent}
+	for waiting := slices.Clone(gangs); len(waiting) > 0 || len(runs) > 0; {
+		waiting = slices.DeleteFunc(waiting, func(w *wanted) bool {
+			left := maps.Clone(free)
+			for _, site := range w.sites {
+				left[site]--
+			}
+			if left["a"] < 0 || left["b"] < 0 {
+				return false
+			}
+			for i, site := range w.sites {
+				runs = append(runs, run{site, now + w.works[i]})
+			}
+			free = left
+			return true
+		})
+		next := slices.MinFunc(runs, func(a, b run) int { return cmp.Compare(a.ends, b.ends) })
+		now = next.ends
+		runs = slices.DeleteFunc(runs, func(r run) bool {
+			if r.ends <= now {
+				free[r.site]++
+			}
+			return r.ends <= now
+		})
+	}
+	return now
 }
 
 // more is what a daemon's file has beside the record.
@@ -349,7 +446,7 @@
 }
 
 // tell prints the figures, and returns what broke.
-func (s *stage) tell(alone, calm rates, say func(string, ...any)) error {
+func (s *stage) tell(alone, calm rates, utilisation float64, say func(string, ...any)) error {
 	var began, notStarted, half, dead, stuck, late, moved, together, halfAlone, doubled int
 	var skews []float64
 	var held, ran float64
@@ -436,25 +533,21 @@
 	kept := calm.served / alone.served
 	say("not started, in times of faults or not: %v", whys)
 	say("%d starts of all members together; at most %d of %d lent slots used at once", together, most, gangLent)
-	fmt.Printf("prove gang: processes=%d gangs=%d started=%d not_started=%d half_started=%d dead_after_commit=%d skew_ms_p99=%.1f cap_passed=%d deadlocks=%d wait_bound_passed=%d moved_in_grace=%d held_idle_share=%.2f small_jobs_kept=%.2f baseline_half_started=%d\n",
-		gangDaemons, gangs, began, notStarted, half, dead, p99, passed, stuck, late, moved, 1-ran/held, kept, halfAlone)
-	var broken []string
-	check := func(ok bool, what string, args ...any) {
-		if !ok {
-			broken = append(broken, fmt.Sprintf(what, args...))
-		}
-	}
-	check(began > 50, "only %d gangs started", began)
-	check(half == 0, "%d gangs ran by halves", half)
-	check(doubled == 0, "%d members ran twice that must not", doubled)
-	check(p99 <= 250, "members start %.0f ms apart", p99)
-	check(passed == 0, "a partner's cap was passed by %d", passed)
-	check(stuck == 0, "%d gangs have no end", stuck)
-	check(late == 0, "%d gangs waited beyond their bound", late)
-	check(moved > 0, "no hold was ever moved")
-	check(halfAlone > 0, "members sent on their own never ran by halves: nothing was tried")
-	if len(broken) > 0 {
-		return errors.New(strings.Join(broken, "; "))
+	fmt.Printf("prove gang: processes=%d gangs=%d started=%d not_started=%d half_started=%d dead_after_commit=%d skew_ms_p99=%.1f cap_passed=%d deadlocks=%d wait_bound_passed=%d moved_in_grace=%d held_idle_share=%.2f small_jobs_kept=%.2f utilisation=%.2f baseline_half_started=%d\n",
+		gangDaemons, gangs, began, notStarted, half, dead, p99, passed, stuck, late, moved, 1-ran/held, kept, utilisation, halfAlone)
+	s.check(began > 50, "only %d gangs started", began)
+	s.check(half == 0, "%d gangs ran by halves", half)
+	s.check(doubled == 0, "%d members ran twice that must not", doubled)
+	s.check(p99 <= 250, "members start %.0f ms apart", p99)
+	s.check(passed == 0, "a partner's cap was passed by %d", passed)
+	s.check(stuck == 0, "%d gangs have no end", stuck)
+	s.check(late == 0, "%d gangs waited beyond their bound", late)
+	s.check(moved > 0, "no hold was ever moved")
+	s.check(halfAlone > 0, "members sent on their own never ran by halves: nothing was tried")
+	s.check(kept >= 0.95, "small jobs keep %.3f of what they have without gangs", kept)
+	s.check(utilisation >= 0.9, "slots are used at %.3f of what a planner makes that sees all", utilisation)
+	if len(s.broken) > 0 {
+		return errors.New(strings.Join(s.broken, "; "))
 	}
 	return nil
 }
