Show in the demo a promised lecture that outlives its daemon and directory

Three daemons and four workers at two sites: package calls the first rendition spoilt, it is made anew at another site, and the daemon that has that run is killed and its record removed.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,5 +1,6 @@
 // Package demo shows winglb at work on one machine: stand-in encoders, discovery, a daemon and portals as
-// real processes, a small load, an encoder that starts cold and one that drains.
+// real processes, a small load, an encoder that starts cold and one that drains; then a lecture that is promised and
+// finishes though the daemon that acts for it is removed with its directory.
 package demo
 
 import (
@@ -15,6 +16,7 @@
 	"time"
 
 	"caperrelay/internal/load"
+	"caperrelay/internal/rerun"
 	"caperrelay/internal/rig"
 	"caperrelay/internal/standin/ledger"
 )
@@ -43,7 +45,8 @@
 	ColdServed int // jobs that the encoder which started cold did while it was cold
 	LateToDrain,
 	RanTwice int
-	Broken []string
+	Broken   []string
+	Promised Promised
 }
 
 // Run runs a demo. An error means that it could not run, or that a rule broke.
@@ -171,6 +174,12 @@
 			s.LateToDrain++
 		}
 	}
+	if s.Promised, err = promised(ctx, o, progress); err != nil {
+		return err
+	}
+	if p := s.Promised; p.Answer != string(rerun.Done) || p.Published != 1 {
+		s.Broken = append(s.Broken, fmt.Sprintf("the promised lecture is %s, and was published %d times", p.Answer, p.Published))
+	}
 	return s.print(o, cold.ID(), drained.ID())
 }
 
@@ -189,6 +198,10 @@
 		fmt.Printf("\n%s, started cold: %d jobs done, pressure at most %.2f times what it could do (it stands %.0f)\n", cold, s.ColdServed, s.WorstCold, s.ColdBound)
 		fmt.Printf("%s, draining: %d jobs came later than 750 ms after it was told\n", drained, s.LateToDrain)
 		fmt.Printf("jobs that must not run twice and did: %d; encoders that fell over: %d\n", s.RanTwice, s.Fell)
+		fmt.Printf("the promised lecture, whose daemon %s was removed with its directory: %s after %.1f s, published %d times\n", s.Promised.Removed, s.Promised.Answer, s.Promised.Seconds, s.Promised.Published)
+		for _, line := range s.Promised.Story {
+			fmt.Printf("    %s\n", line)
+		}
 	}
 	if len(s.Broken) > 0 || s.Fell > 0 {
 		return fmt.Errorf("demo: %d rules broken, %d encoders fell over: %v", len(s.Broken), s.Fell, s.Broken)
