Keep a late whole list from taking back a drain that the other process was told of

Read off program/lists.go: what one process was told the other heard and kept, but the first whole list on its own watch counted whatever its revision. One of before the drain had the encoder in service again until the watch told of the drain too, seconds later where lists are late. A whole list that is behind the other process's, or behind the list that the older one handed over, is kept aside now until the watch has come so far; if it has not after 6 s, by when all is told, the table has begun anew and it counts. Also: attempts not begun are taken back before the first word to the other process, not after the last: this one may be stopped in between, and would send later what the other had given up. Test: TestLateWholeListTakesNoDrainBack fails without it (s-1 takes work again).

--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"time"
 
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/nametable"
@@ -65,15 +66,33 @@
 	}
 }
 
+// ahead is what another process's list has that the own watch has not told yet.
+type ahead struct {
+	revision int64          // 0: nothing
+	at       string         // the name table's address
+	since    time.Time      // when it was heard
+	behind   dispatch.Table // as the own watch has it, where that tells a whole list of before
+	holds    bool           // there is such a table
+}
+
+// overtaken is how long a whole list may be on its way while another process has heard of a later one: by the operators' page
+// all that discovery has to tell is known by then. If the watch has not come further, its table has begun anew.
+const overtaken = 6 * time.Second
+
 // told takes a list that counts, from wherever but another process. The other processes hear of it: what the name table
 // tells one of them holds for all, whichever of them sends.
 func (p *Program) told(l dispatch.List) {
 	p.telling.Lock()
 	defer p.telling.Unlock()
-	if l.Complete {
-		p.ahead = 0
+	if a := &p.ahead; l.Complete && !p.overtook(l) {
+		*a = ahead{}
+	} else if l.Complete || a.holds {
+		if a.behind.Take(l); !a.holds {
+			time.AfterFunc(overtaken, p.anew)
+		}
+		a.holds = a.behind.Revision() < a.revision
 	}
-	if p.ahead == 0 || l.Revision > p.ahead {
+	if l.Revision > p.ahead.revision || p.ahead.revision == 0 {
 		p.take(l, false)
 		p.pass(true, true)
 	}
@@ -84,6 +103,33 @@
 	}
 }
 
+// overtook tells whether what another process has heard is later than a whole list. It would be taken back otherwise, drains
+// included, until the own watch has told of it as well.
+func (p *Program) overtook(l dispatch.List) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return l.Revision < p.ahead.revision && p.ahead.at == p.discovery && time.Since(p.ahead.since) < overtaken
+}
+
+// anew has the own watch's table count, if that has not come further meanwhile.
+func (p *Program) anew() {
+	p.telling.Lock()
+	defer p.telling.Unlock()
+	if p.ahead.holds {
+		l := p.ahead.behind.List()
+		p.ahead = ahead{}
+		p.take(l, false)
+		p.pass(true, true)
+	}
+}
+
+// lead notes another process's list, which the own watch must not take back.
+func (p *Program) lead(l dispatch.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ahead = ahead{revision: l.Revision, at: p.discovery, since: time.Now(), behind: p.ahead.behind, holds: p.ahead.holds}
+}
+
 // heard takes another process's list, if it is newer than ours. The own watch goes on from where it was: changes that
 // it tells once more would take the list back.
 func (p *Program) heard(l listing, fromOlder bool) {
@@ -93,7 +139,7 @@
 	newer := l.Discovery == p.discovery && l.Revision > p.table.Revision()
 	p.mu.Unlock()
 	if newer {
-		p.ahead = l.Revision
+		p.lead(l.List)
 		p.take(l.List, true)
 		p.pass(!fromOlder, fromOlder)
 	}
@@ -103,8 +149,11 @@
 func (p *Program) known(l dispatch.List) {
 	p.telling.Lock()
 	defer p.telling.Unlock()
-	if p.ahead == 0 {
-		p.take(l, true)
+	if p.ahead.revision > 0 {
+		return
+	}
+	if p.take(l, true); p.before.List != nil {
+		p.lead(l)
 	}
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -83,7 +83,7 @@
 	sharer  Sharer          // nil: the list comes from the own watch alone
 	mute    bool            // who is at the door tells nothing
 	telling sync.Mutex      // of a list: one at a time
-	ahead   int64           // of what the own watch has told: the revision of another process's list, under telling
+	ahead   ahead           // what another process has told beyond the own watch, under telling
 	context context.Context // of the program's run
 
 	mu           sync.Mutex
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -287,6 +287,7 @@
 // yield leaves all that is in hand and all that comes to the newer process.
 func (p *Program) yield(link *handover.Link) {
 	p.loop.Yield(func(given dispatch.Handed) bool {
+		p.pool.Unsend() // before the other process can give one up: this one may stand still here
 		for _, c := range given.Commands {
 			if !link.Tell(command, c) {
 				return false
@@ -295,7 +296,6 @@
 		if !link.Tell(yielded, handed{given, p.server.Connections()}) {
 			return false
 		}
-		p.pool.Unsend()
 		p.server.Yield(heir{link})
 		p.listener.SetDeadline(time.Unix(1, 0)) // the socket is shared, this is not
 		p.mu.Lock()
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -407,3 +407,33 @@
 	w.command(c, "c1", "safe", "30000m")
 	require.Equal(t, 200, w.read(c).Status)
 }
+
+// A whole list that was on its way for longer than another process's word of a drain took that back, until the watch told of it
+// as well: what drains was sent to for so long. It counts only if the watch comes no further: then its table has begun anew.
+func TestLateWholeListTakesNoDrainBack(t *testing.T) {
+	for _, further := range []bool{true, false} {
+		w := start(t, func(w *world, c net.Conn, q *http1.Request) bool { return answer(c, 202) })
+		first := <-w.watches
+		up, down := member(w.instance.Addr().String(), "in_service"), member(w.instance.Addr().String(), "terminating")
+		w.beside()
+		second := <-w.watches
+		w.await(func() bool { return w.program.pool.Takes("s-1") })
+		tellTable(first, 9, false, down)
+		w.await(func() bool { return !w.program.pool.Takes("s-1") })
+		tellTable(second, 8, true, up)
+		w.await(func() bool { return w.program.Phase() == Serving }) // it has been read
+		require.False(t, w.program.pool.Takes("s-1"))
+		if further {
+			tellTable(second, 9, false, down)
+			w.await(func() bool {
+				w.program.telling.Lock()
+				defer w.program.telling.Unlock()
+				return !w.program.ahead.holds
+			})
+		}
+		w.program.anew()
+		require.Equal(t, !further, w.program.pool.Takes("s-1"))
+		tellTable(second, 10, false, up)
+		w.await(func() bool { return w.program.pool.Takes("s-1") })
+	}
+}
