Leave an encoder's second answer to nobody: connections rest 50 ms if others are free

Read off instances/conn.go: a connection was looked at for bytes nobody asked for only as the next request was put on it, the one used last first. A second answer that came just after that was read as the answer to that request: as an error or a refusal of a job that the encoder had taken, so the job could go out twice, or as taken where it was turned away. Now the connection used last goes first that has rested 50 ms; where none has, the one that has rested longest; at an encoder seen to talk unasked in the last 30 s no other than a rested one, or a new one. Bytes behind an answer end its connection at once. Tests: TestSecondAnswerIsNobodys (hangs or ends as Errored without the change), TestSettledConnectionsGoFirst. -race, ten times: green.

--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -196,8 +196,11 @@
 	}
 	e = c.exchange(x)
 	e.kept = kept
-	aborted := x.leave()
-	return e, !aborted && (e.stage == unsent || e.stage == answered && !e.response.Close)
+	aborted, talks := x.leave(), e.stage == answered && c.br.Buffered() > 0
+	if talks {
+		c.pool.talked(c.in)
+	}
+	return e, !aborted && !talks && (e.stage == unsent || e.stage == answered && !e.response.Close)
 }
 
 func (c *conn) dial(x *exchange) error {
@@ -258,8 +261,12 @@
 // stale tells whether an idle connection has been closed by the other side, or carries
 // bytes that nobody asked for, by a look that takes nothing from it.
 func (c *conn) stale() bool {
-	if c.br.Buffered() > 0 || c.nc.SetDeadline(time.Time{}) != nil {
+	if c.nc.SetDeadline(time.Time{}) != nil {
 		return true
 	}
-	return sock.Look(c.nc) != sock.Empty
+	state := sock.Look(c.nc)
+	if state == sock.Data {
+		c.pool.talked(c.in)
+	}
+	return state != sock.Empty
 }
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -3,6 +3,7 @@
 package instances
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,13 @@
 // a read that ended here at the same moment would make a reset of a time-out.
 const courtesy = time.Second
 
+// A spoilt answer may be followed by a second one some milliseconds later, which would be read as the answer to the next
+// request on that connection: as taken where it was turned away, or the other way round.
+const (
+	settles  = 50 * time.Millisecond // that a connection rests before it is used again, where others do as well
+	talksFor = 30 * time.Second      // where an instance was seen to do so, no other is used for so long
+)
+
 // mostInstances is how many are remembered before those gone are forgotten.
 const mostInstances = 4096
 
@@ -42,6 +50,7 @@
 type Pool struct {
 	limits  Limits
 	reports Reports
+	settle  time.Duration
 	loads   *loadreport.Reader // nil: instances report none
 
 	mu        sync.Mutex
@@ -55,12 +64,13 @@
 type instance struct {
 	id, address string
 	state       decide.WorkerState
-	idle        []*conn // the longest idle first
+	idle        []*conn   // the longest idle first
+	talked      time.Time // when something last came from it that nobody had asked for
 }
 
 // NewPool returns a pool that knows no instance yet.
 func NewPool(l Limits) *Pool {
-	return &Pool{limits: l, instances: map[string]*instance{}, cordoned: map[string]bool{}, out: map[*dispatch.Attempt]*exchange{}}
+	return &Pool{limits: l, instances: map[string]*instance{}, cordoned: map[string]bool{}, out: map[*dispatch.Attempt]*exchange{}, settle: settles}
 }
 
 // ReportTo says who takes reports. It must come before anything is sent.
@@ -244,9 +254,7 @@
 		close(in.idle[0].work)
 		in.idle = in.idle[1:]
 	}
-	if n := len(in.idle); n > 0 && !x.fresh && (x.mostIdle == 0 || now.Sub(in.idle[n-1].since) <= x.mostIdle) {
-		c := in.idle[n-1]
-		in.idle = in.idle[:n-1]
+	if c := in.take(x, p.settle, now); c != nil {
 		c.work <- x // holds one; an idle connection has none
 		return
 	}
@@ -258,6 +266,41 @@
 	go p.run(&conn{pool: p, in: in, work: make(chan *exchange, 1)}, x)
 }
 
+// take takes the idle connection that an exchange is to use, nil: a new one. It is the one used last that has settled; where
+// none has, the one that has rested longest, unless its instance is known to talk unasked.
+func (in *instance) take(x *exchange, settle time.Duration, now time.Time) *conn {
+	last := len(in.idle) - 1
+	if last < 0 || x.fresh {
+		return nil
+	}
+	rested := func(at int) time.Duration { return now.Sub(in.idle[at].since) }
+	fits := func(at int) bool {
+		return (x.mostIdle == 0 || rested(at) <= x.mostIdle) && (rested(at) >= settle || x.id == "" || !in.talks(now))
+	}
+	at := last
+	for at > 0 && rested(at) < settle {
+		at--
+	}
+	if !fits(at) { // settled for too long, perhaps
+		at = last
+	}
+	if !fits(at) {
+		return nil
+	}
+	c := in.idle[at]
+	in.idle = slices.Delete(in.idle, at, at+1)
+	return c
+}
+
+func (in *instance) talks(now time.Time) bool { return now.Sub(in.talked) < talksFor }
+
+// talked notes that an instance has said something that nobody had asked for.
+func (p *Pool) talked(in *instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in.talked = time.Now()
+}
+
 // Retune has connections come up and be kept by other limits from now on.
 func (p *Pool) Retune(connect, idle time.Duration) {
 	p.mu.Lock()
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// late has a second answer written, and tells that it is.
+var late = make(chan bool)
+
 // pool returns one of so many connections and instances that show each request.
 func pool(t *testing.T, most int, ids ...string) (*Pool, reports, chan *http1.Request) {
 	r, seen := reports{make(chan decide.Outcome, 9), make(chan decide.Outcome, 9), make(chan *decide.Report, 9), make(chan *dispatch.Attempt, 9)}, make(chan *http1.Request, 9)
@@ -60,7 +63,12 @@
 						}
 						q.Header = append(q.Header, http1.Field{Name: "From", Value: c.RemoteAddr().String()})
 						seen <- q
-						if q.Target == "/take" {
+						if q.Target == "/twice" { // the second answer comes late
+							c.Write([]byte("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"))
+							<-late
+							c.Write([]byte("HTTP/1.1 500 Spoilt\r\nContent-Length: 0\r\n\r\n"))
+							late <- true
+						} else if q.Target == "/take" {
 							c.Write([]byte("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"))
 						} else if q.Target == "/full" {
 							c.Write([]byte("HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nX-Backend-Load: TEXT x0=2.5\r\nContent-Length: 0\r\n\r\n"))
@@ -240,3 +248,68 @@
 	require.Equal(t, decide.OK, <-r.probed)
 	require.Equal(t, 4.0, (<-r.loads).FreeSlots)
 }
+
+// A second answer, some milliseconds behind the first, was read as the answer to the next request on that connection: here as
+// an error of a command that the instance had taken. Where that was seen once, a connection is used again only after a rest.
+func TestSecondAnswerIsNobodys(t *testing.T) {
+	p, r, seen := pool(t, 9, "s-1")
+	p.settle = time.Minute
+	send := func(target string) {
+		a := attempt("s-1")
+		a.Command.Payload.(*http1.Request).Target = target
+		p.Send(a)
+		require.Equal(t, target, (<-seen).Target)
+		require.Equal(t, a, <-r.taken)
+	}
+	idle := func(n int) {
+		require.Eventually(t, func() bool { return p.Idle() == n && !p.Busy() }, 20*time.Second, time.Millisecond)
+	}
+	send("/twice")
+	idle(1)
+	late <- true
+	<-late // it lies on the connection at rest
+	send("/take")
+	idle(1)
+	for range 9 { // from now on, however soon
+		send("/twice")
+		send("/take")
+		late <- true
+		<-late
+	}
+	require.Empty(t, r.ended)
+}
+
+// Of connections at rest the one used last is taken that has settled.
+func TestSettledConnectionsGoFirst(t *testing.T) {
+	const settle = settles
+	now := time.Now()
+	for _, one := range []struct {
+		rested   []time.Duration // of the idle ones
+		mostIdle time.Duration
+		talked   time.Duration // ago; 0: never
+		took     int           // -1: a new one
+	}{
+		{nil, 0, 0, -1},
+		{[]time.Duration{time.Second, 2 * settle, 0}, 0, 0, 1},
+		{[]time.Duration{time.Second, 2 * settle}, 0, 0, 1},
+		{[]time.Duration{settle / 2, settle / 4}, 0, 0, 0},
+		{[]time.Duration{settle / 2}, 0, time.Second, -1},
+		{[]time.Duration{settle / 2}, 0, talksFor, 0},
+		{[]time.Duration{time.Second, settle / 2}, 2 * time.Second, time.Second, 0},
+		{[]time.Duration{time.Second, settle / 2}, settle, 0, 1},
+		{[]time.Duration{time.Second, settle / 2}, settle, time.Second, -1},
+		{[]time.Duration{time.Second, settle / 2}, settle / 4, 0, -1},
+	} {
+		in := &instance{}
+		for _, d := range one.rested {
+			in.idle = append(in.idle, &conn{since: now.Add(-d)})
+		}
+		if one.talked > 0 {
+			in.talked = now.Add(-one.talked)
+		}
+		all := append([]*conn{nil}, in.idle...)
+		c := in.take(&exchange{id: "c1", mostIdle: one.mostIdle}, settle, now)
+		require.Same(t, all[one.took+1], c, "%+v", one)
+		require.Len(t, in.idle, max(0, len(one.rested)-1)+map[bool]int{true: 1}[c == nil && len(one.rested) > 0])
+	}
+}
