--- a/internal/gang/coordinator.go
+++ b/internal/gang/coordinator.go
@@ -34,43 +34,46 @@
 func (Look) action()    {}
 
 const (
-	prepareFor = 600 * time.Millisecond // that a round waits for rivals to be decided
-	askRival   = 10 * time.Millisecond  // between two tries to get room that a rival may give up
-	again      = 50 * time.Millisecond  // after a command that reached nobody
-	viewFor    = 100 * time.Millisecond // that a view counts as true
-	watchFor   = 500 * time.Millisecond // and for gangs that only wait for their start
-	tellEvery  = 15 * time.Millisecond  // around the start
-	tellSlow   = 250 * time.Millisecond // of members that run
-	orphanFor  = 3 * time.Second        // that a hold may be undecided before its home is asked
-	silentFor  = 60 * time.Millisecond  // around the start, after which a dispatcher's members are called off by another
-	livesFor   = 1500 * time.Millisecond
-	backEvery  = 100 * time.Millisecond
-	lostFor    = 5 * time.Second // after its hold's end, that a member without word counts as dead
+	prepareFor  = 600 * time.Millisecond // that a round waits for rivals to be decided
+	askRival    = 10 * time.Millisecond  // between two tries to get room that a rival may give up
+	again       = 50 * time.Millisecond  // after a command that reached nobody
+	viewFor     = 100 * time.Millisecond // that a view counts as true
+	watchFor    = 500 * time.Millisecond // and for gangs that only wait for their start
+	tellEvery   = 15 * time.Millisecond  // around the start
+	tellSlow    = 250 * time.Millisecond // of members that run
+	orphanFor   = 3 * time.Second        // that a hold may be undecided before its home is asked
+	silentFor   = 60 * time.Millisecond  // around the start, after which a dispatcher's members are called off by another
+	livesFor    = 1500 * time.Millisecond
+	searchEvery = 25 * time.Millisecond // for an earlier start of some gang
+	leastGain   = 150 * time.Millisecond
+	backEvery   = 100 * time.Millisecond
+	lostFor     = 5 * time.Second // after its hold's end, that a member without word counts as dead
 )
 
 // Coordinator acts for the gangs of the homes that this daemon leads. All that matters is in the homes' logs: another
 // may take over at any moment, and two may act at once. It is not safe for more than one goroutine.
 type Coordinator struct {
-	out    []Action
-	flying map[string]Propose       // under way, by key
-	asked  map[string]time.Duration // by key: not to be proposed again before
-	told   map[string]time.Duration // by dispatcher, gang and kind: when last
-	clock  string                   // the own one's name
-	clocks map[string]*Clock        // by their names
-	whose  map[string]string        // a dispatcher's clock
-	goes   map[string]string        // by gang and round: the clock that its plan goes by
-	heard  map[string]heard         // of dispatchers
-	armed  map[string]map[int]bool  // by gang and round: members whose dispatchers are ready
-	ran    map[string]map[int]bool  // and those that know that all run
-	free   map[string]map[int]bool  // and groups in which its room is free
-	known  map[string]map[int]Fate  // and what the home has been told of them
-	began  map[string]time.Duration
-	homes  map[string]uint32        // of the gangs that are known here
-	seen   map[string]time.Duration // undecided holds, by gang and round: since when
-	view   View
-	looked time.Duration
-	looks  bool
-	Stats  Stats
+	out      []Action
+	flying   map[string]Propose       // under way, by key
+	asked    map[string]time.Duration // by key: not to be proposed again before
+	told     map[string]time.Duration // by dispatcher, gang and kind: when last
+	clock    string                   // the own one's name
+	clocks   map[string]*Clock        // by their names
+	whose    map[string]string        // a dispatcher's clock
+	goes     map[string]string        // by gang and round: the clock that its plan goes by
+	heard    map[string]heard         // of dispatchers
+	armed    map[string]map[int]bool  // by gang and round: members whose dispatchers are ready
+	ran      map[string]map[int]bool  // and those that know that all run
+	free     map[string]map[int]bool  // and groups in which its room is free
+	known    map[string]map[int]Fate  // and what the home has been told of them
+	began    map[string]time.Duration
+	homes    map[string]uint32        // of the gangs that are known here
+	seen     map[string]time.Duration // undecided holds, by gang and round: since when
+	view     View
+	looked   time.Duration
+	searched time.Duration // for an earlier start of a held gang
+	looks    bool
+	Stats    Stats
 }
 
 // Stats counts what a coordinator did.
@@ -426,7 +429,7 @@
 		c.plan(now, group, e, moved)
 		return
 	}
-	if c.sends(now, t, group, e, encoders) || t < p.Start-ArmAhead {
+	if c.sends(now, t, group, e, encoders) || c.sooner(now, t, group, e, encoders) || t < p.Start-ArmAhead {
 		return
 	}
 	armed, free := len(c.armed[fmt.Sprint(id, "/", p.Round)]) == len(e.Spec.Members), c.free[fmt.Sprint(id, "/", p.Round)]
@@ -466,6 +469,24 @@
 	return true
 }
 
+// sooner has a gang start earlier where room has come free since it was planned: what ends is known only once it has. Its
+// holds stay in force until the earlier ones stand.
+func (c *Coordinator) sooner(now, t time.Duration, group uint32, e *Entry, encoders []Encoder) bool {
+	key := e.Spec.ID + "/sooner"
+	if t > e.Plan.Start-2*Lead || now < c.asked[key] || now < c.searched+searchEvery || !c.fresh(now, viewFor) {
+		return false
+	}
+	c.searched, c.asked[key] = now, now+watchFor
+	v := c.view
+	v.Now, v.Encoders = t, encoders
+	next, _ := Find(v, e, nil)
+	if next == nil || next.Start > e.Plan.Start-leastGain {
+		return false
+	}
+	c.plan(now, group, e, next)
+	return true
+}
+
 // recalled tells whether a partner lends too little by now for what the gang holds and older ones do: the younger give way.
 func (c *Coordinator) recalled(e *Entry) string {
 	k := keeper{Resources: c.view.Accounts}
--- a/internal/gang/home.go
+++ b/internal/gang/home.go
@@ -152,7 +152,7 @@
 		if !now || c.Member < 0 || c.Member >= len(e.Fates) {
 			return "another round"
 		}
-		return e.report(at, when, c.Member, c.Fate)
+		return e.report(at, when, c.Member, c.Fate, c.Why)
 	case "off":
 		if e.State != Going || !now || when <= e.Plan.Start+Within {
 			return "not yet, or too late"
@@ -194,8 +194,8 @@
 		return "another round"
 	case len(p.Encoders) != n || len(p.Starters) != n || len(p.Holds) < n || len(p.Holds) > 2*n || len(p.groups()) == 0:
 		return "not a plan"
-	case move && (p.Start != e.Plan.Start || p.Clock != e.Plan.Clock):
-		return "a move keeps the start"
+	case move && (p.Start > e.Plan.Start || p.Clock != e.Plan.Clock):
+		return "a move keeps the start, or comes sooner"
 	case p.Start < e.Spec.NotBefore || p.Start > e.Spec.LatestStart || at > p.Start-voteBy:
 		return "out of its window"
 	case move:
@@ -231,7 +231,7 @@
 			e.due(g, e.Old.Round, "end")
 		}
 	}
-	if e.Old != nil {
+	if e.Old != nil && e.Old.Start == e.Plan.Start {
 		e.Moves++
 	}
 	e.Old = nil
@@ -280,7 +280,7 @@
 	e.State, e.Plan, e.Votes, e.Why, e.Retry = Waiting, nil, nil, why, at
 }
 
-func (e *Entry) report(at, when time.Duration, member int, f Fate) string {
+func (e *Entry) report(at, when time.Duration, member int, f Fate, why string) string {
 	had := e.Fates[member]
 	if had == f {
 		return ""
@@ -305,7 +305,7 @@
 			if e.Fates[member] = f; f == Died {
 				e.Fates[member] = MayRun
 			}
-			e.off(fmt.Sprintf("member %d at %s did not start", member, e.Plan.Encoders[member]))
+			e.off(fmt.Sprintf("member %d at %s did not start: %s", member, e.Plan.Encoders[member], why[:min(len(why), mostName)]))
 		}
 	case Off:
 		if f == Died {
