--- a/internal/rig/accord_test.go
+++ b/internal/rig/accord_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -215,6 +216,36 @@
 	require.Less(w, worst, decisions.Stated)
 }
 
+// A daemon's next process takes over while one instance is left out and a version is agreed that its file does not have:
+// it goes by both, and by what is agreed later; the process before is told of cordons to its end.
+func TestAccordIsHandedOver(t *testing.T) {
+	w := agreeing(t, 3)
+	first, second := w.Host.Encoders()[0].ID(), w.Host.Encoders()[1].ID()
+	require.Equal(t, "OK\n", w.Daemon(0).Ask("cordon "+first))
+	w.edit(0, "[log]", "[attempts]\nmost = 2\n[log]")
+	w.agrees(0, 2, 0, 1, 2)
+	w.out([]string{first}, 0, 1, 2)
+	d := w.Daemon(1)
+	host, port, err := net.SplitHostPort(d.Admin)
+	require.NoError(t, err)
+	next := net.JoinHostPort(host, "1"+port) // the first process has the other to its end
+	w.edit(1, d.Admin, next)
+	before, err := d.Beside()
+	require.NoError(t, err)
+	d.Admin = next
+	w.await("the next process has taken over", func() bool { return w.accord(1).Leased })
+	require.Equal(t, uint64(2), w.accord(1).Steps[0].Low, "it begins with what was agreed")
+	before.Signal(syscall.SIGTERM)
+	before.Wait()
+	w.acting(2, 1)
+	w.out([]string{first}, 1)
+	require.Equal(t, "OK\n", w.Daemon(1).Ask("cordon "+second))
+	w.out([]string{first, second}, 0, 1, 2)
+	w.serves(0, 3)
+	w.consistent(contradiction(w.steps(0, 1, 2), nil), 3)
+	w.rules()
+}
+
 // A version that one daemon cannot take, as its file lacks a class, is refused with its reason. Mended, it is agreed.
 // Then one is cut off in the middle of a change: it serves by the floor, the others agree without it, and healed it goes
 // by what they have agreed.
