--- a/internal/prove/gang.go
+++ b/internal/prove/gang.go
@@ -44,7 +44,7 @@
 	gangOff      = 500*time.Millisecond + 100*time.Millisecond // and what a loaded machine is late by
 	smallWork    = 40 * time.Millisecond
 	gangDepth    = 9  // commands that the model check goes
-	gangPacked   = 30 // gangs at once, for the use that is made of slots
+	gangPacked   = 12 // gangs at once, for the use that is made of slots
 )
 
 // stage is an installation with gangs, under a network that is cut and daemons that die.
@@ -124,16 +124,16 @@
 		return err
 	}
 	say("small jobs alone")
-	alone := s.phase(ctx, 12*time.Second, false, false, false)
+	alone := s.phase(ctx, 10*time.Second, false, false, false)
 	say("  %.0f of %.0f a second served", alone.served, alone.sent)
 	say("small jobs and gangs")
-	calm := s.phase(ctx, 18*time.Second, true, false, false)
+	calm := s.phase(ctx, 16*time.Second, true, false, false)
 	say("  %.0f of %.0f a second served", calm.served, calm.sent)
 	say("with faults")
-	rough := s.phase(ctx, 40*time.Second, true, true, false)
+	rough := s.phase(ctx, 32*time.Second, true, true, false)
 	say("  %.0f of %.0f a second served", rough.served, rough.sent)
 	say("with faults, members sent on their own")
-	s.phase(ctx, 16*time.Second, true, true, true)
+	s.phase(ctx, 14*time.Second, true, true, true)
 	say("%d gangs at once", gangPacked)
 	return s.tell(alone, calm, s.packed(ctx), say)
 }
@@ -160,7 +160,7 @@
 		w := s.draw(fmt.Sprintf("packed-%d", n))
 		w.latest = began.Add(45 * time.Second)
 		for i := range w.works {
-			w.works[i] = time.Duration(2000+s.rng.IntN(1000)) * time.Millisecond
+			w.works[i] = time.Duration(8000+s.rng.IntN(2000)) * time.Millisecond
 		}
 		gangs = append(gangs, w)
 		all.Go(func() { s.run(ctx, w) })
@@ -417,9 +417,13 @@
 type round struct {
 	began, ended []time.Time
 	where, from  []string
+	members      []string
 	fates        []ledger.Fate
 }
 
+// ran is how many members did, however often: a job that its dispatcher sends again to the same encoder is one.
+func (r *round) ran() int { return len(slices.Compact(slices.Sorted(slices.Values(r.members)))) }
+
 func (s *stage) rounds() map[string]map[string]*round {
 	all := map[string]map[string]*round{}
 	for _, a := range s.Host.Ledger.Attempts() {
@@ -440,6 +444,7 @@
 			end = time.Now()
 		}
 		r.began, r.ended, r.where = append(r.began, a.Started), append(r.ended, end), append(r.where, a.Encoder)
+		r.members = append(r.members, m[3])
 		r.from, r.fates = append(r.from, a.Sender), append(r.fates, a.Fate)
 	}
 	return all
@@ -453,6 +458,7 @@
 	type edge struct {
 		at  time.Time
 		add int
+		job string
 	}
 	var lent []edge
 	rounds := s.rounds()
@@ -466,7 +472,7 @@
 			runs := w.end.GetVerdict() == gang.Completed || w.end.GetVerdict() == gang.DeadAfter
 			first, last := slices.MinFunc(r.began, time.Time.Compare), slices.MaxFunc(r.began, time.Time.Compare)
 			over := slices.MaxFunc(r.ended, time.Time.Compare)
-			all := len(r.began) == len(w.sites)
+			all := r.ran() == len(w.sites)
 			switch {
 			case w.alone:
 				if !all || last.Sub(first) > gangSkew {
@@ -483,14 +489,15 @@
 				}
 			case over.Sub(first) > gangOff:
 				half++
-				say("by halves: %s: %d of %d ran, for %v; then %v", w.id, len(r.began), len(w.sites), over.Sub(first), w.end)
+				say("by halves: %s: %d of %d ran, for %v; then %v", w.id, r.ran(), len(w.sites), over.Sub(first), w.end)
 				for i := range r.began {
-					say("  at %v from %s at %s for %v: %v", r.began[i].Format("05.000"), r.from[i], r.where[i], r.ended[i].Sub(r.began[i]), r.fates[i])
+					say("  member %s at %v from %s at %s for %v: %v", r.members[i], r.began[i].Format("05.000"), r.from[i], r.where[i], r.ended[i].Sub(r.began[i]), r.fates[i])
 				}
 			}
 			for i := range r.began {
 				if !w.alone && s.site(r.where[i]) == "b" {
-					lent = append(lent, edge{r.began[i], 1}, edge{r.ended[i], -1})
+					job := w.id + " round " + n + " member " + r.members[i] + " from " + r.from[i] + " at " + r.where[i]
+					lent = append(lent, edge{r.began[i], 1, job}, edge{r.ended[i], -1, job})
 				}
 			}
 		}
@@ -520,8 +527,15 @@
 	}
 	slices.SortFunc(lent, func(a, b edge) int { return a.at.Compare(b.at) })
 	now, most := 0, 0
+	runs := map[string]time.Time{}
 	for _, e := range lent {
-		now += e.add
+		if now += e.add; e.add < 0 {
+			delete(runs, e.job)
+			continue
+		}
+		if runs[e.job] = e.at; now > max(most, gangLent) {
+			say("%d lent slots are used at %s: %v", now, e.at.Format("05.000"), runs)
+		}
 		most = max(most, now)
 	}
 	passed := max(0, most-gangLent)
