Have connections rest before their next use only while an encoder talks unasked

For 30 s after some encoder was seen to say what nobody asked for, settled ones go first; at that encoder nothing else is used but a new one.

--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -22,8 +22,8 @@
 // A spoilt answer may be followed by a second one some milliseconds later, which would be read as the answer to the next
 // request on that connection: as taken where it was turned away, or the other way round.
 const (
-	settles  = 50 * time.Millisecond // that a connection rests before it is used again, where others do as well
-	talksFor = 30 * time.Second      // where an instance was seen to do so, no other is used for so long
+	settles  = 50 * time.Millisecond // that a connection rests before it is used again, where others do as well,
+	talksFor = 30 * time.Second      // for so long after some instance was seen to do so, and at that one no other is used
 )
 
 // mostInstances is how many are remembered before those gone are forgotten.
@@ -58,6 +58,7 @@
 	cordoned  map[string]bool                 // left out by hand
 	out       map[*dispatch.Attempt]*exchange // sent and not yet taken by the instance
 	conns     int
+	talk      time.Time // when an instance last said something that nobody had asked for
 }
 
 // instance is one encoder as the name table has it.
@@ -65,7 +66,7 @@
 	id, address string
 	state       decide.WorkerState
 	idle        []*conn   // the longest idle first
-	talked      time.Time // when something last came from it that nobody had asked for
+	talked      time.Time // when it last said something that nobody had asked for
 }
 
 // NewPool returns a pool that knows no instance yet.
@@ -254,7 +255,7 @@
 		close(in.idle[0].work)
 		in.idle = in.idle[1:]
 	}
-	if c := in.take(x, p.settle, now); c != nil {
+	if c := in.take(x, p.settle, now.Sub(p.talk) < talksFor, now); c != nil {
 		c.work <- x // holds one; an idle connection has none
 		return
 	}
@@ -266,9 +267,9 @@
 	go p.run(&conn{pool: p, in: in, work: make(chan *exchange, 1)}, x)
 }
 
-// take takes the idle connection that an exchange is to use, nil: a new one. It is the one used last that has settled; where
-// none has, the one that has rested longest, unless its instance is known to talk unasked.
-func (in *instance) take(x *exchange, settle time.Duration, now time.Time) *conn {
+// take takes the idle connection that an exchange is to use, nil: a new one. It is the one used last. Where some instance talks
+// unasked, it is the one used last that has settled; where none has, the one that has rested longest, unless it is this one's.
+func (in *instance) take(x *exchange, settle time.Duration, talk bool, now time.Time) *conn {
 	last := len(in.idle) - 1
 	if last < 0 || x.fresh {
 		return nil
@@ -278,7 +279,7 @@
 		return (x.mostIdle == 0 || rested(at) <= x.mostIdle) && (rested(at) >= settle || x.id == "" || !in.talks(now))
 	}
 	at := last
-	for at > 0 && rested(at) < settle {
+	for talk && at > 0 && rested(at) < settle {
 		at--
 	}
 	if !fits(at) { // settled for too long, perhaps
@@ -299,6 +300,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	in.talked = time.Now()
+	p.talk = in.talked
 }
 
 // Retune has connections come up and be kept by other limits from now on.
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -279,7 +280,7 @@
 	require.Empty(t, r.ended)
 }
 
-// Of connections at rest the one used last is taken that has settled.
+// Of connections at rest the one used last is taken; where some instance talks unasked, the one used last that has settled.
 func TestSettledConnectionsGoFirst(t *testing.T) {
 	const settle = settles
 	now := time.Now()
@@ -308,7 +309,11 @@
 			in.talked = now.Add(-one.talked)
 		}
 		all := append([]*conn{nil}, in.idle...)
-		c := in.take(&exchange{id: "c1", mostIdle: one.mostIdle}, settle, now)
+		if one.talked == 0 && one.mostIdle == 0 && len(in.idle) > 0 {
+			calm := &instance{idle: slices.Clone(in.idle)}
+			require.Same(t, in.idle[len(in.idle)-1], calm.take(&exchange{id: "c1"}, settle, false, now))
+		}
+		c := in.take(&exchange{id: "c1", mostIdle: one.mostIdle}, settle, true, now)
 		require.Same(t, all[one.took+1], c, "%+v", one)
 		require.Len(t, in.idle, max(0, len(one.rested)-1)+map[bool]int{true: 1}[c == nil && len(one.rested) > 0])
 	}
