--- a/decide/decide.go
+++ b/decide/decide.go
@@ -774,7 +774,7 @@
 		if !a.fresh && (w.lead == 0 || delay < w.lead) {
 			w.lead = delay
 		}
-		if used, _, size := d.load(w); used+r.Slots > size { // another such would not fit
+		if used, mem, size := d.load(w); used+r.Slots > size || d.s.ReportsFree && mem+r.Memory > size { // another such would not fit
 			*d.ceiling(w) += ceilingStep
 		}
 	} else {
--- a/decide/moves_test.go
+++ b/decide/moves_test.go
@@ -93,3 +93,33 @@
 		}
 	}
 }
+
+// TestCeilingGrowsForJobsOfMuchMemory: at a ceiling of two, one job of a unit and a tenth of memory leaves a slot free and no
+// room for another. It never was at its ceiling, which never grew: a worker of eight slots had one such job at a time.
+func TestCeilingGrowsForJobsOfMuchMemory(t *testing.T) {
+	w := fleet(t, site(1, true, true, false), 1)
+	most := 0
+	for range 40 {
+		w.now += 10 * ms
+		for range 4 {
+			q := w.arrive(0, time.Second)
+			q.Request.Memory = 1.1
+			w.handle(q.Request)
+		}
+		running := 0
+		for _, id := range w.order {
+			if j := w.jobs[id]; len(j.tries) == 1 && !j.tries[0].over {
+				running++
+				w.handle(JobStarted{id, 0})
+			}
+		}
+		most = max(most, running)
+		w.now += 20 * ms
+		for _, id := range w.order {
+			if j := w.jobs[id]; len(j.tries) == 1 && !j.tries[0].over {
+				w.handle(w.end(j, 0, OK, nil))
+			}
+		}
+	}
+	require.Greater(t, most, 1)
+}
