--- a/decide/decide.go
+++ b/decide/decide.go
@@ -84,8 +84,7 @@
 	return ps
 }
 
-// turn begins a batch. One that comes later than the timer was asked for follows a stall of
-// this dispatcher itself: it finds all that came meanwhile at once.
+// turn begins a batch. One later than its timer follows a stall of this dispatcher itself, and finds all that came since.
 func (d *Dispatcher) turn(now time.Duration) {
 	d.now, d.late = max(d.now, now), 0
 	if late := d.now - d.wakeAt; d.armed && late > d.step() {
@@ -777,7 +776,7 @@
 		if used, mem, size := d.load(w); used+r.Slots > size || d.s.ReportsFree && mem+r.Memory > size { // another such would not fit
 			*d.ceiling(w) += ceilingStep
 		}
-	} else {
+	} else if !a.queued || d.allTell() { // lowered when it was seen to queue
 		d.lower(w)
 	}
 	d.kind(w.Kind).Slots = max(d.kind(w.Kind).Slots, w.running)
@@ -1085,12 +1084,14 @@
 				// What a job with a key needs is fetched elsewhere; among many, who meet it seldom, its queue is others'.
 				a.stays = !d.movable(r) || r.Key > 0 && (r.c.Effect != Safe || d.s.Dispatchers <= len(d.fleet))
 			}
+			if full := first && !d.allTell(); hung || full && !a.stays {
+				d.strike(a.w)
+			} else if full {
+				d.lower(a.w) // at once: it may stand still, and would be sent more until one has run
+			}
 			if a.stays && !hung {
 				continue // a queue is no ill health
 			}
-			if hung || first && !d.allTell() {
-				d.strike(a.w)
-			}
 			if w := d.pick(r); w != nil && d.s.Limits.Cancel && d.send(r, w) {
 				d.do(Cancel{Request: r.ID, Attempt: i})
 			}
--- a/decide/moves_test.go
+++ b/decide/moves_test.go
@@ -123,3 +123,24 @@
 	}
 	require.Greater(t, most, 1)
 }
+
+// TestSilentWorkerGetsNoMore: a worker that had shown room for many and then stood still was sent as many until the first of
+// them counted as hung, four runs later: on the days of planned restarts each new process lost a ceiling of jobs to each.
+func TestSilentWorkerGetsNoMore(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Classes[0].LateWorth = 0.5
+	w := fleet(t, s, 1)
+	for _, v := range w.d.workers {
+		v.ceiling = 6
+	}
+	w.d.extras = []time.Duration{w.now, w.now, w.now} // no more moves
+	sent := 0
+	for range 6 {
+		if _, j := w.place(0); len(j.tries) > 0 {
+			sent++
+		}
+		w.now += 60 * ms
+		w.handle(Wake{})
+	}
+	require.LessOrEqual(t, sent, 2, "to a worker that has started nothing since")
+}
