Do not call a promised job broken while it waits at its gate; pace reruns by sites

A promised job that must not run twice was ended "it failed, or may have run" though it had never been sent: the module gives up a queued job that is late by its class's aim, and knows nothing of the gate at which its attempt still waits for its intent. Now the loop answers that it was turned away, and the gate hears first that the attempt never ran; the job is handed in again. Test in internal/dispatch.

Nobody told the groups what a site takes at once, so that lost outputs were paced by 8 for every site. Whoever acts for a group tells it now, from the name table and the kinds' slots, again when that changes by a quarter.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 	kept      time.Duration // as the fleet told with its end
 	report    *decide.Report
 	gate      gated
+	never     bool        // it is over, and has not run
 	may       func() bool // nil: it waited at no gate
 	leaving   atomic.Bool // given up, and the instance has not confirmed it yet
 	vain      atomic.Bool // its command is owed nothing more
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "caperrelay/decide"
+import (
+	"slices"
+
+	"caperrelay/decide"
+)
 
 // A promised command's attempts wait at a gate until it is committed that they may be sent. Whether there is one, and
 // where it goes, the module has decided by then; the loop goes on meanwhile.
@@ -67,10 +71,15 @@
 	if a.gate != free && o.NeverRan() {
 		a.Command.Gate.Never(a)
 	}
-	a.gate = free
+	a.gate, a.never = free, o.NeverRan()
 	return o
 }
 
+// unsent tells whether nothing of a command that has a gate can have run: its attempts wait there, or have ended so.
+func (h *held) unsent() bool {
+	return h.Gate != nil && !slices.ContainsFunc(h.attempts, func(a *Attempt) bool { return a.over && !a.never || !a.over && a.gate != waits })
+}
+
 // Abandon forgets a command whose attempts are no longer this process's to see to. Nothing is sent, no give-up either:
 // instances go on with what they have.
 func (l *Loop) Abandon(c *Command) {
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -46,6 +46,25 @@
 	require.Equal(t, f.sent, g.never)
 }
 
+// What the module gives up as late is no failure while all of it waits at the gate: it has not run, and the gate hears of
+// that before the client does. Once one is let through, nobody knows.
+func TestGivenUpAtTheGateHasNotRun(t *testing.T) {
+	for _, passed := range []bool{false, true} {
+		l, f, c, g := gatedBegin(t)
+		if passed {
+			l.Pass(g.asked[0], func() bool { return true })
+			l.batch()
+		}
+		l.fail(decide.FailRequest{Request: g.asked[0].request})
+		require.Len(t, c.answers, 1)
+		require.Equal(t, map[bool]Verdict{false: Nacked, true: Failed}[passed], c.answers[0].Verdict)
+		require.Len(t, g.never, map[bool]int{false: 1}[passed])
+		l.Pass(g.asked[0], func() bool { return true })
+		l.batch()
+		require.Len(t, f.sent, map[bool]int{true: 1}[passed])
+	}
+}
+
 // What is abandoned is not taken back from its instance, and its call-back goes to whoever asks for strays. A newer
 // process is not handed it, and nothing waits on at the gate of the older one.
 func TestAbandonedAndYielded(t *testing.T) {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -209,7 +209,18 @@
 }
 
 func (l *Loop) fail(f decide.FailRequest) {
-	if h := l.requests[f.Request]; h != nil && !h.answered {
-		l.answer(h, Answer{Verdict: Failed})
+	h := l.requests[f.Request]
+	if h == nil || h.answered {
+		return
+	}
+	v := Failed
+	if h.unsent() { // the module knows of no gates
+		v = Nacked
+		for _, a := range h.attempts {
+			if !a.over {
+				l.end(a, decide.Moot)
+			}
+		}
 	}
+	l.answer(h, Answer{Verdict: v})
 }
--- a/internal/full/pipelines.go
+++ b/internal/full/pipelines.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o := pipelines.Options{Name: f.Node.Name, Policy: text, Version: p.Version, Site: policySite(f)}
+	o := pipelines.Options{Name: f.Node.Name, Policy: text, Version: p.Version, Site: policySite(f), Slots: f.Slots()}
 	return func(core program.Core) (program.Part, error) {
 		var found captured
 		beside.register(&found)
--- a/internal/net/pipelines/pipelines.go
+++ b/internal/net/pipelines/pipelines.go
@@ -45,6 +45,7 @@
 	mostBusy   = 2048 // things under way for the groups
 	mostOrder  = 256  // workers that a rerun is narrowed to
 	keepEnd    = 10 * time.Minute
+	mostOut    = 1 << 16   // reruns at one site
 	targetKey  = "target:" // parameters that are stages' targets begin so
 )
 
@@ -67,6 +68,8 @@
 	Policy  string // the file's text
 	Version string
 	Site    policy.Site
+	// Slots is how many jobs a worker of each kind runs at once.
+	Slots map[string]float64
 }
 
 // Server is safe for use by several goroutines.
@@ -82,9 +85,10 @@
 	acting  atomic.Int64
 
 	mu      sync.Mutex
-	moved   chan struct{} // closed at each look
-	known   chan struct{} // closed once the name table has told of workers
-	listed  bool          // likewise
+	moved   chan struct{}  // closed at each look
+	known   chan struct{}  // closed once the name table has told of workers
+	listed  bool           // likewise
+	rooms   map[string]int // what sites take at once, by zone.site, of those of which all kinds' slots are known
 	busy    map[string]bool
 	members dispatch.Table
 	wg      sync.WaitGroup
@@ -103,6 +107,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.members.Take(l)
+	rooms := map[string]float64{}
+	for id, m := range s.members.Members() {
+		if p := placeOf(id, m); m.State == decide.Ready && s.o.Slots[m.Kind] > 0 {
+			rooms[p.Zone+"."+p.Site] += s.o.Slots[m.Kind] * cmp.Or(m.Size, 1)
+		}
+	}
+	s.rooms = map[string]int{}
+	for place, room := range rooms {
+		s.rooms[place] = max(1, int(min(room, mostOut)))
+	}
 	if !s.listed && len(s.members.Members()) > 0 {
 		close(s.known)
 		s.listed = true
@@ -152,11 +166,14 @@
 	var actions []rerun.Action
 	var running []rerun.Go
 	var lines []rerun.Told
-	knows := false
+	knows, roomy := false, false
+	s.mu.Lock()
+	rooms := s.rooms // replaced, never changed
+	s.mu.Unlock()
 	now := time.Duration(time.Now().UnixNano())
 	if !s.host.View(g, replica.Reruns, func(m replica.Machine) {
 		r := m.(*rerun.Machine)
-		actions, running, lines, knows = r.Actions(), r.Running(""), r.Lines(), r.Knows(s.o.Version)
+		actions, running, lines, knows, roomy = r.Actions(), r.Running(""), r.Lines(), r.Knows(s.o.Version), r.Roomy(rooms)
 	}) {
 		return
 	}
@@ -172,6 +189,9 @@
 			}
 		})
 	}
+	if !roomy {
+		s.once(fmt.Sprint("rooms/", g), func() { s.propose(ctx, g, rerun.Command{Op: rerun.OpRoom, Rooms: rooms}) })
+	}
 	for _, t := range running {
 		s.once(turnName(t), func() { s.turn(ctx, g, t) })
 	}
--- a/internal/net/pipelines/pipelines_test.go
+++ b/internal/net/pipelines/pipelines_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"strconv"
 	"sync/atomic"
@@ -199,3 +200,38 @@
 	_, narrowed := s.narrow(turn)
 	require.False(t, narrowed)
 }
+
+// Who acts for a group has it know what sites take at once, as the name table and the kinds' slots say; small changes
+// are not told.
+func TestRoomsOfSites(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux {
+		return replica.Mux{replica.Promises: promise.New(), replica.Reruns: rerun.New(rerun.Config{Groups: 1})}
+	})
+	o := Options{Name: "d1", Policy: oneStage, Version: "1", Site: policy.Site{Classes: map[string]policy.Class{"publish": {Once: true}}}, Slots: map[string]float64{"m2": 4}}
+	s := New(o, host, slog.New(slog.DiscardHandler))
+	look := func(workers int) {
+		l := dispatch.List{Complete: true, Members: []dispatch.Member{{ID: "x", Kind: "unknown", Zone: "b", State: decide.Ready}}}
+		for i := range workers {
+			l.Members = append(l.Members, dispatch.Member{ID: fmt.Sprint("w", i), Kind: "m2", Zone: "a", Cell: 1, Size: 1.5, State: decide.Ready})
+		}
+		s.Listed(l)
+		s.act(t.Context(), 0)
+		s.wg.Wait()
+	}
+	room := func() (room map[string]int) {
+		host.View(0, replica.Reruns, func(m replica.Machine) {
+			var state struct{ Room map[string]int }
+			text, err := m.(*rerun.Machine).Snapshot()
+			require.NoError(t, err)
+			require.NoError(t, json.Unmarshal(text, &state))
+			room = state.Room
+		})
+		return room
+	}
+	look(10)
+	require.Equal(t, map[string]int{"a.1": 60}, room())
+	look(9)
+	require.Equal(t, map[string]int{"a.1": 60}, room())
+	look(5)
+	require.Equal(t, map[string]int{"a.1": 30}, room())
+}
--- a/internal/prove/rerun.go
+++ b/internal/prove/rerun.go
@@ -448,9 +448,15 @@
 			if r.Generation != 2 || r.Stage != "high" && r.Stage != "low" || !r.Began.Before(verdict) || !s.bad[at(r.Output, 1)] {
 				continue
 			}
-			out := span{r.Began, verdict}
+			out := span{r.Began, r.Began} // one that no package had came to nothing by itself, when its dispatcher died
 			for _, p := range runs {
-				if p.Told.Run == r.Told.Run && p.Stage == "package" && p.Ended.After(r.Began) && p.Ended.Before(out.to) && slices.ContainsFunc(p.Inputs, func(i pipelines.Input) bool { return i.Stage == r.Stage && i.Generation > 1 }) {
+				if p.Told.Run != r.Told.Run || p.Stage != "package" || !slices.ContainsFunc(p.Inputs, func(i pipelines.Input) bool { return i.Stage == r.Stage && i.Generation == 2 }) {
+					continue
+				}
+				if out.to == out.from {
+					out.to = verdict
+				}
+				if p.Ended.After(r.Began) && p.Ended.Before(out.to) {
 					out.to = p.Ended
 				}
 			}
