--- a/internal/full/replicas.go
+++ b/internal/full/replicas.go
@@ -37,6 +37,7 @@
 	o := replicas.Options{
 		Self: replica.Member{Name: f.Node.Name, Machine: r.Machine, Zone: r.Zone}, Dir: r.Dir, Address: f.Control.Listen, Peers: r.Peers, Through: r.Through,
 		Groups: r.Groups, Copies: r.Copies, Gone: time.Duration(r.Gone), Machines: withReruns(r.Groups, machines),
+		Repair: r.Repair, Survivors: r.Survivors,
 	}
 	if t := f.Control.TLS; t != nil {
 		pair, err := keys.Load(keys.Files{Certificate: t.Certificate, Key: t.Key, CA: t.ClientCA, Names: t.Names})
--- a/internal/promise/machine_test.go
+++ b/internal/promise/machine_test.go
@@ -143,6 +143,6 @@
 	require.Equal(t, []Action{Leave{"j", first.Hand}}, o.Actions())
 	o.Lead(at(600), 3, time.Second, true)
 	take(at(600))
-	require.IsType(t, Start{}, o.Actions()[0])
+	require.Greater(t, o.Actions()[0].(Start).Hand, first.Hand, "the dispatcher may still have the first")
 	require.Equal(t, Stale, ask1(m, 9, 0, late.Command).Why)
 }
--- a/internal/promise/model.go
+++ b/internal/promise/model.go
@@ -149,7 +149,7 @@
 			b = append(b, l.cmd...)
 		}
 		o := d.owner
-		num(int(d.term), int(d.until), d.hand, d.n, d.state, int(d.goes), int(o.term), int(o.until), int(o.last), int(o.times), yes(o.own > 0))
+		num(int(d.term), int(d.until), d.hand, d.n, d.state, int(d.goes), int(o.term), int(o.until), int(o.last), int(o.times), o.base, yes(o.own > 0))
 		l, waits := o.later[theJob]
 		num(yes(waits), int(l.at), l.hand, int(l.pause))
 		if h := o.hands[theJob]; h != nil {
--- a/internal/promise/owner.go
+++ b/internal/promise/owner.go
@@ -107,6 +107,7 @@
 	times uint64 // and how often it was held before: what was proposed in those times counts no more
 	own   uint64 // the proposal to act, 0: none is out
 
+	base  int // the highest number of a hand-in under earlier leases, which the dispatcher may still have
 	hands map[string]*hand
 	later map[string]later
 	seq   uint64
@@ -195,6 +196,10 @@
 			o.act(Deny{id, h.n, n})
 		}
 		o.act(Leave{id, h.n})
+		o.base = max(o.base, h.n)
+	}
+	for _, l := range o.later {
+		o.base = max(o.base, l.hand)
 	}
 	clear(o.hands)
 	clear(o.later)
@@ -324,7 +329,7 @@
 		}
 	case c.Mono < wait.at:
 	default:
-		n := max(e.Hands, wait.hand) + 1
+		n := max(e.Hands, wait.hand, o.base) + 1
 		o.later[e.ID] = later{hand: n, pause: wait.pause}
 		o.hands[e.ID] = &hand{n: n, index: e.Index, class: e.Job.Class, ran: len(e.Intents) > 0, asks: map[int]ask{}}
 		o.act(Start{ID: e.ID, Index: e.Index, Hand: n, Job: e.Job, Left: e.Until - c.Unix, Repeat: len(e.Intents) > 0})
--- a/internal/rig/promises_test.go
+++ b/internal/rig/promises_test.go
@@ -39,6 +39,7 @@
 
 // swear starts one. Encoders call back whom the job names, where shared says so, else whoever sent it.
 func swear(t *testing.T, shared bool) *sworn {
+	t.Parallel() // stories wait, they do not work
 	w := &sworn{town: founded(t, five, time.Millisecond, func(o *rig.Options) { o.Lean, o.Members = false, shared }), all: map[string]string{}, began: time.Now()}
 	for n := range five {
 		var peers, through []string
@@ -102,7 +103,9 @@
 	if via >= 0 {
 		once += fmt.Sprint("&via=n", via)
 	}
-	_, err := w.promises.Promise(w.Context(), winglb.Promised{
+	ctx, cancel := context.WithTimeout(w.Context(), patience)
+	defer cancel()
+	_, err := w.promises.Promise(ctx, winglb.Promised{
 		Job: winglb.Job{ID: id, Class: class, Tenant: "ups", Work: work}, Payload: []byte("work"), Within: within,
 		Target: fmt.Sprintf("/api?work_us=%d&class=%s%s", work.Microseconds(), class, once),
 	})
--- a/internal/rig/record_test.go
+++ b/internal/rig/record_test.go
@@ -95,6 +95,7 @@
 // A machine is lost with its disk: promises go on meanwhile, its replicas are moved, and it comes back as a new member
 // that learns and votes. Then another's disk has a bit flipped: that one does not vote by its old name either.
 func TestMachineLostWithItsDisk(t *testing.T) {
+	t.Parallel()
 	w := founded(t, 4, time.Millisecond, recording)
 	w.start(0, 4)
 	w.serves(0, 4)
@@ -142,6 +143,7 @@
 
 // A leader hears the others and they do not hear it: it acts no more, another does, and nothing promised is lost.
 func TestLeaderThatIsNotHeard(t *testing.T) {
+	t.Parallel()
 	w := founded(t, 3, time.Millisecond, recording)
 	w.start(0, 3)
 	w.serves(0, 3)
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,14 +99,14 @@
 	})
 }
 
-var jobs int
+var jobs atomic.Int64
 
 // job has a daemon do one, and returns the status; 0: the daemon is not there.
 func (w *town) job(n int, class string) int {
-	jobs++
+	job := jobs.Add(1)
 	q, err := http.NewRequest("POST", "http://"+w.Daemon(n).Listen+fmt.Sprintf("/api?via=n%d&work_us=1000&class=", n)+class+map[bool]string{true: "&once=1"}[class == "publish"], strings.NewReader("work"))
 	require.NoError(w, err)
-	q.Header.Set("X-Correlation-Id", fmt.Sprint("job-", jobs))
+	q.Header.Set("X-Correlation-Id", fmt.Sprint("job-", job))
 	q.Header.Set("X-Service-Class", class)
 	q.Header.Set("X-Account", "ups")
 	q.Header.Set("X-Time-Left", "2000m")
