Lose the disk of who coordinates gangs as well, and have the clock of [gangs] put ahead

The story of a killed coordinator kept its machine's disk. The key clock of [gangs], for trials of clocks that are apart, was read and did nothing.

--- a/internal/full/gangs.go
+++ b/internal/full/gangs.go
@@ -20,6 +20,7 @@
 // gangsPart has jobs taken whose members start together. host keeps them, and they come in at the control listener.
 func gangsPart(f *siteconf.File, host replicas.Host, register func(func(grpc.ServiceRegistrar))) (program.NewPart, error) {
 	o := gangs.Options{Name: f.Node.Name, Site: f.Node.Zone, Peers: map[string]string{}, Slots: f.Slots(), Cold: time.Duration(f.Rules.Cold), TellsStart: f.Site.TellsStart, Once: map[string]bool{}}
+	o.Ahead = time.Duration(f.Gangs.Clock)
 	for name, at := range f.Promises.Peers {
 		o.Peers[name] = at
 	}
--- a/internal/rig/gangs_test.go
+++ b/internal/rig/gangs_test.go
@@ -187,8 +187,8 @@
 	w.rules()
 }
 
-// Whoever acts for four gangs' home is killed while one waits for its window, one is held, one has its dispatchers
-// armed, and one is about to start; and once more right after a start.
+// Whoever acts for four gangs' home is killed, and its machine's disk lost, while one waits for its window, one is held,
+// one has its dispatchers armed, and one is about to start; and once more one is killed right after a start.
 func TestGangsCoordinatorKilled(t *testing.T) {
 	w := gather(t)
 	four := ids(5, "k")
@@ -198,6 +198,7 @@
 	w.at(four[0], -60*time.Millisecond)
 	killed := w.leader("held")
 	w.Daemon(killed).Kill()
+	require.NoError(t, w.Daemon(killed).Forget())
 	for _, id := range four[1:4] {
 		g := w.end(id)
 		require.Equal(t, gang.Completed, g.Verdict, g)
