Send a request with an order of its own nowhere else, also not to a worker that is owed a job

Cause (read off decide.go): pick asked firstJob before it looked whether a request names its workers, so a rerun that was narrowed to other sites could come to the worker that had spoilt its input, once that was put back by hand or began cold. Found by whoever built reruns. Change: firstJob takes no request with an order. Test: TestOrderGoesBeforeFirstJobs fails without it (it went to 2, not 3).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -130,7 +130,7 @@
 	d.owed = slices.DeleteFunc(d.owed, func(w *worker) bool { return !w.owed && !d.untried(w) || d.workers[w.ID] != w })
 	for _, w := range d.owed {
 		first := r.c.Effect == Safe && w.own == 0 || !w.owed && !d.s.Leasing.On
-		if first && len(r.attempts) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
+		if first && len(r.attempts)+len(r.Order) == 0 && (r.c.Kind == Any || r.c.Kind == w.Kind) && d.valid(r, w, Invalidate{Rule: Overload}) {
 			return w
 		}
 	}
--- a/decide/order_test.go
+++ b/decide/order_test.go
@@ -34,3 +34,31 @@
 		t.Errorf("2 drains, it went to %d", got)
 	}
 }
+
+// TestOrderGoesBeforeFirstJobs: a worker put back by hand is owed a job, but not one that may not go there: a rerun that was
+// narrowed to other sites could come to the worker that had spoilt it.
+func TestOrderGoesBeforeFirstJobs(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Dispatchers, s.Rules.Cold, s.Rules.ColdFrom = 3, 20*time.Second, 0.14
+	w := fleet(t, s, 4)
+	w.handle(Cordon{Worker: 2, Out: true})
+	w.now += time.Second
+	w.handle(Cordon{Worker: 2})
+	for end := w.now + owedWithin; w.now < end; {
+		w.now += 20 * ms
+		j := w.arrive(0, time.Second)
+		j.Order = []uint32{3}
+		for _, a := range w.handle(Wake{}, j.Request) {
+			if a, ok := a.(Send); ok && a.Worker != 3 {
+				t.Fatalf("it may go to 3 alone, it went to %d", a.Worker)
+			}
+		}
+		for _, j := range w.jobs {
+			for i, tr := range j.tries {
+				if !tr.over && w.now-tr.sent >= 60*ms {
+					w.handle(w.end(j, i, OK, nil))
+				}
+			}
+		}
+	}
+}
