--- a/internal/rig/gangs_test.go
+++ b/internal/rig/gangs_test.go
@@ -212,6 +212,7 @@
 	who := w.leader("held")
 	w.at(four[4], 20*time.Millisecond)
 	w.Daemon(who).Kill()
+	require.NoError(t, w.Daemon(who).Start()) // the other's copies are not all made anew yet: two of three may be gone
 	t.Log("right after its start:", w.end(four[4]))
 	w.together()
 }
