--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,8 +55,7 @@
 	confirmPart   = 2       // part of its aim for which a job may lack its worker's confirmation
 	idleDouble    = 4       // windows of the rule on cold workers in which trust in idle connections doubles
 	recheck       = 8       // one in so many repeatable jobs still tries an old connection
-	moveShare     = 0.01    // of the requests, that are moved from where they queue: they may run twice,
-	leastMoves    = 2       // and so many in the time that a client waits
+	moveShare     = 0.01    // of the requests, that are moved from where they queue: they may run twice
 	ringPoints    = 8       // places of a worker on the ring of keys
 	sweepTicks    = 4       // granularity steps between sweeps
 	minSweep      = 5 * time.Millisecond
@@ -1119,7 +1118,7 @@
 // movable tells whether one more job that queues is to be moved. Nobody tells whether its worker then drops it: where it
 // does not, both run and more queue. So few are, of those that late earn something where they are; else it is that or nothing.
 func (d *Dispatcher) movable(r *request) bool {
-	return d.affordable() && (r.c.LateWorth == 0 || float64(len(d.extras)) < max(leastMoves, moveShare*float64(len(d.taken))))
+	return d.affordable() && (r.c.LateWorth == 0 || float64(len(d.extras)+1) <= moveShare*float64(len(d.taken)))
 }
 
 // tells is whether load is told at all: where starts are told, a part of the others' would say
--- a/decide/moves_test.go
+++ b/decide/moves_test.go
@@ -13,8 +13,7 @@
 func TestFewQueuedJobsMove(t *testing.T) {
 	moves, struck, windows := moved(t, 0.5)
 	require.LessOrEqual(t, struck, moves, "workers struck for a queue")
-	require.LessOrEqual(t, moves, int(leastMoves)*windows+int(moveShare*200)+1)
-	require.GreaterOrEqual(t, moves, windows/2, "one in each window may")
+	require.LessOrEqual(t, moves, int(moveShare*200)+1, "two in each of %d windows were too many for a fleet of hundreds", windows)
 }
 
 // TestWhatIsWorthNothingLateMoves: a job whose class earns nothing late is lost if it stays in its queue, and its client asks
@@ -22,7 +21,7 @@
 func TestWhatIsWorthNothingLateMoves(t *testing.T) {
 	late, _, _ := moved(t, 0)
 	few, _, _ := moved(t, 0.5)
-	require.Greater(t, late, 2*few)
+	require.Greater(t, late, 2*few+2)
 }
 
 // moved has 200 jobs queue at first and tells how many moved, and in how many windows of the rule on attempts.
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -353,7 +353,9 @@
 // worker gets nothing new until it has shown life.
 func TestQueuedJobMoves(t *testing.T) {
 	for class, wantMove := range []bool{true, true, false} {
-		w := fleet(t, site(1, true, false, false), 2)
+		s := site(1, true, false, false)
+		s.Classes[0].LateWorth = 0 // else it stays: few of those move
+		w := fleet(t, s, 2)
 		first, j := w.place(class)
 		w.now += 60 * ms
 		w.handle(Wake{})
--- a/decide/size_test.go
+++ b/decide/size_test.go
@@ -170,7 +170,9 @@
 // queued, and it moves only to a worker with an open connection.
 func TestSlowSetup(t *testing.T) {
 	for _, slow := range []bool{true, false} {
-		w := fleet(t, site(1, true, false, false), 2)
+		s := site(1, true, false, false)
+		s.Classes[0].LateWorth = 0 // else it stays: few of those move
+		w := fleet(t, s, 2)
 		for i := range w.d.setups {
 			if slow {
 				w.d.setups[i] = 80 * ms
