--- a/internal/demo/promised.go
+++ b/internal/demo/promised.go
@@ -27,39 +27,6 @@
 	promisedWithin  = 15 * time.Second // of the whole story
 )
 
-// promisedPolicy is of one lecture: its rendition is made anew elsewhere when packaging calls it spoilt.
-const promisedPolicy = `version = "demo"
-[budget]
-fleet = "50%"
-spare = "1m"
-[[pipeline]]
-name = "lecture"
-result = ["publish"]
-within = "1m"
-[[pipeline.stage]]
-name = "encode"
-class = "preview"
-work = "1s"
-[[pipeline.stage]]
-name = "package"
-class = "preview"
-work = "1s"
-needs = ["encode"]
-[[pipeline.stage]]
-name = "publish"
-class = "publish"
-work = "1s"
-needs = ["package"]
-[[pipeline.rerun]]
-on = "package"
-when = 'cause.kind == "bad_input"'
-rerun = "cause.input"
-where = "other-site"
-after = "100ms..1s"
-most = 2
-budget = "fleet"
-`
-
 // Promised is what became of a lecture that was handed in for good, and whose dispatcher's machine was lost.
 type Promised struct {
 	Removed   string // the daemon that acted for it, killed with its directory
@@ -112,7 +79,7 @@
 		return pipelines.Outcome{}
 	}
 	file := filepath.Join(dir, "reruns.toml")
-	if err := errors.Join(os.WriteFile(file, []byte(promisedPolicy), 0o600), w.Join(r, file)); err != nil {
+	if err := errors.Join(os.WriteFile(file, []byte(plant.Lecture("demo", "")), 0o600), w.Join(r, file)); err != nil {
 		return p, err
 	}
 	if err := r.StartAll(ctx); err != nil {
--- a/internal/rerun/plant/plant_test.go
+++ b/internal/rerun/plant/plant_test.go
@@ -40,44 +40,6 @@
 const (
 	daemons  = 3
 	patience = time.Minute // with what must come; no story waits it out
-	lecture  = `version = "3"
-[budget]
-fleet = "50%"
-spare = "10m"
-[[pipeline]]
-name = "lecture"
-result = ["publish"]
-within = "5m"
-[[pipeline.stage]]
-name = "encode"
-class = "preview"
-work = "1s"
-[[pipeline.stage]]
-name = "package"
-class = "preview"
-work = "1s"
-needs = ["encode"]
-[[pipeline.stage]]
-name = "publish"
-class = "publish"
-work = "1s"
-needs = ["package"]
-[[pipeline.rerun]]
-on = "package"
-when = 'cause.kind == "bad_input"'
-rerun = "cause.input"
-where = "other-site"
-after = "100ms..1s"
-most = 2
-budget = "fleet"
-[[pipeline.rerun]]
-on = "encode"
-when = 'cause.kind in ["may_have_run", "failed"]'
-rerun = "self"
-after = "100ms..1s"
-most = 2
-budget = "fleet"
-`
 )
 
 // shop is daemons, workers, and one lecture whose first rendition is spoilt. Its run at a step is held there until it is
@@ -134,7 +96,7 @@
 		return pipelines.Outcome{Text: "ok"}
 	}
 	file := filepath.Join(dir, "reruns.toml")
-	require.NoError(t, os.WriteFile(file, []byte(lecture), 0o600))
+	require.NoError(t, os.WriteFile(file, []byte(plant.Lecture("3", "")), 0o600))
 	require.NoError(t, s.Join(s.Rig, file))
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
--- a/internal/rig/pipelines_test.go
+++ b/internal/rig/pipelines_test.go
@@ -22,46 +22,6 @@
 	pipelinev1 "caperrelay/proto/winglb/pipeline/v1"
 )
 
-const lectures = `version = "1"
-[budget]
-fleet = "50%"
-spare = "10m"
-[[pipeline]]
-name = "lecture"
-result = ["publish"]
-within = "5m"
-[[pipeline.stage]]
-name = "encode"
-class = "preview"
-work = "1s"
-shared = "asset"
-[[pipeline.stage]]
-name = "package"
-class = "preview"
-work = "1s"
-needs = ["encode"]
-[[pipeline.stage]]
-name = "publish"
-class = "publish"
-work = "1s"
-needs = ["package"]
-[[pipeline.rerun]]
-on = "package"
-when = 'cause.kind == "bad_input"'
-rerun = "cause.input"
-where = "other-site"
-after = "100ms..1s"
-most = 2
-budget = "fleet"
-[[pipeline.rerun]]
-on = "encode"
-when = 'cause.kind in ["may_have_run", "failed"]'
-rerun = "self"
-after = "100ms..1s"
-most = 2
-budget = "fleet"
-`
-
 // Three daemons, and a rendition that is spoilt at its first site: five runs share it and cannot package. The daemon that
 // acts for it is killed while it is made anew. It is made anew once, at another site, and all are published, each once.
 func TestSpoiltRendition(t *testing.T) {
@@ -105,7 +65,7 @@
 		return pipelines.Outcome{Text: "ok"}
 	}
 	file := filepath.Join(dir, "reruns.toml")
-	require.NoError(t, os.WriteFile(file, []byte(lectures), 0o600))
+	require.NoError(t, os.WriteFile(file, []byte(plant.Lecture("1", "asset")), 0o600))
 	require.NoError(t, p.Join(r, file))
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
