A client that has gone counts at once, also while the loop is behind

Cause: the connection's goroutine saw a client leave and posted Lapse; only when the loop took that message was Attempt.vain set, which Expired looks at before the first byte (dispatch/takein.go Lapse, book.go conclude). A loop that was behind, or a full inbox, let attempts go out in between: the one that waits for its connection, a further one (send.go), one that passes a gate (gate.go Pass), and a command that still waited in the inbox was admitted and sent. Checked and ruled out: the order of the look and the write (instances/conn.go asks Expired directly before the first byte).

Change: a command bears a mark that Lapse sets in its caller's goroutine before it posts; Expired, send, Pass and admit read it. Where the loop finds the mark before the message it lapses the command itself, so that the module does not ask for attempt after attempt meanwhile. LapseElsewhere does the same for commands that another process handed over.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -18,6 +18,11 @@
 		return
 	}
 	l.Books.Taken.Add(1)
+	if c.left.Load() { // its client went while it waited for the loop
+		l.Books.holding.Add(-1)
+		l.Books.Lapsed.Add(1)
+		return
+	}
 	class := place(l.names.Classes, c.Class)
 	unknown := class == len(l.names.Classes) || l.settings.Classes[class].Left
 	if l.ids[c.ID] != nil || unknown {
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -101,6 +101,7 @@
 		}
 		clear(l.ids)
 		clear(l.requests)
+		l.relieved.Clear()
 		l.timers.Clear()
 		l.notes()
 	})
@@ -108,7 +109,7 @@
 
 func (h *held) handed(r decide.RequestMemory) *HandedCommand {
 	payload, _ := json.Marshal(h.Payload) // plain data: it cannot fail
-	c := &HandedCommand{Command: *h.Command, Payload: payload, Memory: r}
+	c := &HandedCommand{Command: h.fields(), Payload: payload, Memory: r}
 	for _, a := range h.attempts {
 		c.Attempts = append(c.Attempts, HandedAttempt{a.Instance, a.Deadline, a.over, a.taken, a.leaving.Load()})
 	}
@@ -157,12 +158,16 @@
 // Relieve takes all that another process has handed over. Each command must have its payload and
 // its client again.
 func (l *Loop) Relieve(given Handed) {
+	for _, c := range given.Commands {
+		l.relieved.Store(c.ID, &c.Command)
+	}
 	l.post(func(l *Loop) {
 		at := l.learn(given)
 		m := l.ours(given, at)
 		for _, c := range given.Commands {
 			if l.ids[c.ID] != nil { // taken here too, while both were in service
 				c.Client.Answer(Answer{Verdict: Failed})
+				l.relieved.CompareAndDelete(c.ID, &c.Command)
 				continue
 			}
 			r := c.Memory
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -199,6 +199,7 @@
 func (l *Loop) forget(h *held) {
 	if h.answered && h.out == 0 {
 		delete(l.ids, h.ID)
+		l.relieved.CompareAndDelete(h.ID, h.Command)
 		delete(l.requests, h.request)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,17 @@
 	Payload  any       `json:"-"` // what the instances' side needs to send it
 	Client   Client    `json:"-"`
 	Gate     Gate      `json:"-"` // nil: its attempts wait for nothing; else it stays with this process
+
+	left atomic.Bool // its client has gone: no attempt of it begins any more
+}
+
+// fields is a copy of what a command says. It leaves out the mark of its client's leaving, which is set by other goroutines
+// and stays with this process.
+func (c *Command) fields() Command {
+	return Command{
+		ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Work: c.Work, Slots: c.Slots, Memory: c.Memory, Repeat: c.Repeat,
+		Order: c.Order, Held: c.Held, Deadline: c.Deadline, Payload: c.Payload, Client: c.Client, Gate: c.Gate,
+	}
 }
 
 // Client is who waits for a command's answer.
@@ -114,10 +126,11 @@
 }
 
 // Expired tells whether an attempt is not to be sent any more: its command is answered or its client has gone, be it while it
-// waited for a connection and nothing is called off, or the lease that it goes by has ended. Whoever sends looks as late as
-// possible: the process may have been stopped for a while.
+// waited for a connection and nothing is called off, or the lease that it goes by has ended. A client has gone as soon as Lapse
+// is called, however far behind the loop is. Whoever sends looks as late as possible: the process may have been stopped for a
+// while.
 func (a *Attempt) Expired(now time.Time) bool {
-	return a.vain.Load() || !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may()
+	return a.vain.Load() || a.Command.left.Load() || !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may()
 }
 
 // NameTable tells of the instances, after Subscribe, by Loop.Listed and Loop.ListLost.
@@ -136,6 +149,7 @@
 	events   []decide.Event // of the batch at hand
 
 	ids      map[string]*held // commands in hand by correlation id
+	relieved sync.Map         // and those of them that another process had in hand, each a *Command, for any goroutine
 	requests map[uint32]*held // and by the module's
 	lastID   uint32
 	yielded  bool // to a newer process
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -48,6 +48,11 @@
 		if l.yielded || a.over || a.gate != waits {
 			return
 		}
+		if a.Command.left.Load() { // word of it is on its way to the loop
+			l.lapse(l.requests[a.request])
+			l.end(a, decide.Moot)
+			return
+		}
 		a.gate, a.may = passed, may
 		l.fleet.Send(a)
 	})
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -29,6 +29,9 @@
 	h.attempts = append(h.attempts, a)
 	h.out++
 	l.Books.Sent.Add(1)
+	if h.left.Load() { // word of it is on its way to the loop
+		l.lapse(h)
+	}
 	if h.answered || !a.Deadline.After(now) || h.at(a.Instance, a) {
 		l.end(a, decide.Moot)
 		return
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -17,8 +17,10 @@
 	l.post(func(l *Loop) { l.admit(c) })
 }
 
-// Lapse says that the service client has gone away: nothing more is owed.
+// Lapse says that the service client has gone away: nothing more is owed. It counts at once for whatever has not been sent:
+// the loop may be behind.
 func (l *Loop) Lapse(c *Command) {
+	c.left.Store(true)
 	l.post(func(l *Loop) {
 		if l.yielded {
 			l.other.Left(c.ID)
@@ -31,6 +33,9 @@
 // LapseElsewhere is the same, of a command that changes hands and whose client the older process
 // saw leave.
 func (l *Loop) LapseElsewhere(id string) {
+	if c, ok := l.relieved.Load(id); ok {
+		c.(*Command).left.Store(true)
+	}
 	l.post(func(l *Loop) {
 		if l.yielded { // meanwhile, to a third process
 			l.other.Left(id)
