A request whose client closed while it stood in a backlog is not handed in

Cause: a request was handed to the loop as soon as it was read (clients/conn.go command); only then was the connection watched for its end. Read out of a backlog, behind a busy machine or full places, its client could be long gone, and it was admitted and could be sent on before the watch had said so.

Change: before it hands a request in, the connection looks whether its client has closed or reset it. Beyond that the watch goes on as before. The read deadline is taken off first, since a passed one looks like an end.

Tests: TestGoneBeforeItIsRead (close and reset before the accept, 0 to 300 requests behind), TestAheadOfItsRequestAndStays, TestEndOfTheTimeForARequestIsNoLeaving. The first fails without the look and, from 100 requests behind on, without the reading ahead; the last without the deadline's reset.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -395,6 +395,10 @@
 	if !last.IsZero() && cmd.Deadline.After(last) {
 		cmd.Deadline = last
 	}
+	if c.departed() { // it stood in a backlog for so long
+		c.gone = true
+		return false
+	}
 	w := &waiter{cmd: cmd, end: q.Close, repeats: repeats, answer: make(chan word, 1)}
 	cmd.Client = w
 	c.server.core.Take(cmd)
@@ -437,18 +441,41 @@
 	mostDropped = 1 << 20       // and read beyond that, to see whether it goes
 )
 
+// departed tells, without waiting, whether the client has gone before its request is handed in. What it has sent behind the
+// request stands before its end and is read for that, as long as it can be kept.
+func (c *conn) departed() bool {
+	if c.nc.SetReadDeadline(time.Time{}) != nil {
+		return true
+	}
+	for sock.Look(c.nc) == sock.Data {
+		if err := c.readAhead(); errors.Is(err, bufio.ErrBufferFull) {
+			return false
+		} else if err != nil {
+			return true
+		}
+	}
+	return sock.Look(c.nc) == sock.Closed
+}
+
+// readAhead waits for more behind the request in hand and keeps it. bufio.ErrBufferFull says that there is no room for more.
+func (c *conn) readAhead() error {
+	_, err := c.br.Peek(c.br.Buffered() + 1)
+	if size := c.br.Size(); errors.Is(err, bufio.ErrBufferFull) && size < mostAhead {
+		come, _ := c.br.Peek(c.br.Buffered())
+		c.buffer(bytes.Clone(come), 2*size)
+		return nil
+	}
+	return err
+}
+
 // leaves waits until a read is ended from here, and tells whether the client has gone before. Whatever it has sent behind
 // its request stands before its end and is read for that: one that sends much at once and goes is gone all the same.
 func (c *conn) leaves() bool {
 	for {
-		_, err := c.br.Peek(c.br.Buffered() + 1)
-		switch size := c.br.Size(); {
+		switch err := c.readAhead(); {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
-		case errors.Is(err, bufio.ErrBufferFull) && size < mostAhead:
-			come, _ := c.br.Peek(c.br.Buffered())
-			c.buffer(bytes.Clone(come), 2*size)
 		case errors.Is(err, bufio.ErrBufferFull):
 			return c.drops()
 		default:
--- a/internal/net/clients/leaving_test.go
+++ b/internal/net/clients/leaving_test.go
@@ -1,9 +1,11 @@
 package clients
 
 import (
+	"bufio"
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/http1"
 	"caperrelay/internal/wire"
 )
 
@@ -49,6 +52,58 @@
 	"resets": func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
 }
 
+// backlog is a listener that tells when it is asked for a connection: those that it gave out before are served by then.
+type backlog struct {
+	net.Listener
+	asked chan bool
+}
+
+func (b *backlog) Accept() (net.Conn, error) {
+	b.asked <- true
+	return b.Listener.Accept()
+}
+
+// A request that is read out of a backlog, its client long gone, is not handed in, whatever its client has sent behind it.
+func TestGoneBeforeItIsRead(t *testing.T) {
+	for name, leave := range goes {
+		for _, behind := range []int{0, 1, 100, 300} { // requests
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			core, s := newServer(9)
+			nc, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			_, err = fmt.Fprint(nc, leavingCommand+strings.Repeat(leavingCommand, behind))
+			require.NoError(t, err)
+			leave(nc)
+			b := &backlog{l, make(chan bool, 9)}
+			go s.Serve(t.Context(), b)
+			<-b.asked
+			<-b.asked
+			require.Eventually(t, func() bool { return s.Connections() == 0 }, 20*time.Second, time.Millisecond)
+			require.Empty(t, core.taken, "%s with %d behind", name, behind)
+			require.Zero(t, shown(t, s, "closed_cut")+shown(t, s, "closed_unanswered"))
+		}
+	}
+}
+
+// A client that has not gone is served, also where it has sent much behind its request by then.
+func TestAheadOfItsRequestAndStays(t *testing.T) {
+	for _, behind := range []int{0, 1, 100, 300} {
+		core, _, dial := serve(t, 2, 0)
+		nc := dial()
+		_, err := fmt.Fprint(nc, leavingCommand+strings.Repeat(leavingCommand, behind))
+		require.NoError(t, err)
+		br := bufio.NewReader(nc)
+		for range behind + 1 {
+			core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+			p, err := http1.ReadResponse(br, "POST")
+			require.NoError(t, err)
+			require.Equal(t, []any{503, false}, []any{p.Status, p.Close})
+		}
+	}
+}
+
 // A client's leaving stops an attempt that has not begun though the loop stands still.
 func TestLeavingCountsWhileTheLoopStandsStill(t *testing.T) {
 	for name, leave := range goes {
@@ -63,3 +118,32 @@
 		require.Eventually(t, func() bool { return a.Expired(time.Now()) }, 20*time.Second, time.Millisecond, name)
 	}
 }
+
+// accepted is a connection as the server has it, and its client's end.
+func accepted(t *testing.T) (here, client net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	client, err = net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { client.Close() })
+	client.SetDeadline(time.Now().Add(20 * time.Second))
+	here, err = l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { here.Close() })
+	return here, client
+}
+
+// The time for a request may end just as it is whole: its client has not gone for that.
+func TestEndOfTheTimeForARequestIsNoLeaving(t *testing.T) {
+	core, s := newServer(1)
+	here, client := accepted(t)
+	c := &conn{server: s, nc: here, state: handling}
+	c.buffer(nil, http1.MaxLine)
+	require.NoError(t, here.SetReadDeadline(past))
+	q, err := http1.ReadRequest(bufio.NewReader(strings.NewReader(leavingCommand)), nil)
+	require.NoError(t, err)
+	go c.command(q, time.Time{})
+	core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+	require.Equal(t, 503, ask(t, client, "").Status)
+}
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -77,6 +77,13 @@
 	return s.Listener.Accept()
 }
 
+// newServer returns a server of so many connections that does not serve yet, and where its commands go.
+func newServer(most int) (*core, *Server) {
+	c := &core{taken: make(chan *dispatch.Command, 9), lapsed: make(chan *dispatch.Command, 9), told: make(chan dispatch.News, 9)}
+	return c, New(c, decide.Settings{Classes: []decide.Class{{Deadline: time.Minute}}}, wire.Names{Classes: []string{"safe"}},
+		most, func() string { return "" }, slog.New(slog.DiscardHandler))
+}
+
 // serve starts a server of so many connections.
 func serve(t *testing.T, most, fails int) (*core, *Server, func() net.Conn) {
 	return serveWith(t, most, fails, patience{first: time.Minute, mute: time.Minute, halting: time.Minute, lingerer: time.Minute})
@@ -86,9 +93,7 @@
 func serveWith(t *testing.T, most, fails int, p patience) (*core, *Server, func() net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	c := &core{taken: make(chan *dispatch.Command, 9), lapsed: make(chan *dispatch.Command, 9), told: make(chan dispatch.News, 9)}
-	s := New(c, decide.Settings{Classes: []decide.Class{{Deadline: time.Minute}}}, wire.Names{Classes: []string{"safe"}},
-		most, func() string { return "" }, slog.New(slog.DiscardHandler))
+	c, s := newServer(most)
 	s.patience = p
 	wrapped := &short{Listener: l}
 	wrapped.fails.Store(int32(fails))
