Leave connections to an encoder's earlier address or process to nobody

Read path by path what ends a connection against new work. Pool.Listed and Cordon closed idle connections only. One that was busy, or still coming up, when its encoder moved, went and came back, started anew or was left out by hand was put among the idle ones by rest(), which looked at Gone alone, and the next attempt went to the old address; one that came up after the move was written to, since exchange() asked Takes of the encoder, not of the connection. Idle connections to a process that has since started anew (up_since_ms) stayed too: after a vanished machine's return a request written to one is reset, which may have run. Ruled out: a connection taken by start() in that moment (removed from the idle ones under the same mutex), a drain or a gone encoder told during the dial (asked again before the first byte).

Connections now bear the epoch of their encoder, raised by each move, removal and cordon, and when they were dialled. One that does not lead to the encoder as listed is closed when it rests and before it is used, and nothing new is written to it; the last look at the list comes after the look at the client. Give-ups and probes whose encoder moves meanwhile are dialled again.

Tests on real sockets: a full backlog keeps a dial pending until the crossing is made.

--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -135,6 +135,9 @@
 	work  chan *exchange // closed: the connection is to end
 	since time.Time      // idle since
 
+	epoch  int       // of the instance, when it was dialled
+	dialed time.Time // when that began
+
 	nc  net.Conn
 	br  *bufio.Reader
 	out []byte // room for requests
@@ -177,7 +180,7 @@
 
 // serve carries out one exchange. alive: the connection may carry another.
 func (c *conn) serve(x *exchange) (e end, alive bool) {
-	if c.nc != nil && c.stale() { // nothing is written yet, so another connection does no harm
+	if c.nc != nil && (!c.pool.leads(c) || c.stale()) { // nothing is written yet, so another connection does no harm
 		c.nc.Close()
 		c.nc = nil
 	}
@@ -203,21 +206,32 @@
 	return e, !aborted && !talks && (e.stage == unsent || e.stage == answered && !e.response.Close)
 }
 
+// dial opens a connection. For what is no new work it does so again if the instance has moved meanwhile.
 func (c *conn) dial(x *exchange) error {
 	up := time.Now().Add(c.pool.bounds().Connect)
 	if x.deadline.Before(up) {
 		up = x.deadline
 	}
 	dialer := net.Dialer{Deadline: up, KeepAlive: -1}
-	c.pool.mu.Lock()
-	address := c.in.address
-	c.pool.mu.Unlock()
-	nc, err := dialer.Dial("tcp", address)
-	if err != nil {
-		return err
+	for {
+		nc, err := dialer.Dial("tcp", c.pool.aim(c))
+		if err != nil {
+			return err
+		}
+		if x.gated || c.pool.leads(c) {
+			c.nc, c.br = nc, bufio.NewReaderSize(nc, http1.MaxLine)
+			return nil
+		}
+		nc.Close()
 	}
-	c.nc, c.br = nc, bufio.NewReaderSize(nc, http1.MaxLine)
-	return nil
+}
+
+// aim returns the address at which a connection is to be dialled now.
+func (p *Pool) aim(c *conn) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.epoch, c.dialed = c.in.epoch, time.Now()
+	return c.in.address
 }
 
 func (c *conn) exchange(x *exchange) end {
@@ -233,9 +247,9 @@
 	if c.nc.SetDeadline(last) != nil {
 		return end{stage: unmade}
 	}
-	// The name table may have told of a drain since this was decided, and while the connection
+	// The list may have told of a drain or a move since this was decided, and while the connection
 	// came up. From the first byte on it counts as sent.
-	if x.gated && !c.pool.Takes(c.in.id) || x.expired != nil && x.expired(time.Now()) {
+	if x.expired != nil && x.expired(time.Now()) || x.gated && !c.pool.takes(c) {
 		return end{stage: unsent}
 	}
 	x.mu.Lock()
--- /dev/null
+++ b/internal/net/instances/dial_test.go
@@ -0,0 +1,105 @@
+package instances
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+)
+
+// stop replaces what tells whether an attempt that waits is still to be sent.
+func stop(p *Pool, a *dispatch.Attempt, expired func(time.Time) bool) {
+	p.mu.Lock()
+	x := p.out[a]
+	p.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.expired = expired
+}
+
+// A connection that comes up once its attempt is no more carries nothing of it, and the attempt's end is told once. The
+// connection is kept where it is of use, and closed where its encoder has gone or moved.
+func TestConnectionThatComesUpTooLate(t *testing.T) {
+	gone := func(time.Time) bool { return true }
+	elsewhere := listen(t)
+	for name, one := range map[string]struct {
+		cross func(*Pool, *encoder, *dispatch.Attempt)
+		kept  int
+	}{
+		"given up":              {func(p *Pool, _ *encoder, a *dispatch.Attempt) { p.GiveUp(a) }, 1},
+		"client gone":           {func(p *Pool, _ *encoder, a *dispatch.Attempt) { stop(p, a, gone) }, 1},
+		"another process's":     {func(p *Pool, _ *encoder, _ *dispatch.Attempt) { p.Unsend() }, 1},
+		"drain":                 {func(p *Pool, e *encoder, _ *dispatch.Attempt) { p.Listed(e.list(decide.Draining)) }, 1},
+		"gone":                  {func(p *Pool, e *encoder, _ *dispatch.Attempt) { p.Listed(e.list(decide.Gone)) }, 0},
+		"gone from a full list": {func(p *Pool, _ *encoder, _ *dispatch.Attempt) { p.Listed(dispatch.List{Complete: true}) }, 0},
+		"gone and back": {func(p *Pool, e *encoder, _ *dispatch.Attempt) {
+			p.Listed(e.list(decide.Gone))
+			p.Listed(e.list(decide.Ready))
+		}, 0},
+		"moved":    {func(p *Pool, _ *encoder, _ *dispatch.Attempt) { p.Listed(elsewhere.list(decide.Ready)) }, 0},
+		"cordoned": {func(p *Pool, _ *encoder, _ *dispatch.Attempt) { p.Cordon("s-1", true) }, 0},
+		"started anew": {func(p *Pool, e *encoder, _ *dispatch.Attempt) {
+			l := e.list(decide.Ready)
+			l.Members[0].Started = time.Now()
+			p.Listed(l)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := listen(t)
+			release := e.jam()
+			p, r := dial(t, e, 9)
+			a := attempt("s-1")
+			p.Send(a)
+			e.dialed()
+			one.cross(p, e, a)
+			release()
+			c := e.accept()
+			require.Equal(t, decide.Moot, next(t, r.ended))
+			rests(t, p, one.kept)
+			require.Equal(t, one.kept, open(p))
+			p.Release("s-1")
+			c.ends()
+			require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+			require.Empty(t, r.ended)
+			require.Empty(t, r.taken)
+		})
+	}
+}
+
+// A connection that is still not up at the attempt's deadline, or where it has to be, is given up, and nothing ran.
+func TestConnectionThatNeverComesUp(t *testing.T) {
+	for name, bound := range map[string]func(*Pool, *dispatch.Attempt){
+		"deadline": func(_ *Pool, a *dispatch.Attempt) { a.Deadline = time.Now().Add(50 * time.Millisecond) },
+		"limit":    func(p *Pool, _ *dispatch.Attempt) { p.Retune(50*time.Millisecond, time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := listen(t)
+			e.jam()
+			p, r := dial(t, e, 9)
+			a := attempt("s-1")
+			bound(p, a)
+			p.Send(a)
+			require.Equal(t, decide.ConnectFailed, next(t, r.ended))
+			require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+			require.Empty(t, r.ended)
+		})
+	}
+}
+
+// A give-up whose encoder moves while its connection comes up goes to the new address.
+func TestGiveUpFollowsAMove(t *testing.T) {
+	from, to := listen(t), listen(t)
+	release := from.jam()
+	p, _ := dial(t, from, 9)
+	p.start("s-1", &exchange{method: "DELETE", target: "/jobs/c1", deadline: time.Now().Add(time.Minute), done: func(end) {}})
+	from.dialed()
+	p.Listed(to.list(decide.Ready))
+	release()
+	from.accept().ends()
+	require.Equal(t, "DELETE", to.accept().read().Method)
+}
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -65,6 +65,8 @@
 type instance struct {
 	id, address string
 	state       decide.WorkerState
+	started     time.Time // its process, as listed
+	epoch       int       // counts removals and moves: connections of an earlier one lead nowhere that is wanted
 	idle        []*conn   // the longest idle first
 	talked      time.Time // when it last said something that nobody had asked for
 }
@@ -90,6 +92,7 @@
 			in.state = decide.Gone
 		}
 	}
+	now := time.Now()
 	for _, m := range l.Members {
 		in := p.instances[m.ID]
 		if in == nil {
@@ -98,12 +101,16 @@
 		}
 		if in.state = m.State; m.Address != "" && m.Address != in.address {
 			in.address = m.Address
-			p.drop(in)
+			p.disown(in)
+		}
+		if m.Started.After(in.started) && !m.Started.After(now) {
+			in.started = m.Started
+			p.dropStale(in)
 		}
 	}
 	for id, in := range p.instances {
 		if in.state == decide.Gone {
-			p.drop(in)
+			p.disown(in)
 			if len(p.instances) > mostInstances {
 				delete(p.instances, id)
 			}
@@ -121,7 +128,7 @@
 	}
 	p.cordoned[id] = true
 	if in := p.instances[id]; in != nil {
-		p.drop(in)
+		p.disown(in)
 	}
 }
 
@@ -140,6 +147,41 @@
 	in.idle = nil
 }
 
+// disown closes an instance's idle connections at once and each busy one as soon as it rests. One that still comes up is
+// not written to.
+func (p *Pool) disown(in *instance) {
+	in.epoch++
+	p.drop(in)
+}
+
+// dropStale closes the idle connections that the instance's process cannot know, since it started later.
+func (p *Pool) dropStale(in *instance) {
+	in.idle = slices.DeleteFunc(in.idle, func(c *conn) bool {
+		stale := !c.leads()
+		if stale {
+			close(c.work)
+		}
+		return stale
+	})
+}
+
+// leads tells whether a connection, or one that is coming up, leads to the instance as it is listed. The pool's mutex is held.
+func (c *conn) leads() bool { return c.epoch == c.in.epoch && !c.dialed.Before(c.in.started) }
+
+// leads is the same for those who do not hold the mutex.
+func (p *Pool) leads(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.leads()
+}
+
+// takes tells whether a connection may carry new work at this moment.
+func (p *Pool) takes(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.in.state == decide.Ready && !p.cordoned[c.in.id] && c.leads()
+}
+
 // Release closes the idle connections to an instance.
 func (p *Pool) Release(id string) {
 	p.mu.Lock()
@@ -347,7 +389,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.since = time.Now()
-	if c.in.state == decide.Gone {
+	if c.in.state == decide.Gone || !c.leads() {
 		close(c.work)
 		return
 	}
