--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -164,15 +164,7 @@
 		// just closed there would end as a reset.
 		retire.Reset(p.bounds().Idle * 3 / 5)
 		var ok bool
-		select {
-		case x, ok = <-c.work:
-		case <-retire.C:
-			if p.retire(c) {
-				return
-			}
-			x, ok = <-c.work
-		}
-		if !ok {
+		if x, ok = c.next(retire.C); !ok {
 			return
 		}
 	}
@@ -183,6 +175,20 @@
 	if c.nc != nil && (!c.pool.leads(c) || c.stale()) { // nothing is written yet, so another connection does no harm
 		c.nc.Close()
 		c.nc = nil
+// next waits for a resting connection's next exchange; false: there is none, the connection is to end.
+func (c *conn) next(retire <-chan time.Time) (x *exchange, ok bool) {
+	select {
+	case x, ok = <-c.work:
+		return x, ok
+	case <-retire:
+	}
+	if c.pool.retire(c) {
+		return nil, false
+	}
+	x, ok = <-c.work // it was given work, or shut, in that moment
+	return x, ok
+}
+
 	}
 	kept := time.Duration(0)
 	if c.nc != nil {
