--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -170,11 +170,6 @@
 	}
 }
 
-// serve carries out one exchange. alive: the connection may carry another.
-func (c *conn) serve(x *exchange) (e end, alive bool) {
-	if c.nc != nil && (!c.pool.leads(c) || c.stale()) { // nothing is written yet, so another connection does no harm
-		c.nc.Close()
-		c.nc = nil
 // next waits for a resting connection's next exchange; false: there is none, the connection is to end.
 func (c *conn) next(retire <-chan time.Time) (x *exchange, ok bool) {
 	select {
@@ -189,6 +184,11 @@
 	return x, ok
 }
 
+// serve carries out one exchange. alive: the connection may carry another.
+func (c *conn) serve(x *exchange) (e end, alive bool) {
+	if c.nc != nil && (!c.pool.leads(c) || c.stale()) { // nothing is written yet, so another connection does no harm
+		c.nc.Close()
+		c.nc = nil
 	}
 	kept := time.Duration(0)
 	if c.nc != nil {
