Hold the limits on encoders' connections in the moment they change: evict, bound, idle time

Read: start(), evict(), Bound(), rest() and the idle timer against each other. Three faults. evict() only told the oldest idle connection's goroutine to end and opened the new one beside it, so a burst had up to twice the limit open for a moment (conns counts both). Bound() closed idle connections only; those busy then were kept idle beyond the new limit when they rested, and nothing closed them but their timer: with two processes at one address the half of each. The idle timer goes by the limit of when it was set, and fires late in a process that stood still; start() handed such connections out, and a request written to one that its encoder's machine has just closed is a reset, which may have run.

shut() closes a connection of the idle ones and counts it off before it returns, rest() closes what is beyond the bound, start() closes what has rested for too long. Ruled out: a lost hand-over between the idle timer and new work (start takes the connection out of the idle ones and fills its channel under one mutex; retire looks under the same).

--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -134,6 +134,7 @@
 	in    *instance
 	work  chan *exchange // closed: the connection is to end
 	since time.Time      // idle since
+	shut  bool           // by the pool, which counts it no more
 
 	epoch  int       // of the instance, when it was dialled
 	dialed time.Time // when that began
@@ -145,7 +146,7 @@
 
 // run opens a connection for a first exchange and serves further ones until it ends.
 func (p *Pool) run(c *conn, x *exchange) {
-	defer p.closed()
+	defer p.closed(c)
 	defer func() {
 		if c.nc != nil {
 			c.nc.Close()
@@ -160,9 +161,7 @@
 			return
 		}
 		p.rest(c)
-		// Well before the instance's machine may close it: a command written to a connection
-		// just closed there would end as a reset.
-		retire.Reset(p.bounds().Idle * 3 / 5)
+		retire.Reset(p.bounds().rest())
 		var ok bool
 		if x, ok = c.next(retire.C); !ok {
 			return
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -46,6 +46,10 @@
 	Idle        time.Duration // after which instances close a connection
 }
 
+// rest is how long a connection is kept idle: well below the limit, since a command written to one that the instance's machine
+// has just closed would end as a reset.
+func (l Limits) rest() time.Duration { return l.Idle * 3 / 5 }
+
 // Pool is the way to all instances.
 type Pool struct {
 	limits  Limits
@@ -142,11 +146,20 @@
 // drop closes an instance's idle connections.
 func (p *Pool) drop(in *instance) {
 	for _, c := range in.idle {
-		close(c.work)
+		p.shut(c)
 	}
 	in.idle = nil
 }
 
+// shut closes a connection that rests and is taken out of the idle ones. It is closed on return: another may take its place
+// under the limit on connections.
+func (p *Pool) shut(c *conn) {
+	c.nc.Close()
+	close(c.work)
+	c.shut = true
+	p.conns--
+}
+
 // disown closes an instance's idle connections at once and each busy one as soon as it rests. One that still comes up is
 // not written to.
 func (p *Pool) disown(in *instance) {
@@ -159,7 +172,7 @@
 	in.idle = slices.DeleteFunc(in.idle, func(c *conn) bool {
 		stale := !c.leads()
 		if stale {
-			close(c.work)
+			p.shut(c)
 		}
 		return stale
 	})
@@ -289,13 +302,14 @@
 		return
 	}
 	now := time.Now()
+	for len(in.idle) > 0 && now.Sub(in.idle[0].since) >= p.limits.rest() { // its own timer is late, or the limit is new
+		p.shutOldest(in)
+	}
 	for x.mostIdle > 0 && len(in.idle) > 0 && now.Sub(in.idle[0].since) > 2*x.mostIdle { // nobody will use it
-		close(in.idle[0].work)
-		in.idle = in.idle[1:]
+		p.shutOldest(in)
 	}
 	if x.fresh && len(in.idle) > 0 { // it takes the place of the oldest, which may be silent
-		close(in.idle[0].work)
-		in.idle = in.idle[1:]
+		p.shutOldest(in)
 	}
 	if c := in.take(x, p.settle, now.Sub(p.talk) < talksFor, now); c != nil {
 		c.work <- x // holds one; an idle connection has none
@@ -358,12 +372,12 @@
 	return p.limits
 }
 
-// Bound says how many connections there may be from now on. Idle ones beyond that are closed.
+// Bound says how many connections there may be from now on. Idle ones beyond that are closed, busy ones once they rest.
 func (p *Pool) Bound(connections int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limits.Connections = connections
-	for busy := p.conns - p.idle(); busy+p.idle() > connections && p.evict(); {
+	for p.conns > connections && p.evict() {
 	}
 }
 
@@ -379,18 +393,23 @@
 	if oldest == nil {
 		return false
 	}
-	close(oldest.idle[0].work)
-	oldest.idle = oldest.idle[1:]
+	p.shutOldest(oldest)
 	return true
 }
 
-// rest puts a connection among the idle ones.
+// shutOldest closes the connection to an instance that has been idle longest.
+func (p *Pool) shutOldest(in *instance) {
+	p.shut(in.idle[0])
+	in.idle = in.idle[1:]
+}
+
+// rest puts a connection among the idle ones, or closes it where it is of no more use.
 func (p *Pool) rest(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.since = time.Now()
-	if c.in.state == decide.Gone || !c.leads() {
-		close(c.work)
+	if c.in.state == decide.Gone || !c.leads() || p.conns > p.limits.Connections {
+		p.shut(c)
 		return
 	}
 	c.in.idle = append(c.in.idle, c)
@@ -409,10 +428,13 @@
 	return false
 }
 
-func (p *Pool) closed() {
+// closed notes that a connection has ended, unless the pool shut it itself.
+func (p *Pool) closed(c *conn) {
 	p.mu.Lock()
-	p.conns--
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	if !c.shut {
+		p.conns--
+	}
 }
 
 // header is what goes with an exchange.
--- a/internal/net/instances/retire_test.go
+++ b/internal/net/instances/retire_test.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -91,3 +92,115 @@
 	require.Equal(t, decide.Moot, next(t, r.ended))
 	c.ends()
 }
+
+// A connection that makes room for another is closed before that is opened: the limit on connections, and so on descriptors,
+// is never passed, also where many make room at once.
+func TestEvictionIsOverBeforeThePlaceIsTaken(t *testing.T) {
+	const most = 40
+	e := listen(t)
+	p, r := dial(t, e, most)
+	var peers []*peer
+	for range most {
+		p.Send(attempt("s-1"))
+		c := e.accept()
+		c.read()
+		peers = append(peers, c)
+	}
+	for _, c := range peers {
+		c.write(accepted)
+		next(t, r.taken)
+	}
+	rests(t, p, most)
+	other := listen(t)
+	p.Listed(dispatch.List{Members: []dispatch.Member{{ID: "s-2", Address: other.Addr().String(), State: decide.Ready}}})
+	for i := range most {
+		p.mu.Lock()
+		oldest := p.instances["s-1"].idle[0].nc
+		p.mu.Unlock()
+		p.Send(attempt("s-2"))
+		require.ErrorIs(t, oldest.SetDeadline(time.Time{}), net.ErrClosed)
+		require.LessOrEqual(t, open(p), most)
+		require.Equal(t, most-1-i, p.Idle())
+	}
+	for _, c := range peers {
+		c.ends()
+	}
+}
+
+// A lower bound on connections holds for busy ones too: those beyond it are closed as soon as they rest.
+func TestBoundHoldsForBusyConnections(t *testing.T) {
+	e := listen(t)
+	p, r := dial(t, e, 3)
+	var peers []*peer
+	for range 3 {
+		p.Send(attempt("s-1"))
+		c := e.accept()
+		c.read()
+		peers = append(peers, c)
+	}
+	p.Bound(1)
+	require.Equal(t, 3, open(p))
+	for _, c := range peers {
+		c.write(accepted)
+		next(t, r.taken)
+	}
+	rests(t, p, 1)
+	require.Equal(t, 1, open(p))
+}
+
+// A connection that has rested for as long as it may carries nothing more, though its own timer has not closed it yet.
+func TestConnectionRestedTooLongIsNotUsed(t *testing.T) {
+	e := listen(t)
+	p, r := dial(t, e, 9)
+	c := e.serves(p, r)
+	p.Retune(time.Minute, time.Nanosecond) // its timer goes by the limit of before
+	p.Send(attempt("s-1"))
+	c.ends()
+	e.accept().read()
+}
+
+// Where a connection's time is up in the moment in which it is given work or shut, only one of them comes true, and no work is
+// lost.
+func TestRetirementAgainstNewWork(t *testing.T) {
+	p := NewPool(Limits{Connections: 9, Idle: time.Minute})
+	in := &instance{id: "s-1", address: "127.0.0.1:1", state: decide.Ready}
+	p.instances[in.id] = in
+	up := make(chan time.Time, 1)
+	resting := func() *conn {
+		nc, other := net.Pipe()
+		t.Cleanup(func() { other.Close() })
+		c := &conn{pool: p, in: in, work: make(chan *exchange, 1), nc: nc}
+		p.mu.Lock()
+		p.conns++
+		p.mu.Unlock()
+		p.rest(c)
+		up <- time.Now()
+		return c
+	}
+	for range 100 { // either may be seen first
+		c, work := resting(), &exchange{deadline: time.Now().Add(time.Minute)}
+		p.start("s-1", work)
+		x, ok := c.next(up)
+		require.True(t, ok)
+		require.Same(t, work, x)
+		p.closed(c)
+		select {
+		case <-up:
+		default:
+		}
+		c = resting()
+		p.Release("s-1")
+		_, ok = c.next(up)
+		require.False(t, ok)
+		p.closed(c)
+		select {
+		case <-up:
+		default:
+		}
+		c = resting()
+		_, ok = c.next(up)
+		require.False(t, ok)
+		p.closed(c)
+		require.Equal(t, []int{0, 0}, []int{p.Idle(), open(p)})
+	}
+}
