Begin no attempt after its deadline, also where the process stood still

Read: everything between the decision and the first byte (channel, dial, look at the list and at the client). The loop's timer gives an attempt up at its deadline, but only when the loop runs: a process that stood still in exchange() wrote the request out after its client's time, with X-Time-Left 1m, and one that stood still before the dial had it fail at once, as "could not connect", which strikes an encoder that was never called. The check now stands directly before the first byte and before the dial; the attempt is told as never sent. Ruled out: dials that end after the deadline (the dialer's own deadline is the attempt's).

TestNothingIsBegunAfterItsDeadline fails with either check taken out.

--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -110,6 +110,9 @@
 	}
 }
 
+// late tells whether nobody waits any more for new work that has not been begun.
+func (x *exchange) late() bool { return x.gated && !time.Now().Before(x.deadline) }
+
 // enter puts the exchange on a connection unless it was aborted before.
 func (x *exchange) enter(c net.Conn) bool {
 	x.mu.Lock()
@@ -192,12 +195,8 @@
 	kept := time.Duration(0)
 	if c.nc != nil {
 		kept = max(time.Since(c.since), 1)
-	} else {
-		if err := c.dial(x); errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			return end{stage: unsent}, false // our own want speaks against no instance
-		} else if err != nil {
-			return end{stage: unmade}, false
-		}
+	} else if e, up := c.open(x); !up {
+		return e, false
 	}
 	if !x.enter(c.nc) {
 		return end{stage: unsent}, true
@@ -211,6 +210,21 @@
 	return e, !aborted && !talks && (e.stage == unsent || e.stage == answered && !e.response.Close)
 }
 
+// open opens a connection for an exchange; up is false where there is none, and e says why.
+func (c *conn) open(x *exchange) (e end, up bool) {
+	if x.late() { // a dial would fail at once, which speaks against no instance
+		return end{stage: unsent}, false
+	}
+	err := c.dial(x)
+	switch {
+	case err == nil:
+		return end{}, true
+	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
+		return end{stage: unsent}, false // our own want speaks against no instance
+	}
+	return end{stage: unmade}, false
+}
+
 // dial opens a connection. For what is no new work it does so again if the instance has moved meanwhile.
 func (c *conn) dial(x *exchange) error {
 	up := time.Now().Add(c.pool.bounds().Connect)
@@ -254,7 +268,7 @@
 	}
 	// The list may have told of a drain or a move since this was decided, and while the connection
 	// came up. From the first byte on it counts as sent.
-	if x.expired != nil && x.expired(time.Now()) || x.gated && !c.pool.takes(c) {
+	if x.expired != nil && x.expired(time.Now()) || x.late() || x.gated && !c.pool.takes(c) {
 		return end{stage: unsent}
 	}
 	x.mu.Lock()
--- a/internal/net/instances/dial_test.go
+++ b/internal/net/instances/dial_test.go
@@ -103,3 +103,31 @@
 	from.accept().ends()
 	require.Equal(t, "DELETE", to.accept().read().Method)
 }
+
+// Nothing is begun once the attempt's deadline has passed, be it that the process stood still just before the first byte or
+// before the dial. It speaks against no encoder.
+func TestNothingIsBegunAfterItsDeadline(t *testing.T) {
+	e := listen(t)
+	p, r := dial(t, e, 9)
+	ends := make(chan end, 1)
+	deadline := time.Now().Add(time.Second)
+	p.start("s-1", &exchange{
+		method: "POST", target: "/api", id: "c1", gated: true, deadline: deadline,
+		expired: func(time.Time) bool { // asked once the connection is up
+			<-time.After(time.Until(deadline)) // the process stands still
+			return false
+		},
+		done: func(e end) { ends <- e },
+	})
+	c := e.accept()
+	require.Equal(t, unsent, next(t, ends).stage)
+	rests(t, p, 1)
+	p.Release("s-1")
+	c.ends()
+
+	a := attempt("s-1")
+	a.Deadline = time.Now()
+	p.Send(a)
+	require.Equal(t, decide.Moot, next(t, r.ended))
+	require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+}
