Read the list anew when a reload names other zones or kinds of encoder

Seen: of all reloads from one of five customers' settings to another's, four left a class unserved: one that needs a kind of encoder which the settings of before did not name got 503 for ever. The list that the process holds had been read by the old names, under which that kind was unknown, and discovery tells only of what changes (dispatch.listed reads names to numbers once, and Retune renumbers no worker). Ruled out: classes, shares and limits, which the loop fits by name.

Change: program.reload has the loop read the table again where the names of zones or kinds differ. Where they do not, as when discovery alone moves, nothing is done beyond before.

--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -95,6 +95,7 @@
 	configure func(discovery string) // writes the configuration anew
 	settings  string                 // for it
 	variables map[string]string
+	log       slog.Handler // of programs that are run; nil: none
 }
 
 // nameTable starts a name table, whose watches the story gets.
@@ -156,7 +157,11 @@
 func (w *world) run() {
 	c, err := config.Load(func(name string) string { return w.variables[name] })
 	require.NoError(w.t, err)
-	w.program, err = New(c, slog.New(slog.DiscardHandler))
+	log := w.log
+	if log == nil {
+		log = slog.DiscardHandler
+	}
+	w.program, err = New(c, slog.New(log))
 	require.NoError(w.t, err)
 	w.signals, w.ended = make(chan os.Signal, 1), make(chan error, 1)
 	p, signals, ended := w.program, w.signals, w.ended
@@ -270,3 +275,8 @@
 	w.post(c, "/_jobs/news", nil, string(body))
 	return w.read(c).Status
 }
+
+// readAnswer reads one answer from a connection.
+func readAnswer(c net.Conn) (*http1.Response, error) {
+	return http1.ReadResponse(bufio.NewReader(c), "POST")
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -24,6 +24,7 @@
 	"caperrelay/internal/net/instances"
 	"caperrelay/internal/net/loadreport"
 	"caperrelay/internal/net/nametable"
+	"caperrelay/internal/wire"
 )
 
 // Phase is a state of the program.
@@ -84,6 +85,7 @@
 	mute    bool            // who is at the door tells nothing
 	telling sync.Mutex      // of a list: one at a time
 	ahead   ahead           // what another process has told beyond the own watch, under telling
+	names   wire.Names      // in force, under telling
 	context context.Context // of the program's run
 
 	mu           sync.Mutex
@@ -108,7 +110,7 @@
 func New(c *config.Config, logger *slog.Logger, parts ...NewPart) (*Program, error) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetGCPercent(collectAt)
-	p := &Program{config: c, log: logger, fresh: make(chan struct{}), reloads: make(chan func(error), 4), cordons: cordons{out: map[string]bool{}, write: replace}, discovery: c.Discovery, since: time.Now()}
+	p := &Program{config: c, log: logger, fresh: make(chan struct{}), reloads: make(chan func(error), 4), cordons: cordons{out: map[string]bool{}, write: replace}, discovery: c.Discovery, names: c.Names, since: time.Now()}
 	sockets := c.Limits.Sockets - reservedSockets
 	p.bounds.pool = sockets * 2 / 5
 	p.pool = instances.NewPool(instances.Limits{
@@ -317,6 +319,7 @@
 		p.log.Error("configuration not reloaded", "err", err)
 		return err
 	}
+	p.named(next.Names)
 	p.server.Retune(next.Settings, next.Names)
 	p.loads.Retune(next.Names.Reports)
 	p.watcher.Retune(next.Settings)
@@ -341,6 +344,20 @@
 	return nil
 }
 
+// named has the loop read the list anew where the settings name other zones or kinds of encoder: the list has them by their names.
+func (p *Program) named(names wire.Names) {
+	p.telling.Lock()
+	defer p.telling.Unlock()
+	was := p.names
+	if p.names = names; slices.Equal(was.Zones, names.Zones) && slices.Equal(was.Kinds, names.Kinds) {
+		return
+	}
+	p.mu.Lock()
+	l := p.table.List()
+	p.mu.Unlock()
+	p.loop.Listed(l, true)
+}
+
 // end has the program end in order.
 func (p *Program) end() {
 	p.mu.Lock()
