Serve only once discovery has told, or cannot be reached

Seen in a trial with logs (298 times): no watch was lost or silent, so no list was late; all sends came from 28.14 s on, and 73 dispatchers had started at 27.52 s after 18 s away. They sent by the configuration's list, of before, from their first moment, and asked after up to 6 s (turn() in program/relief.go: serves at once where there is no older process; decide/ask.go: first calls spread over 20 ms a dispatcher). What discovery has had for 6 s counts as told to a new process too. Ruled out: the encoders (they had returned, though the list still had them as gone), the watch, the pool's look at the list.

Change: a process that starts alone does not listen before its first watch has told, or a call has shown that discovery cannot be reached; after 4 s from its start it serves in any case. The front sends it nothing until then, and clients go to other dispatchers. The socket is opened with Serving instead of before, so that a SIGTERM meanwhile resets nobody.

Tests: TestServesByNoListOfAnEarlierLife and the rows of TestServesWhateverTheOlderDoes fail with the old turn(); TestServesWithoutDiscovery.

--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -187,13 +187,23 @@
 	if n == 1 {
 		level = slog.LevelWarn
 	}
+	p.notReached(err)
 	if p.log.Log(p.context, level, "name table silent", "err", err); p.shared() {
 		p.sharer.Lost()
 	}
 }
 
+// notReached notes whether a call that told nothing has shown that discovery cannot be reached. An agent that says nothing
+// knows nothing.
+func (p *Program) notReached(err error) {
+	if errors.Is(err, nametable.ErrNobody) || p.config.Settings.Pushed {
+		p.unreached.Store(true)
+	}
+}
+
 // Lost takes the end of a watch.
 func (p *Program) Lost(err error) {
+	p.notReached(err)
 	if p.shared() {
 		p.log.Debug("name table lost", "err", err)
 		p.sharer.Lost()
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"os"
@@ -158,7 +159,7 @@
 		fresh = true
 	default:
 	}
-	switch turn(phase, now.Sub(since), fresh, older != nil, p.mute) {
+	switch turn(phase, now.Sub(since), fresh, older != nil, p.mute, p.unreached.Load()) {
 	case serves:
 		p.serve(ctx)
 	case asks:
@@ -178,13 +179,20 @@
 )
 
 // turn says which, after so long in a phase. fresh: discovery has told. older: such a process is connected; mute: it
-// was, and told nothing, and may serve on by a list that the configuration's is older than.
-func turn(phase Phase, since time.Duration, fresh, older, mute bool) step {
-	late := fresh || since >= freshPatience
+// was, and told nothing, and may serve on by a list that the configuration's is older than. unreached: discovery cannot be
+// reached.
+//
+// A process that starts alone has the configuration's list, which is as old as the process before it. What discovery has had
+// for longer than its delay counts as known to this process too, from its first moment: it serves only once it has been told,
+// or cannot be.
+func turn(phase Phase, since time.Duration, fresh, older, mute, unreached bool) step {
+	late := since >= freshPatience+yieldPatience
 	switch {
-	case phase == Relieving && (!older || since >= yieldPatience), phase == Starting && !older && (!mute || fresh || since >= freshPatience+yieldPatience):
+	case phase == Relieving && (!older || since >= yieldPatience):
 		return serves
-	case phase == Starting && older && late:
+	case phase == Starting && !older && (fresh || late || unreached && !mute):
+		return serves
+	case phase == Starting && older && (fresh || since >= freshPatience):
 		return asks
 	}
 	return waits
@@ -192,6 +200,11 @@
 
 // serve begins to take commands in.
 func (p *Program) serve(ctx context.Context) {
+	if err := p.listen(); err != nil {
+		p.failure = fmt.Errorf("listen: %w", err)
+		p.enter(Stopped, Starting, Relieving)
+		return
+	}
 	next := Serving
 	if p.before.Quiesced {
 		next = Quiescing
