Ask for the list at an even pace: within 2.5 s of a failed call, 5 ms a dispatcher at first

Change: first calls are spread over 5 ms a dispatcher (3 s at most), later ones come 1.25 to 2.5 s after a failure. After three that waited and failed the time grows threefold each, so that a service that is run over is not kept so (TestManyAskForTheListInTurn holds as it was; the list's clock asks in any case in time).

--- a/decide/ask.go
+++ b/decide/ask.go
@@ -6,38 +6,47 @@
 )
 
 // When the list is asked for. One service serves all dispatchers and works through calls in turn; nobody knows what it
-// bears, and dispatchers share nothing: a call can go by their number, by what earlier ones met and by time alone.
+// bears, and dispatchers share nothing: a call can go by their number, by what earlier ones met and by time alone. What the
+// service has had for 6 s counts as known, whatever became of the calls before.
 // docs/coldstart-design.md has the rules that were weighed, with figures for 3 to 3,000 dispatchers.
 const (
-	listPace   = 20 * time.Millisecond // a dispatcher, at which first calls are spread
-	listSpread = 0.6                   // of the time in which the rules want a call: no first call may come later
-	downParts  = 64                    // a call that fails within such a part of that time found nobody in
-	fewParts   = 16                    // dispatchers whose spread is under such a part of it are few
-	mostTurns  = 10                    // doublings of the time over which calls are spread
+	listPace   = 5 * time.Millisecond    // a dispatcher, at which first calls are spread
+	listSpread = 0.3                     // of the time in which the rules want a call: no first call may come later
+	nextSpread = 2500 * time.Millisecond // nor a later one: a call may fail 3 s after the service is back, and the next takes a while
+	downParts  = 64                      // a call that fails within such a part of that time found nobody in
+	fewParts   = 16                      // dispatchers whose spread is under such a part of it are few
+	evenTurns  = 3                       // calls that waited and failed before the service counts as run over
+	growth     = 3                       // by which the time over which calls are spread grows then with each
+	mostTurns  = 6                       // at the most
 )
 
-// ask has the list asked for, at the start, once a watch has ended and once a call has failed. Calls of a turn are spread
-// over a time; those that waited and failed have a turn twice as long, which begins only when the service has had the
-// time to work off what it failed. So however little it bears, some turn is long enough. Where the last call reached
-// nobody, or failed at once, there is nothing to work off: a service that is down or cut off is tried at an even pace.
-// A few dispatchers run over no service at such a pace, and keep it in any case.
+// ask has the list asked for, at the start, once a watch has ended and once a call has failed. Calls are spread over a
+// time, and asked for again at an even pace, since nobody can tell a service that is down from one that is run over. Only
+// where calls have waited and failed for longer than a service is down does the time grow with each: at an even pace above
+// what it bears it would fail all of them for ever. A few dispatchers run over no service.
 func (d *Dispatcher) ask(nobody bool) {
 	within := d.s.Rules.MustAskIn
 	spread := min(time.Duration(d.s.Dispatchers)*listPace, time.Duration(listSpread*float64(within)))
-	few, nobody := spread < within/fewParts, nobody || d.now-d.called < within/downParts
-	after := time.Duration(0)
+	few, nobody := spread < within/fewParts/4, nobody || d.now-d.called < within/downParts
+	var after time.Duration
 	switch {
 	case d.s.Pushed: // to an agent here: asking it costs nobody anything, and what it has counts as told
 		after = d.backoff(d.s.Rules.DrainGrace/16, 1)
 	case d.failures == 0:
-		d.wanted, after = d.now, time.Duration(d.rng.Float64()*float64(spread))
-	case few || nobody:
-		d.wanted, d.failures = d.now, 0
-		after = d.backoff(max(spread, within/fewParts), 1)
+		after = time.Duration(d.rng.Float64() * float64(spread))
+	case few:
+		after = d.backoff(within/fewParts, 1)
+	case nobody:
+		d.failures = 0
+		after = d.pause(1)
 	default:
-		long := math.Exp2(float64(min(d.failures, mostTurns)))
-		after = d.wanted - d.now + time.Duration((2*(long-1)+long*d.rng.Float64())*float64(spread))
+		after = d.pause(math.Pow(growth, float64(min(max(0, d.failures-evenTurns), mostTurns))))
 	}
 	d.asked = d.now + max(d.step(), after)
 	d.failures++
 }
+
+// pause is a time before another call, of half to the whole of so many spreads.
+func (d *Dispatcher) pause(spreads float64) time.Duration {
+	return time.Duration(spreads * (1 + d.rng.Float64()) / 2 * float64(nextSpread))
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -181,7 +181,7 @@
 	ordered               time.Duration
 	stale                 bool // blocks must be rebuilt
 	armed                 bool
-	asked, called, wanted time.Duration // when to ask for the list (0: not wanted), when that last was, since when it has been wanted
+	asked, called         time.Duration // when to ask for the list (0: not wanted), and when that last was
 	failures              int
 	peers                 map[int]*peer
 	listLost, crowd, dark condition
