--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,7 +55,11 @@
 
 // open starts a program by one customer's settings, in a fleet that serves all of those given.
 func open(t *testing.T, by object, served ...object) *house {
-	h := &house{world: &world{t: t, watches: make(chan net.Conn, 9), targets: make(chan string, 9)}, sent: map[string][]*http1.Request{}}
+	h := &house{
+		world: &world{t: t, watches: make(chan net.Conn, 9), targets: make(chan string, 9), unchanged: new(atomic.Bool)},
+		sent:  map[string][]*http1.Request{},
+	}
+	h.unchanged.Store(true)
 	for _, settings := range served {
 		for i, kind := range settings["Skus"].([]any) {
 			zone := "elsewhere"
