Take over with the discovery of the own configuration where that names another

Seen: a process that was started beside an older one, with a configuration that names another discovery than the older one was started with, watched the older one's address and began with its list, for as long as it ran. relief.go, meet: the older's address and list won always, since its environment may not say that a reload has moved it.

Change: the older process tells, beside the address in force, which one it was started with. Where the newer's is neither, its own counts, with its own list; the other's lists then say nothing here, as their address differs (heard). A reload of the older one that its environment does not know of holds as before.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -197,7 +197,7 @@
 		return err
 	}
 	if list := p.meet(ctx); list != nil {
-		known = *list
+		known.Revision, known.Members = list.Revision, list.Members
 	} else {
 		p.recall(p.leftOut())
 	}
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -47,10 +47,18 @@
 
 // standing is what the older process goes by.
 type standing struct {
-	List      *dispatch.List
-	Discovery string
-	Quiesced  bool // clients are sent away
-	Cordons   []string
+	List       *dispatch.List
+	Discovery  string // where its list comes from
+	Configured string // where its configuration had it come from when it started; empty: an older version, which does not tell
+	Quiesced   bool   // clients are sent away
+	Cordons    []string
+}
+
+// listsFor tells whether its list is the one of a process whose configuration has discovery at an address. It may have been moved
+// since its start, which the newer process's environment need not say; but where that names another discovery than it was started
+// with, the newer one is meant to go by another list.
+func (s standing) listsFor(configured string) bool {
+	return s.Configured == "" || s.Configured == configured || s.Discovery == configured
 }
 
 // listing is the whole list, and whose revision it has.
@@ -65,7 +73,7 @@
 	Places int // connections that it has yet
 }
 
-// meet calls at the door of a process that serves the address, and returns its list: it is at
+// meet calls at the door of a process that serves the address, and returns the list to begin with: that process's is at
 // least as fresh as the one in the configuration. nil: there is none.
 func (p *Program) meet(ctx context.Context) *dispatch.List {
 	link, err := handover.Call(p.path())
@@ -100,13 +108,18 @@
 		p.mute = true
 		return nil
 	}
-	p.watcher.From(p.before.Discovery, p.before.List.Revision)
+	list := p.before.List
+	if p.before.listsFor(p.config.Discovery) {
+		p.watcher.From(p.before.Discovery, list.Revision)
+		p.mu.Lock()
+		p.discovery = p.before.Discovery
+		p.mu.Unlock()
+	} else {
+		p.before.List, list = nil, &p.config.Known
+	}
 	p.watcher.Subscribe() // now: what takes over waits for discovery, and takes the place of another watch
-	p.mu.Lock()
-	p.discovery = p.before.Discovery
-	p.mu.Unlock()
 	p.resize()
-	return p.before.List
+	return list
 }
 
 // path is where the door is of whoever serves the address.
@@ -256,7 +269,7 @@
 	discovery := p.discovery
 	p.mu.Unlock()
 	if !taken {
-		link.Pass(told, standing{&list, discovery, quiesced, slices.Sorted(maps.Keys(p.cordons.out))}, kept{p.listener})
+		link.Pass(told, standing{&list, discovery, p.config.Discovery, quiesced, slices.Sorted(maps.Keys(p.cordons.out))}, kept{p.listener})
 	}
 	p.cordons.mu.Unlock()
 	if taken {
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -496,3 +496,39 @@
 		require.Equal(t, 200, w.read(c).Status)
 	}
 }
+
+// A process whose configuration names another discovery than the one that it takes over from was started with went by that one's
+// address and list all the same, for as long as it ran. It watches its own, and what drains there gets nothing.
+func TestTakesOverWithItsOwnDiscovery(t *testing.T) {
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		w.news(id(q), "s-1", "done", "r")
+		return answer(c, 202)
+	})
+	require.Equal(t, "/catalog/members?stream=1&index=7", <-w.targets)
+	first := <-w.watches
+	tellTable(first, 30, false, member(w.instance.Addr().String(), "in_service"))
+	w.await(func() bool { return w.program.watcherAt() == 30 })
+	own := w.nameTable()
+	w.variables["PROXY_DISCOVERY"] = own.Addr().String()
+	older := w.beside()
+	require.Equal(t, "/catalog/members?stream=1&index=7", <-w.targets, "as its own configuration knows the list")
+	second := <-w.watches
+	require.Equal(t, own.Addr().String(), second.LocalAddr().String())
+	tellTable(second, 8, false, member(w.instance.Addr().String(), "terminating"))
+	w.await(func() bool { return w.program.Phase() == Serving && older.program.Phase() == Yielded })
+	require.False(t, w.program.pool.Takes("s-1"))
+	require.True(t, older.program.pool.Takes("s-1"), "which goes by its own")
+	tellTable(first, 31, false, member(w.instance.Addr().String(), "in_service"))
+	tellTable(second, 9, false, strings.Replace(member(w.instance.Addr().String(), "in_service"), `"up_since_ms":0`, `"up_since_ms":1000`, 1))
+	w.await(func() bool { return w.program.pool.Takes("s-1") })
+	c := w.dial()
+	w.command(c, "c1", "safe", "30000m")
+	require.Equal(t, 200, w.read(c).Status)
+}
+
+// watcherAt is the revision of the list that the program has.
+func (p *Program) watcherAt() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Revision()
+}
