Mend what staticcheck finds, without change of behaviour

Unused fields go, errors of bbolt come from their package, a loop that always ended at its first element is no loop, a test compares two named values; two calls of deprecated functions are marked with the reason.

--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -34,7 +34,7 @@
 	name, zone     string
 	stopped, alive bool
 	watch          bool
-	told, showed   Mark
+	told           Mark
 	shows          Watch
 	table          dispatch.Table
 	notes          []string
--- a/internal/net/clients/bar.go
+++ b/internal/net/clients/bar.go
@@ -22,6 +22,7 @@
 		*stmt(syscall.BPF_RET|syscall.BPF_K, 0xffff),
 	}
 	var failed error
+	//lint:ignore SA1019 as above
 	err = raw.Control(func(fd uintptr) { failed = syscall.AttachLsf(int(fd), program) })
 	if err != nil {
 		return err
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/instances/pool_test.go
@@ -123,7 +123,8 @@
 		a := attempt("s-1")
 		a.MostIdle = most
 		p.Send(a)
-		require.Equal(t, same, (<-seen).Header.Get("From") == (<-seen).Header.Get("From"))
+		probed, sent := <-seen, <-seen
+		require.Equal(t, same, probed.Header.Get("From") == sent.Header.Get("From"))
 	}
 }
 
--- a/internal/net/plain/site.go
+++ b/internal/net/plain/site.go
@@ -27,7 +27,6 @@
 
 type pooled struct {
 	*pools.Pool
-	key   func(routes.Request) string
 	ids   []string
 	byID  map[string]*pools.Member
 	taken map[string]*pools.Member // by command
--- a/internal/net/replicas/store.go
+++ b/internal/net/replicas/store.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -127,7 +128,7 @@
 	db, err := bbolt.Open(filepath.Join(dir, storeFile), 0o600, &bbolt.Options{
 		Timeout: lockWithin, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType, InitialMmapSize: 64 << 20, ReadOnly: readOnly,
 	})
-	if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, syscall.EAGAIN) {
+	if errors.Is(err, bolterrors.ErrTimeout) || errors.Is(err, syscall.EAGAIN) {
 		return nil, errTaken
 	}
 	return db, err
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -1012,7 +1012,8 @@
 		n.pass(g, now, wanted) // who leads then moves it
 		return
 	}
-	for _, id := range g.conf.GetLearners() {
+	if learners := g.conf.GetLearners(); len(learners) > 0 {
+		id := learners[0]
 		if dead(id, SilentAfter) || !wanted(id) {
 			propose(change(pb.ConfChangeType_ConfChangeRemoveNode, id))
 			return
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -104,8 +104,7 @@
 	name  string
 	rate  float64
 	disk  *disk
-	node  *Node // nil: it is down
-	began time.Duration
+	node  *Node         // nil: it is down
 	slow  time.Duration // of its disk
 	ends  time.Duration // of the write under way
 	write *Write
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"caperrelay/internal/dispatch"
 )
@@ -105,7 +106,7 @@
 // Open takes the file. One that is no store is put aside.
 func Open(path string) (*File, error) {
 	f, err := open(path)
-	if err == nil || errors.Is(err, bbolt.ErrTimeout) {
+	if err == nil || errors.Is(err, bolterrors.ErrTimeout) {
 		return f, err
 	}
 	if moved := os.Rename(path, path+".bad"); moved != nil {
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"pgregory.net/rapid"
 
 	"caperrelay/decide"
@@ -37,7 +37,7 @@
 	f, err := Open(path)
 	require.NoError(t, err)
 	_, err = Read(path, "n1")
-	require.ErrorIs(t, err, bbolt.ErrTimeout, "another process has it")
+	require.ErrorIs(t, err, bolterrors.ErrTimeout, "another process has it")
 	require.NoError(t, f.Close())
 
 	next, err := json.Marshal(map[string]any{"Format": 2, "Node": "n1", "List": "of another form"})
--- a/winglb/balance.go
+++ b/winglb/balance.go
@@ -115,6 +115,7 @@
 				old = append(old, t)
 			}
 			t = &sub{address: a.Addr, state: connectivity.Idle}
+			//lint:ignore SA1019 each of these has one address
 			conn, err := p.cc.NewSubConn([]resolver.Address{a}, balancer.NewSubConnOptions{StateListener: func(s balancer.SubConnState) { p.changed(t, s) }})
 			if err != nil {
 				continue
