A change is known 6 s after discovery had it, whatever became of the last call

Seen: Clock.due let a list whose last call had failed be good for four times the settings' time (40 s), and one whose watch had ended for all of it (10 s), counted from the last byte. So a refusal that waited, a head with nothing behind it, half a list or chunk sizes in crumbs each put the next call off, though nothing had been learned; a watch that spoke again after silence and then ended counted as whole; what changed while a list was slowly written counted from its end.

Change: the clock keeps the moment up to which all is known: the last empty line of a watch, the first byte of its last whole list, or the last call. In every state the next call is out 5 s after that (an answer may take 1 s); only an agent's is sooner, as before, and the settings' time where that is less. What a failed call counts from is the moment that it was made, in each case: refused at once that is the same; one that waited may have been reachable all the while; one that met nobody, or was given up, says no more. Clock.Beat takes empty lines; one that comes sooner after the call than the first of a watch may is not one. Ended no longer asks whether the call failed: nothing hangs on it.

TestClockCallsWhereNobodyAsks wants 4 to 5 s where it had 38 to 39; a list in crumbs is given up 5 s after its call, so that test has one crumb less.

--- a/internal/listclock/clock.go
+++ b/internal/listclock/clock.go
@@ -8,13 +8,15 @@
 //
 //	pushed, nothing open     at once: what the agent has counts as told
 //	pushed, a call is open   at once too: an agent answers at once, or is down and learns nothing
-//	a watch is open          6 s after the last sign of life on it: it may have fallen silent right then
+//	a watch is open          6 s after all was last known: it may have fallen silent right then, or its list never get whole
 //	a call is open           6 s after it was made, or 2 s after the time that it may wait, if that is later
-//	part of a list has come  6 s after the first of it
-//	asked, nothing open      the settings' time after the last call, or what was heard last on its watch; four times as
-//	                         long if that call failed
+//	asked, nothing open      6 s after all was last known, or the last call was made; the settings' time, if that is less
 //	the list has moved       4 s after that
 //
+// All is known up to the last empty line of a watch, or the first byte of its last whole list. Bytes alone are signs of life, not news. A call that is
+// refused, breaks off or is given up tells nothing, but that discovery could not be reached when it was made: the next
+// counts from there, not from its end, and no call is given more time than another.
+//
 // [Clock.Ask] is when to ask: so long before that moment that the answer comes in time, no sooner than silence is
 // certain, and in between at this dispatcher's share of the fleet's spread, since one service answers all of them.
 package listclock
@@ -24,10 +26,9 @@
 // What the page says, and how far from its edges we stay.
 const (
 	beat     = 2 * time.Second // between empty lines of a quiet watch
-	silence  = 6 * time.Second // from a watch's last sign of life until what it misses counts
+	silence  = 6 * time.Second // from when all was known, or a call that told nothing, until what is missed counts
 	afterMay = 2 * time.Second // from the end of the time that a call may wait until what it misses counts
 	moved    = 4 * time.Second // from SIGHUP until what the new address tells counts
-	failed   = 4               // times as long is a list good whose last call failed
 
 	quiet   = beat * 3 / 2    // a watch that says nothing for so long has fallen silent
 	answer  = time.Second     // that a call's answer may take
@@ -48,7 +49,7 @@
 // Terms are what the settings say. Times below zero count as zero.
 type Terms struct {
 	Way    Way
-	Within time.Duration // a list is good for so long after the last call, where nothing is open
+	Within time.Duration // a list is good for so long after the last call, where nothing is open, and never for over 6 s
 	Grace  time.Duration // sends to an instance may go on for so long after its drain was told
 	Spread time.Duration // of the calls that all dispatchers make for one cause; not of calls to an agent
 }
@@ -62,14 +63,14 @@
 	now   time.Duration
 	share float64 // in [0, 1): this dispatcher's place in the fleet's spread
 
-	told  time.Duration // below 0: never
+	told  time.Duration // when a list was last whole; below 0: never
+	known time.Duration // all is known up to here, or a call was made here; the start at first
 	base  time.Duration // of the last call, the last sign of life on it, or the start
 	open  time.Duration // when the last call was made; below 0: there was none
 	may   time.Duration // that this call may wait
 	begun time.Duration // since when part of a list is there; below 0: none is
 	moved time.Duration // of a move since which no call was made; below 0: there is none
 	mute  time.Duration // when the watch that is open had last spoken before it fell silent; below 0: it never has
-	fails bool          // the last call failed
 }
 
 type state int
@@ -83,7 +84,7 @@
 // New returns the clock of a process that begins now, with a list of an earlier one at most. A service is not asked
 // before the first [Clock.Called]: when to begin is for others to say. An agent is asked at once.
 func New(t Terms, now time.Duration) *Clock {
-	c := &Clock{now: now, base: now, told: -1, open: -1, begun: -1, moved: -1, mute: -1}
+	c := &Clock{now: now, known: now, base: now, told: -1, open: -1, begun: -1, moved: -1, mute: -1}
 	c.Retune(t)
 	c.rests = t.Way != Pushed
 	return c
@@ -104,7 +105,8 @@
 // news by its own terms, 0: it is to be answered at once. share, in [0, 1), is a draw.
 func (c *Clock) Called(now, may time.Duration, share float64) {
 	now = c.at(now)
-	c.state, c.open, c.may, c.base, c.share = calling, now, max(0, may), now, min(max(share, 0), 1)
+	c.state, c.open, c.may, c.share = calling, now, max(0, may), min(max(share, 0), 1)
+	c.base, c.known = now, now
 	c.begun, c.moved, c.mute, c.rests = -1, -1, -1, false
 }
 
@@ -129,14 +131,35 @@
 	}
 }
 
-// Told says that a whole list, or a change of it, has been read.
-func (c *Clock) Told(now time.Duration) { c.told, c.begun = c.at(now), -1 }
+// Beat says that an empty line has come: nothing has changed up to now. One that comes sooner than the first of a watch
+// may, before any list, is no news: there may be changes behind it.
+func (c *Clock) Beat(now time.Duration) {
+	if now = c.at(now); c.told >= c.open || now >= c.open+beat/2 {
+		c.knows(now)
+	}
+}
+
+// Told says that a whole list, or a change of it, has been read. What has changed since it began is in none of it.
+func (c *Clock) Told(now time.Duration) {
+	if c.told = c.at(now); c.begun >= 0 {
+		now = c.begun
+	}
+	c.knows(now)
+	c.begun = -1
+}
 
-// Ended says that what was open is over; failed: it was a call, and it was refused or broke off. Silence does not end a
+// knows takes that all is known up to a moment: what is open has not missed anything.
+func (c *Clock) knows(upTo time.Duration) {
+	if c.state == watching && c.mute < 0 {
+		c.known = max(c.known, upTo)
+	}
+}
+
+// Ended says that what was open is over: it was refused or broke off, or the call was answered. Silence does not end a
 // watch or a call: the next call does.
-func (c *Clock) Ended(now time.Duration, failed bool) {
+func (c *Clock) Ended(now time.Duration) {
 	c.at(now)
-	c.state, c.begun, c.mute, c.fails = idle, -1, -1, failed
+	c.state, c.begun, c.mute = idle, -1, -1
 	if c.terms.Way == Pushed {
 		c.base = c.now // when to try again counts from here
 	}
@@ -163,12 +186,6 @@
 // Due is when the first that may have been missed may count as told: by then a new call must be out. It may be over.
 func (c *Clock) Due() time.Duration {
 	due := c.due()
-	if c.begun >= 0 {
-		due = min(due, c.begun+silence)
-	}
-	if c.mute >= 0 {
-		due = min(due, c.mute+silence)
-	}
 	if c.moved >= 0 {
 		due = min(due, c.moved+moved)
 	}
@@ -178,26 +195,21 @@
 func (c *Clock) due() time.Duration {
 	switch {
 	case c.state == watching:
-		return c.base + silence
+		return c.known + silence
 	case c.terms.Way == Pushed:
 		return c.base
 	case c.state == calling:
 		return max(c.base+silence, c.open+c.may+afterMay)
-	case c.fails:
-		return c.base + failed*c.terms.Within
 	}
-	return c.base + c.terms.Within
+	return c.known + min(silence, c.terms.Within)
 }
 
 // Ask is when to make the next call, on a new connection; false: not before others say so. It is before [Clock.Due],
 // unless that is over from the start.
 func (c *Clock) Ask() (time.Duration, bool) {
 	ask := c.ask()
-	if c.begun >= 0 {
-		ask = min(ask, c.begun+silence-answer)
-	}
 	if c.mute >= 0 {
-		ask = min(ask, c.reopen(c.mute))
+		ask = min(ask, c.reopen(c.mute, c.mute+silence))
 	}
 	if c.moved >= 0 {
 		ask = min(ask, c.moved+c.part(moved-answer))
@@ -208,24 +220,30 @@
 func (c *Clock) ask() time.Duration {
 	switch agent := c.terms.Way == Pushed; {
 	case c.state == watching:
-		return c.reopen(c.base)
+		return c.reopen(c.base, c.due())
 	case c.state == calling && agent:
 		return c.open + min(max(c.terms.Grace/2, prompt), patient)
 	case c.state == calling:
-		certain := max(c.base+quiet, c.open+c.may+afterMay-answer)
-		return certain + c.part(c.due()-answer-certain)
+		return c.reopen(max(c.base, c.open+c.may+afterMay-answer-quiet), c.due())
 	case agent && c.open < 0: // at the process's first moment
 		return c.base
 	case agent:
 		return c.base + max(c.terms.Grace/4, prompt)
 	}
-	early := min(answer, c.terms.Within/8) // whoever decides on turns asks sooner; this is the last moment
-	return c.due() - early - time.Duration(c.share*float64(early))
+	return c.again()
+}
+
+// again is when to call where nothing is open. Whoever decides on turns asks sooner: this is the last moment.
+func (c *Clock) again() time.Duration {
+	early := min(answer, c.terms.Within/8)
+	last := min(c.terms.Within-early, silence-answer)
+	return max(c.known+last-time.Duration(c.share*float64(early)), c.open+prompt)
 }
 
-// reopen is when to open a watch anew that last spoke then.
-func (c *Clock) reopen(spoke time.Duration) time.Duration {
-	return spoke + quiet + c.part(silence-answer-quiet)
+// reopen is when to call in place of what last spoke then, and is due to have told.
+func (c *Clock) reopen(spoke, due time.Duration) time.Duration {
+	certain, last := spoke+quiet, due-answer
+	return min(last, certain+c.part(last-certain))
 }
 
 // part is this dispatcher's place in the fleet's spread, within a time.
--- a/internal/net/nametable/watch.go
+++ b/internal/net/nametable/watch.go
@@ -246,7 +246,7 @@
 	case due && errors.As(err, &timeout) && timeout.Timeout():
 		return anew, w.answered
 	}
-	if w.clock.Ended(w.now(), !w.answered); moving {
+	if w.clock.Ended(w.now()); moving {
 		return moves, w.answered
 	}
 	return lost, w.answered
@@ -261,6 +261,13 @@
 	}
 }
 
+// beat tells the clock that nothing has changed.
+func (w *Watcher) beat() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clock.Beat(w.now())
+}
+
 // deadline is when what is open has been silent for too long.
 func (w *Watcher) deadline() time.Time {
 	w.mu.Lock()
@@ -354,6 +361,7 @@
 func (o *objects) Read(p []byte) (int, error) {
 	n, err := o.in.Read(p)
 	if o.take(p[:n]); n > 0 && o.size == 0 {
+		o.w.beat()
 		o.sink.Alive()
 	}
 	if o.size > maxObject {
--- a/internal/net/nametable/watch_test.go
+++ b/internal/net/nametable/watch_test.go
@@ -121,7 +121,7 @@
 		{"nothing after the head", 300, false, []string{head}, 3 * time.Second, 5 * time.Second},
 		{"nothing after an empty line", 300, false, []string{head, chunk("\n")}, 3 * time.Second, 5 * time.Second},
 		{"half a line", 300, false, []string{head + chunk("\n"), chunk(drained[:40])}, 3 * time.Second, 5 * time.Second},
-		{"a list in crumbs", 300, false, append([]string{head}, strings.Split(chunk("[")+strings.Repeat("\x00"+chunk(" "), 4), "\x00")...), time.Second, time.Second},
+		{"a list in crumbs", 300, false, append([]string{head}, strings.Split(chunk("[")+strings.Repeat("\x00"+chunk(" "), 3), "\x00")...), time.Second, time.Second},
 		{"of a few", 3, false, []string{head, chunk("\n")}, 3 * time.Second, 3060 * time.Millisecond},
 		{"agent's watch", 300, true, []string{head, chunk("\n")}, 3 * time.Second, 3 * time.Second},
 		{"agent", 300, true, nil, 250 * time.Millisecond, 250 * time.Millisecond},
@@ -283,8 +283,8 @@
 			c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
 			require.Error(t, <-s.lost)
 			next := <-calls
-			require.GreaterOrEqual(t, next.at.Sub(c.at), 38*time.Second)
-			require.Less(t, next.at.Sub(c.at), 39*time.Second)
+			require.GreaterOrEqual(t, next.at.Sub(c.at), 4*time.Second)
+			require.LessOrEqual(t, next.at.Sub(c.at), 5*time.Second)
 			next.Close()
 			require.Error(t, <-s.lost)
 			next = <-calls
@@ -294,7 +294,7 @@
 			require.Error(t, <-s.lost)
 			ended := time.Now()
 			next = <-calls
-			require.Less(t, next.at.Sub(ended), 9*time.Second)
+			require.LessOrEqual(t, next.at.Sub(ended), 5*time.Second)
 			w.Rest()
 			require.Error(t, <-s.lost)
 			time.Sleep(time.Hour)
