Confirm a give-up only once its encoder has answered it, and try harder to tell it

The repeat of a DELETE that broke took the next idle connection, as likely dead as the first. Ruled out: attempts of which no byte was written (confirmed at once, and nothing goes out later), one given up while it is being written (written is set before the first byte, so it gets its DELETE), one whose answer comes across.

A give-up is confirmed by an answer, of whatever status, or where no such encoder was ever listed. It has two tries on connections, the second on a new one, each bounded by courtesy (1 s), in which its connection may come up; where there is none to spare it looks again every 10 ms for a second, and the pool counts as busy. A refusal does not confirm: an encoder that is full refuses too. What is never confirmed bars that encoder for that request alone.

--- a/internal/net/instances/conn.go
+++ b/internal/net/instances/conn.go
@@ -28,6 +28,7 @@
 	stage    stage
 	response *http1.Response // where it was answered
 	kept     time.Duration   // how long its connection had been idle; 0: it was new
+	unknown  bool            // where it was unsent: no such instance was ever listed
 }
 
 // unusable tells whether the instance says that no instance could do the command as it stands.
@@ -76,6 +77,7 @@
 	mostIdle       time.Duration        // of the connection; 0: any
 	fresh          bool                 // only a new connection will do
 	gated          bool                 // new work: only for an instance that is ready
+	patient        bool                 // its connection may take until the deadline to come up
 	expired        func(time.Time) bool // nil: never; it is too late to send it
 	sent           func()               // called once it is written whole, if at all; may be nil
 	done           func(end)            // called once, from the connection's goroutine
@@ -228,7 +230,7 @@
 // dial opens a connection. For what is no new work it does so again if the instance has moved meanwhile.
 func (c *conn) dial(x *exchange) error {
 	up := time.Now().Add(c.pool.bounds().Connect)
-	if x.deadline.Before(up) {
+	if x.patient || x.deadline.Before(up) {
 		up = x.deadline
 	}
 	dialer := net.Dialer{Deadline: up, KeepAlive: -1}
--- a/internal/net/instances/encoder_test.go
+++ b/internal/net/instances/encoder_test.go
@@ -105,6 +105,49 @@
 	}, patience, time.Millisecond)
 }
 
+// narrow puts an idle connection into the pool that holds only a few KiB on their way, so that a large request is still being
+// written when the encoder has its first bytes. It returns the encoder's end.
+func (e *encoder) narrow(p *Pool) *peer {
+	const small = 4 << 10
+	set := func(raw syscall.RawConn, option int) {
+		require.NoError(e.t, raw.Control(func(fd uintptr) {
+			require.NoError(e.t, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, small))
+		}))
+	}
+	raw, err := e.SyscallConn()
+	require.NoError(e.t, err)
+	set(raw, syscall.SO_RCVBUF)
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		set(raw, syscall.SO_SNDBUF)
+		return nil
+	}}
+	nc, err := dialer.Dial("tcp", e.Addr().String())
+	require.NoError(e.t, err)
+	p.mu.Lock()
+	in := p.instances["s-1"]
+	c := &conn{
+		pool: p, in: in, work: make(chan *exchange, 1), epoch: in.epoch, dialed: time.Now(), since: time.Now(),
+		nc: nc, br: bufio.NewReaderSize(nc, http1.MaxLine),
+	}
+	p.conns++
+	p.mu.Unlock()
+	go p.run(c, &exchange{aborted: true, done: func(end) {}}) // it rests at once
+	rests(e.t, p, 1)
+	return e.accept()
+}
+
+// large is an attempt whose request fills more than a narrow connection holds.
+func large() *dispatch.Attempt {
+	a := attempt("s-1")
+	a.Command.Payload.(*http1.Request).Body = make([]byte, http1.MaxBody)
+	return a
+}
+
+func (c *peer) readByte() {
+	_, err := c.br.ReadByte()
+	require.NoError(c.t, err)
+}
+
 // list is the list's line of an encoder.
 func (e *encoder) list(state decide.WorkerState) dispatch.List {
 	return dispatch.List{Members: []dispatch.Member{{ID: "s-1", Address: e.Addr().String(), State: state}}}
--- a/internal/net/instances/pool.go
+++ b/internal/net/instances/pool.go
@@ -19,6 +19,12 @@
 // a read that ended here at the same moment would make a reset of a time-out.
 const courtesy = time.Second
 
+// How a give-up is made sure of.
+const (
+	giveUpTries = 2                     // on connections, each within courtesy
+	placePause  = 10 * time.Millisecond // before the next look for a connection to spare
+)
+
 // A spoilt answer may be followed by a second one some milliseconds later, which would be read as the answer to the next
 // request on that connection: as taken where it was turned away, or the other way round.
 const (
@@ -62,6 +68,7 @@
 	cordoned  map[string]bool                 // left out by hand
 	out       map[*dispatch.Attempt]*exchange // sent and not yet taken by the instance
 	conns     int
+	pauses    int       // give-ups that wait for a connection to spare
 	talk      time.Time // when an instance last said something that nobody had asked for
 }
 
@@ -231,7 +238,8 @@
 }
 
 // GiveUp ends an attempt. One that the instance may have is taken back by DELETE; before
-// its 202 the connection is closed too. Not instead: the 202 may be on its way.
+// its 202 the connection is closed too. Not instead: the 202 may be on its way. It stays unconfirmed
+// where no DELETE is answered: the instance may still have it.
 func (p *Pool) GiveUp(a *dispatch.Attempt) {
 	p.mu.Lock()
 	x := p.out[a]
@@ -240,7 +248,7 @@
 		a.Confirmed()
 		return
 	}
-	p.takeBack(a, 2)
+	p.takeBack(a)
 }
 
 // Unsend ends all attempts of which nothing is written yet, as never sent: another process has them from now on, and may
@@ -253,16 +261,52 @@
 	}
 }
 
-func (p *Pool) takeBack(a *dispatch.Attempt, tries int) {
-	p.start(a.Instance, &exchange{
-		method: "DELETE", target: "/jobs/" + a.Command.ID, deadline: time.Now().Add(courtesy),
-		done: func(e end) {
-			if e.stage == broken && tries > 1 { // a DELETE may be repeated, unlike a command
-				p.takeBack(a, tries-1)
-				return
-			}
-			a.Confirmed()
-		},
+// giveUp is word on its way to an instance that an attempt is given up.
+type giveUp struct {
+	instance, id string    // the command's
+	until        time.Time // when it is dropped that finds no connection to spare
+	tries        int       // left on connections
+	fresh        bool      // the next takes a new one
+	confirm      func()    // called once the instance knows, if it ever does
+}
+
+// takeBack tells an instance that an attempt is given up. A DELETE may be repeated, unlike a command: the second goes over a
+// new connection, since a kept one may be dead. The attempt counts as given up only once the instance has answered.
+func (p *Pool) takeBack(a *dispatch.Attempt) {
+	p.tell(&giveUp{instance: a.Instance, id: a.Command.ID, until: time.Now().Add(courtesy), tries: giveUpTries, confirm: a.Confirmed})
+}
+
+func (p *Pool) tell(g *giveUp) {
+	p.start(g.instance, &exchange{
+		method: "DELETE", target: "/jobs/" + g.id, deadline: time.Now().Add(courtesy), fresh: g.fresh, patient: true,
+		done: func(e end) { p.told(g, e) },
+	})
+}
+
+// told takes the end of a give-up's exchange.
+func (p *Pool) told(g *giveUp, e end) {
+	switch {
+	case e.stage == answered || e.unknown:
+		g.confirm()
+	case e.stage == unsent && time.Now().Before(g.until):
+		p.pause(func() { p.tell(g) })
+	case e.stage != unsent && g.tries > 1:
+		g.tries--
+		g.fresh = true
+		p.tell(g)
+	}
+}
+
+// pause calls f in a moment. The pool counts as busy until then.
+func (p *Pool) pause(f func()) {
+	p.mu.Lock()
+	p.pauses++
+	p.mu.Unlock()
+	time.AfterFunc(placePause, func() {
+		f()
+		p.mu.Lock()
+		p.pauses--
+		p.mu.Unlock()
 	})
 }
 
@@ -298,7 +342,7 @@
 	defer p.mu.Unlock()
 	in := p.instances[id]
 	if in == nil || in.address == "" {
-		go x.done(end{stage: unsent})
+		go x.done(end{stage: unsent, unknown: true})
 		return
 	}
 	now := time.Now()
@@ -472,7 +516,7 @@
 func (p *Pool) Busy() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.conns > p.idle()
+	return p.conns > p.idle() || p.pauses > 0
 }
 
 func (p *Pool) idle() (n int) {
