A watch that ends is asked for anew at the first pace, though it never had news

Cause, found in a review of the turns: only a list sets the count of failures back (decide.go), so a watch that was on for minutes without news left those before it standing, and at its end the fleet asked by the pace of a failed call (ask.go). TestLostListIsAskedForAgain fails without it; go test ./decide: ok.

--- a/decide/ask.go
+++ b/decide/ask.go
@@ -28,6 +28,9 @@
 	within := d.s.Rules.MustAskIn
 	spread := min(time.Duration(d.s.Dispatchers)*listPace, time.Duration(listSpread*float64(within)))
 	few, nobody := spread < within/fewParts/4, nobody || d.now-d.called < within/downParts
+	if d.now-d.called >= within { // no call waits for so long: a watch has ended
+		d.failures = 0
+	}
 	var after time.Duration
 	switch {
 	case d.s.Pushed: // to an agent here: asking it costs nobody anything, and what it has counts as told
--- a/decide/list_test.go
+++ b/decide/list_test.go
@@ -164,6 +164,14 @@
 				again(ListFailed{Nobody: true}, 3*time.Second, nextSpread/2, nextSpread)
 			}
 			again(ListFailed{}, 3*time.Second, nextSpread/2, nextSpread)
+			var soonest, latest time.Duration = time.Hour, 0
+			for range 20 { // watches that had no news, each long after its call: all over the spread, from its beginning on
+				after := asks(w, ListFailed{}, time.Minute)
+				soonest, latest = min(soonest, after), max(latest, after)
+			}
+			if soonest > spread/4 || latest < spread*3/4 || latest > spread+10*ms {
+				t.Errorf("%d dispatchers: after watches that ended asked for after %v to %v, of %v", dispatchers, soonest, latest, spread)
+			}
 		}
 		few := s
 		few.Dispatchers = 12
