--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -49,7 +49,6 @@
 	killed  map[string]bool // gangs a dispatcher of which died around the start: nobody can call its members off
 	stats   map[string]int
 	skew    time.Duration
-	waited  time.Duration
 	specs   map[string]Spec
 	late    time.Duration // by which members run longer than they said, at most
 	cap     int           // of slots lent, checked by what runs; 0: it is not
@@ -73,7 +72,6 @@
 	encoder   string
 	at, until time.Duration
 	slots     int
-	ends      time.Duration
 }
 
 type post struct {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -100,7 +100,10 @@
 	require.False(t, ok, "one that is seen often is remembered")
 	c, err := NewConns(2)
 	require.NoError(t, err)
-	require.True(t, c.Enter("a", 2) && c.Enter("a", 2) && c.Enter("b", 1))
+	for range 2 {
+		require.True(t, c.Enter("a", 2))
+	}
+	require.True(t, c.Enter("b", 1))
 	require.False(t, c.Enter("a", 2))
 	require.False(t, c.Enter("c", 1), "no room for another key")
 	c.Leave("a")
