A client that floods its connection behind a waiting request has that request ended

Cause: behind a waiting request 64 KiB are kept and 1 MiB more is read and dropped, to see whether the client goes (conn.go drops). After that nobody looked any more: the client could close unseen, and its request stood in hand and was sent on. To read on without an end would cost what the client likes, to read slowly would see the end late, and what TCP holds back would still hide it.

Change: whoever sends more than that behind one request has it ended: it lapses (nothing begins any more, what is out is given up) and is answered 413 with Connection: close. Not 503: it may have run. An answer that is there by then is written instead, one that comes later is nobody's, so there is one answer. The protocol has clients send one request at a time; 1.06 MiB behind a request is no client of ours. The same bound holds before the request is handed in.

Tests: TestFloodEndsItsRequest (stays and goes; a late answer is not written), TestFloodIsBounded (what is kept and read; an answer that is there). Both fail with the old end of the watch; the second also where a waiting answer is passed over.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -38,9 +38,10 @@
 	rest   []byte      // of a connection that was passed here: to be read first
 	first  func() bool // and to be done first; false: it is to end
 
-	gone  bool // the peer has ended it, or does not take its answer
-	more  int  // requests answered since its end was due
-	parts bool // a request has come, whole or not, and has no answer
+	gone    bool // the peer has ended it, or does not take its answer
+	more    int  // requests answered since its end was due
+	dropped int  // bytes that came behind a request and were not kept
+	parts   bool // a request has come, whole or not, and has no answer
 
 	// Under the server's lock.
 	state    state
@@ -395,9 +396,8 @@
 	if !last.IsZero() && cmd.Deadline.After(last) {
 		cmd.Deadline = last
 	}
-	if c.departed() { // it stood in a backlog for so long
-		c.gone = true
-		return false
+	if err := c.present(); err != nil { // it may have stood in a backlog for long
+		return c.leave(err)
 	}
 	w := &waiter{cmd: cmd, end: q.Close, repeats: repeats, answer: make(chan word, 1)}
 	cmd.Client = w
@@ -405,17 +405,25 @@
 	return c.wait(w)
 }
 
+// leave ends a connection whose client has gone, or floods it and could go unseen, by what present or watch says. What a
+// flood's request asked for may have run: its answer is none after which the client could simply try again.
+func (c *conn) leave(err error) bool {
+	if errors.Is(err, errFlood) {
+		return c.reply(413, nil, "too much behind the request\n", true)
+	}
+	c.gone = true
+	return false
+}
+
 // wait waits for a command's answer and writes it; false: the connection is to end.
 func (c *conn) wait(w *waiter) bool {
-	if w.join(c.nc) != nil {
-		c.gone = true
-		c.server.core.Lapse(w.cmd)
-		return false
+	err := w.join(c.nc)
+	if err == nil {
+		err = c.watch()
 	}
-	if c.leaves() {
-		c.gone = true
+	if answered := len(w.answer) > 0; err != nil && !(answered && errors.Is(err, errFlood)) {
 		c.server.core.Lapse(w.cmd)
-		return false
+		return c.leave(err)
 	}
 	a := <-w.answer
 	if !a.passed {
@@ -441,63 +449,72 @@
 	mostDropped = 1 << 20       // and read beyond that, to see whether it goes
 )
 
-// departed tells, without waiting, whether the client has gone before its request is handed in. What it has sent behind the
-// request stands before its end and is read for that, as long as it can be kept.
-func (c *conn) departed() bool {
+// errGone says that the client has closed its connection.
+var errGone = errors.New("the client has gone")
+
+// errFlood says that a client has sent more behind its request than is read to see whether it goes.
+var errFlood = errors.New("too much behind a request")
+
+// present looks, without waiting, whether the client is there before its request is handed in: errGone or errFlood if it is
+// not. What it has sent behind the request stands before its end and is read for that.
+func (c *conn) present() error {
 	if c.nc.SetReadDeadline(time.Time{}) != nil {
-		return true
+		return errGone
 	}
 	for sock.Look(c.nc) == sock.Data {
-		if err := c.readAhead(); errors.Is(err, bufio.ErrBufferFull) {
-			return false
+		if err := c.readAhead(); err != nil {
+			return err
+		}
+	}
+	if sock.Look(c.nc) == sock.Closed {
+		return errGone
+	}
+	return nil
+}
+
+// watch waits until a read is ended from here, or until the client has gone before, errGone or errFlood. Whatever it has sent
+// behind its request stands before its end and is read for that: one that sends much at once and goes is gone all the same.
+func (c *conn) watch() error {
+	for {
+		if err := c.readAhead(); errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
 		} else if err != nil {
-			return true
+			return err
 		}
 	}
-	return sock.Look(c.nc) == sock.Closed
 }
 
-// readAhead waits for more behind the request in hand and keeps it. bufio.ErrBufferFull says that there is no room for more.
+// readAhead waits for more behind the request in hand. It keeps that as long as there is room, and drops what comes then.
 func (c *conn) readAhead() error {
 	_, err := c.br.Peek(c.br.Buffered() + 1)
-	if size := c.br.Size(); errors.Is(err, bufio.ErrBufferFull) && size < mostAhead {
+	switch size := c.br.Size(); {
+	case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	case !errors.Is(err, bufio.ErrBufferFull):
+		return errGone
+	case size < mostAhead:
 		come, _ := c.br.Peek(c.br.Buffered())
 		c.buffer(bytes.Clone(come), 2*size)
 		return nil
 	}
-	return err
+	return c.drop()
 }
 
-// leaves waits until a read is ended from here, and tells whether the client has gone before. Whatever it has sent behind
-// its request stands before its end and is read for that: one that sends much at once and goes is gone all the same.
-func (c *conn) leaves() bool {
-	for {
-		switch err := c.readAhead(); {
-		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return false
-		case errors.Is(err, bufio.ErrBufferFull):
-			return c.drops()
-		default:
-			return true
-		}
+// drop is the same where there is no room. Nobody is watched for ever through what it sends: it would cost what it likes.
+func (c *conn) drop() error {
+	if c.dropped >= mostDropped {
+		return errFlood
 	}
-}
-
-// drops is the same where what is kept is full. Who sends without an end is not looked at for ever.
-func (c *conn) drops() bool {
 	c.server.mu.Lock()
 	c.flood = true
 	c.server.mu.Unlock()
 	var some [4 << 10]byte
-	for left := mostDropped; left > 0; {
-		n, err := c.nc.Read(some[:])
-		if err != nil {
-			return !errors.Is(err, os.ErrDeadlineExceeded)
-		}
-		left -= n
+	n, err := c.nc.Read(some[:])
+	c.dropped += n
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errGone
 	}
-	return false
+	return err
 }
 
 // relay writes a command's final answer.
--- a/internal/net/clients/leaving_test.go
+++ b/internal/net/clients/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"strings"
@@ -147,3 +148,65 @@
 	core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
 	require.Equal(t, 503, ask(t, client, "").Status)
 }
+
+// A client that floods the connection behind its request could go unseen, and its request was sent on seconds later. Whether
+// it stays or goes, its request is ended once more has come than is read for that: with one answer, and none after it.
+func TestFloodEndsItsRequest(t *testing.T) {
+	flood := strings.Repeat("x", mostAhead+mostDropped+http1.MaxBody)
+	for _, stays := range []bool{true, false} {
+		core, s, dial := serve(t, 2, 0)
+		nc := dial()
+		_, err := fmt.Fprint(nc, leavingCommand)
+		require.NoError(t, err)
+		cmd := core.next(t)
+		_, err = fmt.Fprint(nc, flood)
+		require.NoError(t, err)
+		if !stays {
+			nc.Close()
+		}
+		select {
+		case lapsed := <-core.lapsed:
+			require.Same(t, cmd, lapsed)
+		case <-time.After(20 * time.Second):
+			require.FailNow(t, "nothing ended it")
+		}
+		cmd.Client.Answer(dispatch.Answer{Verdict: dispatch.Served, Result: []byte("late")}) // the loop had not heard of it
+		if stays {
+			br := bufio.NewReader(nc)
+			p, err := http1.ReadResponse(br, "POST")
+			require.NoError(t, err)
+			require.Equal(t, []any{413, true}, []any{p.Status, p.Close})
+			_, err = br.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			nc.Close()
+		}
+		require.Eventually(t, func() bool { return s.Connections() == 0 }, 20*time.Second, time.Millisecond)
+		require.Empty(t, core.taken)
+		require.Empty(t, core.lapsed)
+		require.Zero(t, shown(t, s, "closed_cut"))
+	}
+}
+
+// What is kept and read of a flood is bounded, and an answer that is there by its end is the client's all the same.
+func TestFloodIsBounded(t *testing.T) {
+	core, s := newServer(1)
+	here, client := accepted(t)
+	c := &conn{server: s, nc: here, state: handling}
+	c.buffer(nil, http1.MaxLine)
+	go io.Copy(client, endless{})
+	require.ErrorIs(t, c.watch(), errFlood)
+	require.LessOrEqual(t, c.br.Size(), mostAhead)
+	require.LessOrEqual(t, c.dropped, mostDropped+4<<10)
+	w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1)}
+	w.answer <- word{Answer: dispatch.Answer{Verdict: dispatch.Nacked}}
+	go c.wait(w)
+	p, err := http1.ReadResponse(bufio.NewReader(client), "POST")
+	require.NoError(t, err)
+	require.Equal(t, 503, p.Status)
+	require.Empty(t, core.lapsed)
+}
+
+// endless has something to read for ever.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
