Rename the packages of the peers: upstream and discovery, by the field's names

Need: the old house words are withdrawn. internal/net/instances is internal/net/upstream (its type endpoint was instance), and internal/net/nametable is internal/net/discovery; comments, error texts and two log lines follow ("discovery silent", "watch on discovery lost"). No change of behaviour.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,7 +17,7 @@
 
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
-	"caperrelay/internal/net/nametable"
+	"caperrelay/internal/net/discovery"
 	"caperrelay/internal/wire"
 )
 
@@ -280,7 +280,7 @@
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", f.Seed)
 	}
 	if len(f.Known) > 0 {
-		if c.Known, err = nametable.ParseList(f.Known); err != nil {
+		if c.Known, err = discovery.ParseList(f.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/net/nametable/list.go
+++ b/internal/net/discovery/list.go
@@ -1,6 +1,6 @@
-// Package nametable speaks to discovery: it keeps the name table, the list of
+// Package discovery speaks to discovery: it keeps the name table, the list of
 // instances, by a watch on its changes.
-package nametable
+package discovery
 
 import (
 	"encoding/json"
@@ -34,19 +34,19 @@
 		} `json:"members"`
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
-		return dispatch.List{}, fmt.Errorf("name table: %w", err)
+		return dispatch.List{}, fmt.Errorf("list: %w", err)
 	}
 	if in.Members == nil { // guards against taking some other object for an empty table
-		return dispatch.List{}, errors.New("name table: an object without members")
+		return dispatch.List{}, errors.New("list: an object without members")
 	}
 	l := dispatch.List{Revision: in.Revision, Complete: in.Complete}
 	for _, m := range in.Members {
 		state, ok := states[m.Phase]
 		if m.ID == "" {
-			return dispatch.List{}, errors.New("name table: a member has no id")
+			return dispatch.List{}, errors.New("list: a member has no id")
 		}
 		if !ok {
-			return dispatch.List{}, fmt.Errorf("name table: member %q has the unknown phase %q", m.ID, m.Phase)
+			return dispatch.List{}, fmt.Errorf("list: member %q has the unknown phase %q", m.ID, m.Phase)
 		}
 		line := dispatch.Member{
 			ID: m.ID, Address: m.HostPort, GRPC: m.GRPC, Zone: m.Locality, Kind: m.Flavor, Cell: m.Cell, State: state, Size: m.Size,
--- a/internal/net/nametable/trouble_test.go
+++ b/internal/net/discovery/trouble_test.go
@@ -1,4 +1,4 @@
-package nametable
+package discovery
 
 import (
 	"context"
--- a/internal/net/instances/conn.go
+++ b/internal/net/upstream/conn.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"bufio"
@@ -17,10 +17,10 @@
 type stage int
 
 const (
-	unsent   stage = iota // not begun: no connection to spare, or the instance wants nothing new
+	unsent   stage = iota // not begun: no connection to spare, or the encoder wants nothing new
 	unmade                // the connection never came up, or broke before the last byte was written
 	broken                // it broke after that, before the answer
-	answered              // the instance answered
+	answered              // the encoder answered
 )
 
 // end is how an exchange ended.
@@ -28,13 +28,13 @@
 	stage    stage
 	response *http1.Response // where it was answered
 	kept     time.Duration   // how long its connection had been idle; 0: it was new
-	unknown  bool            // where it was unsent: no such instance was ever listed
+	unknown  bool            // where it was unsent: no such encoder was ever listed
 }
 
-// unusable tells whether the instance says that no instance could do the command as it stands.
+// unusable tells whether the encoder says that no encoder could do the request as it stands.
 func (e end) unusable() bool { return e.stage == answered && e.response.Status == 400 }
 
-// outcome is what the end says of an attempt; over is false where the instance has taken it.
+// outcome is what the end says of an attempt; over is false where the encoder has taken it.
 func (e end) outcome() (o decide.Outcome, over bool) {
 	switch e.stage {
 	case unsent:
@@ -67,16 +67,16 @@
 	return decide.Errored
 }
 
-// exchange is one request to an instance and what came back.
+// exchange is one request to an encoder and what came back.
 type exchange struct {
 	method, target string
-	id             string       // correlation id, of commands only
-	passed         http1.Header // of the service client's
+	id             string       // correlation id, of requests only
+	passed         http1.Header // of the client's
 	body           []byte
 	deadline       time.Time
 	mostIdle       time.Duration        // of the connection; 0: any
 	fresh          bool                 // only a new connection will do
-	gated          bool                 // new work: only for an instance that is ready
+	gated          bool                 // new work: only for an encoder that is ready
 	patient        bool                 // its connection may take until the deadline to come up
 	expired        func(time.Time) bool // nil: never; it is too late to send it
 	sent           func()               // called once it is written whole, if at all; may be nil
@@ -88,7 +88,7 @@
 	written bool
 }
 
-// abort ends the exchange by closing its connection. It tells whether the instance may have
+// abort ends the exchange by closing its connection. It tells whether the encoder may have
 // got the request whole.
 func (x *exchange) abort() (mayHave bool) {
 	x.mu.Lock()
@@ -100,7 +100,7 @@
 	return x.written
 }
 
-// unsend aborts the exchange unless the instance may have got something of it.
+// unsend aborts the exchange unless the encoder may have got something of it.
 func (x *exchange) unsend() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -133,15 +133,15 @@
 	return x.aborted
 }
 
-// conn is one connection to an instance and, through run, its goroutine.
+// conn is one connection to an encoder and, through run, its goroutine.
 type conn struct {
 	pool  *Pool
-	in    *instance
+	in    *endpoint
 	work  chan *exchange // closed: the connection is to end
 	since time.Time      // idle since
 	shut  bool           // by the pool, which counts it no more
 
-	epoch  int       // of the instance, when it was dialled
+	epoch  int       // of the encoder, when it was dialled
 	dialed time.Time // when that began
 
 	nc  net.Conn
@@ -214,7 +214,7 @@
 
 // open opens a connection for an exchange; up is false where there is none, and e says why.
 func (c *conn) open(x *exchange) (e end, up bool) {
-	if x.late() { // a dial would fail at once, which speaks against no instance
+	if x.late() { // a dial would fail at once, which speaks against no encoder
 		return end{stage: unsent}, false
 	}
 	err := c.dial(x)
@@ -222,12 +222,12 @@
 	case err == nil:
 		return end{}, true
 	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
-		return end{stage: unsent}, false // our own want speaks against no instance
+		return end{stage: unsent}, false // our own want speaks against no encoder
 	}
 	return end{stage: unmade}, false
 }
 
-// dial opens a connection. For what is no new work it does so again if the instance has moved meanwhile.
+// dial opens a connection. For what is no new work it does so again if the encoder has moved meanwhile.
 func (c *conn) dial(x *exchange) error {
 	up := time.Now().Add(c.pool.bounds().Connect)
 	if x.patient || x.deadline.Before(up) {
--- a/internal/net/instances/dial_test.go
+++ b/internal/net/upstream/dial_test.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"testing"
--- a/internal/net/instances/encoder_test.go
+++ b/internal/net/upstream/encoder_test.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"bufio"
@@ -124,7 +124,7 @@
 	nc, err := dialer.Dial("tcp", e.Addr().String())
 	require.NoError(e.t, err)
 	p.mu.Lock()
-	in := p.instances["s-1"]
+	in := p.endpoints["s-1"]
 	c := &conn{
 		pool: p, in: in, work: make(chan *exchange, 1), epoch: in.epoch, dialed: time.Now(), since: time.Now(),
 		nc: nc, br: bufio.NewReaderSize(nc, http1.MaxLine),
--- a/internal/net/instances/giveup_test.go
+++ b/internal/net/upstream/giveup_test.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"io"
@@ -17,7 +17,7 @@
 func tellOf(p *Pool) (confirmed chan bool) {
 	confirmed = make(chan bool, 9)
 	p.tell(&giveUp{
-		instance: "s-1", id: "c1", until: time.Now().Add(courtesy), tries: giveUpTries,
+		encoder: "s-1", id: "c1", until: time.Now().Add(courtesy), tries: giveUpTries,
 		confirm: func() { confirmed <- true },
 	})
 	return confirmed
--- a/internal/net/instances/pool.go
+++ b/internal/net/upstream/pool.go
@@ -1,6 +1,6 @@
-// Package instances speaks to the encoders: it keeps a pool of connections to each and
+// Package upstream speaks to the encoders: it keeps a pool of connections to each and
 // sends attempts, give-ups and probes over them.
-package instances
+package upstream
 
 import (
 	"slices"
@@ -29,11 +29,11 @@
 // request on that connection: as taken where it was turned away, or the other way round.
 const (
 	settles  = 50 * time.Millisecond // that a connection rests before it is used again, where others do as well,
-	talksFor = 30 * time.Second      // for so long after some instance was seen to do so, and at that one no other is used
+	talksFor = 30 * time.Second      // for so long after some encoder was seen to do so, and at that one no other is used
 )
 
-// mostInstances is how many are remembered before those gone are forgotten.
-const mostInstances = 4096
+// mostEndpoints is how many are remembered before those gone are forgotten.
+const mostEndpoints = 4096
 
 // Reports takes what comes of what was sent.
 type Reports interface {
@@ -41,7 +41,7 @@
 	Written(*dispatch.Attempt)
 	Taken(*dispatch.Attempt)
 	Unusable(*dispatch.Attempt)
-	Probed(instance string, o decide.Outcome, report *decide.Report)
+	Probed(encoder string, o decide.Outcome, report *decide.Report)
 	Loaded(*dispatch.Attempt, decide.Report)
 }
 
@@ -49,31 +49,31 @@
 type Limits struct {
 	Connections int           // in all
 	Connect     time.Duration // for a connection to come up
-	Idle        time.Duration // after which instances close a connection
+	Idle        time.Duration // after which encoders close a connection
 }
 
-// rest is how long a connection is kept idle: well below the limit, since a command written to one that the instance's machine
+// rest is how long a connection is kept idle: well below the limit, since a request written to one that the encoder's machine
 // has just closed would end as a reset.
 func (l Limits) rest() time.Duration { return l.Idle * 3 / 5 }
 
-// Pool is the way to all instances.
+// Pool is the way to all encoders.
 type Pool struct {
 	limits  Limits
 	reports Reports
 	settle  time.Duration
-	loads   *loadreport.Reader // nil: instances report none
+	loads   *loadreport.Reader // nil: encoders report none
 
 	mu        sync.Mutex
-	instances map[string]*instance
+	endpoints map[string]*endpoint
 	cordoned  map[string]bool                 // left out by hand
-	out       map[*dispatch.Attempt]*exchange // sent and not yet taken by the instance
+	out       map[*dispatch.Attempt]*exchange // sent and not yet taken by the encoder
 	conns     int
 	pauses    int       // give-ups that wait for a connection to spare
-	talk      time.Time // when an instance last said something that nobody had asked for
+	talk      time.Time // when an encoder last said something that nobody had asked for
 }
 
-// instance is one encoder as the name table has it.
-type instance struct {
+// endpoint is one encoder as discovery lists it.
+type endpoint struct {
 	id, address string
 	state       decide.WorkerState
 	started     time.Time // its process, as listed
@@ -82,33 +82,33 @@
 	talked      time.Time // when it last said something that nobody had asked for
 }
 
-// NewPool returns a pool that knows no instance yet.
+// NewPool returns a pool that knows no encoder yet.
 func NewPool(l Limits) *Pool {
-	return &Pool{limits: l, instances: map[string]*instance{}, cordoned: map[string]bool{}, out: map[*dispatch.Attempt]*exchange{}, settle: settles}
+	return &Pool{limits: l, endpoints: map[string]*endpoint{}, cordoned: map[string]bool{}, out: map[*dispatch.Attempt]*exchange{}, settle: settles}
 }
 
 // ReportTo says who takes reports. It must come before anything is sent.
 func (p *Pool) ReportTo(r Reports) { p.reports = r }
 
-// ReadBy says who reads instances' load reports. It must come before anything is sent.
+// ReadBy says who reads encoders' load reports. It must come before anything is sent.
 func (p *Pool) ReadBy(r *loadreport.Reader) { p.loads = r }
 
-// Listed takes the name table's news as soon as it has been read: what drains or is gone
+// Listed takes discovery's news as soon as it has been read: what drains or is gone
 // gets nothing new, whatever has been decided by then.
 func (p *Pool) Listed(l dispatch.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l.Complete {
-		for _, in := range p.instances {
+		for _, in := range p.endpoints {
 			in.state = decide.Gone
 		}
 	}
 	now := time.Now()
 	for _, m := range l.Members {
-		in := p.instances[m.ID]
+		in := p.endpoints[m.ID]
 		if in == nil {
-			in = &instance{id: m.ID}
-			p.instances[m.ID] = in
+			in = &endpoint{id: m.ID}
+			p.endpoints[m.ID] = in
 		}
 		if in.state = m.State; m.Address != "" && m.Address != in.address {
 			in.address = m.Address
@@ -119,17 +119,17 @@
 			p.dropStale(in)
 		}
 	}
-	for id, in := range p.instances {
+	for id, in := range p.endpoints {
 		if in.state == decide.Gone {
 			p.disown(in)
-			if len(p.instances) > mostInstances {
-				delete(p.instances, id)
+			if len(p.endpoints) > mostEndpoints {
+				delete(p.endpoints, id)
 			}
 		}
 	}
 }
 
-// Cordon has an instance get nothing new from now on, whatever the name table says, or again.
+// Cordon has an encoder get nothing new from now on, whatever the list says, or again.
 func (p *Pool) Cordon(id string, out bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,20 +138,20 @@
 		return
 	}
 	p.cordoned[id] = true
-	if in := p.instances[id]; in != nil {
+	if in := p.endpoints[id]; in != nil {
 		p.disown(in)
 	}
 }
 
-// Knows tells whether the name table has ever told of an instance, or it is left out.
+// Knows tells whether the list has ever told of an encoder, or it is left out.
 func (p *Pool) Knows(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.instances[id] != nil || p.cordoned[id]
+	return p.endpoints[id] != nil || p.cordoned[id]
 }
 
-// drop closes an instance's idle connections.
-func (p *Pool) drop(in *instance) {
+// drop closes an encoder's idle connections.
+func (p *Pool) drop(in *endpoint) {
 	for _, c := range in.idle {
 		p.shut(c)
 	}
@@ -167,15 +167,15 @@
 	p.conns--
 }
 
-// disown closes an instance's idle connections at once and each busy one as soon as it rests. One that still comes up is
+// disown closes an encoder's idle connections at once and each busy one as soon as it rests. One that still comes up is
 // not written to.
-func (p *Pool) disown(in *instance) {
+func (p *Pool) disown(in *endpoint) {
 	in.epoch++
 	p.drop(in)
 }
 
-// dropStale closes the idle connections that the instance's process cannot know, since it started later.
-func (p *Pool) dropStale(in *instance) {
+// dropStale closes the idle connections that the encoder's process cannot know, since it started later.
+func (p *Pool) dropStale(in *endpoint) {
 	in.idle = slices.DeleteFunc(in.idle, func(c *conn) bool {
 		stale := !c.leads()
 		if stale {
@@ -185,7 +185,7 @@
 	})
 }
 
-// leads tells whether a connection, or one that is coming up, leads to the instance as it is listed. The pool's mutex is held.
+// leads tells whether a connection, or one that is coming up, leads to the encoder as it is listed. The pool's mutex is held.
 func (c *conn) leads() bool { return c.epoch == c.in.epoch && !c.dialed.Before(c.in.started) }
 
 // leads is the same for those who do not hold the mutex.
@@ -202,11 +202,11 @@
 	return c.in.state == decide.Ready && !p.cordoned[c.in.id] && c.leads()
 }
 
-// Release closes the idle connections to an instance.
+// Release closes the idle connections to an encoder.
 func (p *Pool) Release(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if in := p.instances[id]; in != nil {
+	if in := p.endpoints[id]; in != nil {
 		p.drop(in)
 	}
 }
@@ -237,9 +237,9 @@
 	p.start(a.Instance, x)
 }
 
-// GiveUp ends an attempt. One that the instance may have is taken back by DELETE; before
+// GiveUp ends an attempt. One that the encoder may have is taken back by DELETE; before
 // its 202 the connection is closed too. Not instead: the 202 may be on its way. It stays unconfirmed
-// where no DELETE is answered: the instance may still have it.
+// where no DELETE is answered: the encoder may still have it.
 func (p *Pool) GiveUp(a *dispatch.Attempt) {
 	p.mu.Lock()
 	x := p.out[a]
@@ -261,23 +261,23 @@
 	}
 }
 
-// giveUp is word on its way to an instance that an attempt is given up.
+// giveUp is word on its way to an encoder that an attempt is given up.
 type giveUp struct {
-	instance, id string    // the command's
-	until        time.Time // when it is dropped that finds no connection to spare
-	tries        int       // left on connections
-	fresh        bool      // the next takes a new one
-	confirm      func()    // called once the instance knows, if it ever does
+	encoder, id string    // the request's
+	until       time.Time // when it is dropped that finds no connection to spare
+	tries       int       // left on connections
+	fresh       bool      // the next takes a new one
+	confirm     func()    // called once the encoder knows, if it ever does
 }
 
-// takeBack tells an instance that an attempt is given up. A DELETE may be repeated, unlike a command: the second goes over a
-// new connection, since a kept one may be dead. The attempt counts as given up only once the instance has answered.
+// takeBack tells an encoder that an attempt is given up. A DELETE may be repeated, unlike a request: the second goes over a
+// new connection, since a kept one may be dead. The attempt counts as given up only once the encoder has answered.
 func (p *Pool) takeBack(a *dispatch.Attempt) {
-	p.tell(&giveUp{instance: a.Instance, id: a.Command.ID, until: time.Now().Add(courtesy), tries: giveUpTries, confirm: a.Confirmed})
+	p.tell(&giveUp{encoder: a.Instance, id: a.Command.ID, until: time.Now().Add(courtesy), tries: giveUpTries, confirm: a.Confirmed})
 }
 
 func (p *Pool) tell(g *giveUp) {
-	p.start(g.instance, &exchange{
+	p.start(g.encoder, &exchange{
 		method: "DELETE", target: "/jobs/" + g.id, deadline: time.Now().Add(courtesy), fresh: g.fresh, patient: true,
 		done: func(e end) { p.told(g, e) },
 	})
@@ -318,7 +318,7 @@
 	return p.loads.Line(e.response.Header.Get(loadreport.HeaderField))
 }
 
-// Probe checks an instance, by the way that brings a load report where there are any.
+// Probe checks an encoder, by the way that brings a load report where there are any.
 func (p *Pool) Probe(id string) {
 	target := "/ping"
 	if p.loads.Any() {
@@ -340,7 +340,7 @@
 func (p *Pool) start(id string, x *exchange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	in := p.instances[id]
+	in := p.endpoints[id]
 	if in == nil || in.address == "" {
 		go x.done(end{stage: unsent, unknown: true})
 		return
@@ -367,9 +367,9 @@
 	go p.run(&conn{pool: p, in: in, work: make(chan *exchange, 1)}, x)
 }
 
-// take takes the idle connection that an exchange is to use, nil: a new one. It is the one used last. Where some instance talks
+// take takes the idle connection that an exchange is to use, nil: a new one. It is the one used last. Where some encoder talks
 // unasked, it is the one used last that has settled; where none has, the one that has rested longest, unless it is this one's.
-func (in *instance) take(x *exchange, settle time.Duration, talk bool, now time.Time) *conn {
+func (in *endpoint) take(x *exchange, settle time.Duration, talk bool, now time.Time) *conn {
 	last := len(in.idle) - 1
 	if last < 0 || x.fresh {
 		return nil
@@ -393,10 +393,10 @@
 	return c
 }
 
-func (in *instance) talks(now time.Time) bool { return now.Sub(in.talked) < talksFor }
+func (in *endpoint) talks(now time.Time) bool { return now.Sub(in.talked) < talksFor }
 
-// talked notes that an instance has said something that nobody had asked for.
-func (p *Pool) talked(in *instance) {
+// talked notes that an encoder has said something that nobody had asked for.
+func (p *Pool) talked(in *endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	in.talked = time.Now()
@@ -426,10 +426,10 @@
 }
 
 // evict closes the connection that has been idle longest. It guards the limit on
-// descriptors, which call-backs and the name table need too.
+// descriptors, which call-backs and the list need too.
 func (p *Pool) evict() bool {
-	var oldest *instance
-	for _, in := range p.instances {
+	var oldest *endpoint
+	for _, in := range p.endpoints {
 		if len(in.idle) > 0 && (oldest == nil || in.idle[0].since.Before(oldest.idle[0].since)) {
 			oldest = in
 		}
@@ -441,8 +441,8 @@
 	return true
 }
 
-// shutOldest closes the connection to an instance that has been idle longest.
-func (p *Pool) shutOldest(in *instance) {
+// shutOldest closes the connection to an encoder that has been idle longest.
+func (p *Pool) shutOldest(in *endpoint) {
 	p.shut(in.idle[0])
 	in.idle = in.idle[1:]
 }
@@ -492,10 +492,10 @@
 	return append(h, x.passed...)
 }
 
-// keyField is what instances know a repeat by: without it one sent again would run twice.
+// keyField is what encoders know a repeat by: without it one sent again would run twice.
 const keyField = "Idempotency-Key"
 
-// passedOn is what of a service client's header goes to instances as it came, beside the id.
+// passedOn is what of a client's header goes to encoders as it came, beside the id.
 func passedOn(from http1.Header) (h http1.Header) {
 	if from.Given(keyField) {
 		h = http1.Header{{Name: keyField, Value: from.Get(keyField)}}
@@ -520,16 +520,16 @@
 }
 
 func (p *Pool) idle() (n int) {
-	for _, in := range p.instances {
+	for _, in := range p.endpoints {
 		n += len(in.idle)
 	}
 	return n
 }
 
-// Takes tells whether an instance may be sent new work at this moment.
+// Takes tells whether an encoder may be sent new work at this moment.
 func (p *Pool) Takes(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	in := p.instances[id]
+	in := p.endpoints[id]
 	return in != nil && in.state == decide.Ready && !p.cordoned[id]
 }
--- a/internal/net/instances/pool_test.go
+++ b/internal/net/upstream/pool_test.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"bufio"
@@ -38,7 +38,7 @@
 // late has a second answer written, and tells that it is.
 var late = make(chan bool)
 
-// pool returns one of so many connections and instances that show each request.
+// pool returns one of so many connections and encoders that show each request.
 func pool(t *testing.T, most int, ids ...string) (*Pool, reports, chan *http1.Request) {
 	r, seen := reports{make(chan decide.Outcome, 9), make(chan decide.Outcome, 9), make(chan *decide.Report, 9), make(chan *dispatch.Attempt, 9)}, make(chan *http1.Request, 9)
 	p := NewPool(Limits{Connections: most, Connect: 10 * time.Second, Idle: time.Minute})
@@ -87,15 +87,15 @@
 	return p, r, seen
 }
 
-func attempt(instance string) *dispatch.Attempt {
+func attempt(encoder string) *dispatch.Attempt {
 	return &dispatch.Attempt{
 		Command:  &dispatch.Command{ID: "c1", Payload: &http1.Request{Method: "POST", Target: "/api"}},
-		Instance: instance, Deadline: time.Now().Add(time.Minute),
+		Instance: encoder, Deadline: time.Now().Add(time.Minute),
 	}
 }
 
 // The bound on descriptors holds: idle connections elsewhere make room, and where there are
-// none an attempt is told as never sent, which speaks against no instance.
+// none an attempt is told as never sent, which speaks against no encoder.
 func TestConnectionsAreBounded(t *testing.T) {
 	p, r, seen := pool(t, 1, "s-1", "s-2")
 	p.Probe("s-1")
@@ -113,7 +113,7 @@
 }
 
 // A connection that may have been dropped unseen is not used: what is written to it would
-// end as a reset, and a command that must not run twice could go nowhere else.
+// end as a reset, and a request that must not run twice could go nowhere else.
 func TestConnectionsIdleTooLongAreNotUsed(t *testing.T) {
 	for most, same := range map[time.Duration]bool{time.Nanosecond: false, time.Hour: true} {
 		p, r, seen := pool(t, 9, "s-1")
@@ -128,7 +128,7 @@
 	}
 }
 
-// A command that needs a new connection has one, and none is kept more than before.
+// A request that needs a new connection has one, and none is kept more than before.
 func TestFreshConnectionTakesThePlaceOfAnother(t *testing.T) {
 	p, r, seen := pool(t, 9, "s-1")
 	p.Probe("s-1")
@@ -142,7 +142,7 @@
 	require.Eventually(t, func() bool { return p.Idle() == 1 && !p.Busy() }, 20*time.Second, time.Millisecond)
 }
 
-// A 202 is told, so that the module can tell an instance at work from a silent connection.
+// A 202 is told, so that the module can tell an encoder at work from a silent connection.
 func TestTakenIsTold(t *testing.T) {
 	p, r, _ := pool(t, 9, "s-1")
 	a := attempt("s-1")
@@ -176,7 +176,7 @@
 	require.Equal(t, decide.Reset, <-r.ended, "which the loop drops: it has given the attempt up")
 }
 
-// A silent instance makes no reset at the deadline: the loop tells of the time-out first.
+// A silent encoder makes no reset at the deadline: the loop tells of the time-out first.
 func TestSilenceIsNoReset(t *testing.T) {
 	p, r, seen := pool(t, 9, "s-1")
 	p.Probe("s-1")
@@ -192,7 +192,7 @@
 }
 
 // An attempt that waited for its connection went out after another process had taken it over, given it up and sent it
-// elsewhere: two copies at once. Nothing is written of what was not begun by then; what was is the instance's.
+// elsewhere: two copies at once. Nothing is written of what was not begun by then; what was is the encoder's.
 func TestNothingIsBegunOnceAnotherProcessHasIt(t *testing.T) {
 	p, _, seen := pool(t, 9, "s-1")
 	ends := make(chan end, 9)
@@ -220,7 +220,7 @@
 	require.Equal(t, decide.Moot, <-r.ended)
 }
 
-// What instances know a repeat by goes with every attempt as it came, and nothing is made up where none came.
+// What encoders know a repeat by goes with every attempt as it came, and nothing is made up where none came.
 func TestKeyGoesWithEveryAttempt(t *testing.T) {
 	p, _, seen := pool(t, 9, "s-1", "s-2")
 	const key = "\"5c0f 6e1a\"; caf\xe9"
@@ -254,7 +254,7 @@
 }
 
 // A second answer, some milliseconds behind the first, was read as the answer to the next request on that connection: here as
-// an error of a command that the instance had taken. Where that was seen once, a connection is used again only after a rest.
+// an error of a request that the encoder had taken. Where that was seen once, a connection is used again only after a rest.
 func TestSecondAnswerIsNobodys(t *testing.T) {
 	p, r, seen := pool(t, 9, "s-1")
 	p.settle = time.Minute
@@ -283,7 +283,7 @@
 	require.Empty(t, r.ended)
 }
 
-// Of connections at rest the one used last is taken; where some instance talks unasked, the one used last that has settled.
+// Of connections at rest the one used last is taken; where some encoder talks unasked, the one used last that has settled.
 func TestSettledConnectionsGoFirst(t *testing.T) {
 	const settle = settles
 	now := time.Now()
@@ -304,7 +304,7 @@
 		{[]time.Duration{time.Second, settle / 2}, settle, time.Second, -1},
 		{[]time.Duration{time.Second, settle / 2}, settle / 4, 0, -1},
 	} {
-		in := &instance{}
+		in := &endpoint{}
 		for _, d := range one.rested {
 			in.idle = append(in.idle, &conn{since: now.Add(-d)})
 		}
@@ -313,7 +313,7 @@
 		}
 		all := append([]*conn{nil}, in.idle...)
 		if one.talked == 0 && one.mostIdle == 0 && len(in.idle) > 0 {
-			calm := &instance{idle: slices.Clone(in.idle)}
+			calm := &endpoint{idle: slices.Clone(in.idle)}
 			require.Same(t, in.idle[len(in.idle)-1], calm.take(&exchange{id: "c1"}, settle, false, now))
 		}
 		c := in.take(&exchange{id: "c1", mostIdle: one.mostIdle}, settle, true, now)
--- a/internal/net/instances/retire_test.go
+++ b/internal/net/upstream/retire_test.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"net"
@@ -115,7 +115,7 @@
 	p.Listed(dispatch.List{Members: []dispatch.Member{{ID: "s-2", Address: other.Addr().String(), State: decide.Ready}}})
 	for i := range most {
 		p.mu.Lock()
-		oldest := p.instances["s-1"].idle[0].nc
+		oldest := p.endpoints["s-1"].idle[0].nc
 		p.mu.Unlock()
 		p.Send(attempt("s-2"))
 		require.ErrorIs(t, oldest.SetDeadline(time.Time{}), net.ErrClosed)
@@ -163,8 +163,8 @@
 // lost.
 func TestRetirementAgainstNewWork(t *testing.T) {
 	p := NewPool(Limits{Connections: 9, Idle: time.Minute})
-	in := &instance{id: "s-1", address: "127.0.0.1:1", state: decide.Ready}
-	p.instances[in.id] = in
+	in := &endpoint{id: "s-1", address: "127.0.0.1:1", state: decide.Ready}
+	p.endpoints[in.id] = in
 	up := make(chan time.Time, 1)
 	resting := func() *conn {
 		nc, other := net.Pipe()
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"caperrelay/internal/dispatch"
-	"caperrelay/internal/net/nametable"
+	"caperrelay/internal/net/discovery"
 )
 
 // Sharer stands between the watch on the name table and the program, where dispatchers tell each other of the list. It
@@ -188,7 +188,7 @@
 		level = slog.LevelWarn
 	}
 	p.notReached(err)
-	if p.log.Log(p.context, level, "name table silent", "err", err); p.shared() {
+	if p.log.Log(p.context, level, "discovery silent", "err", err); p.shared() {
 		p.sharer.Lost()
 	}
 }
@@ -196,7 +196,7 @@
 // notReached notes whether a call that told nothing has shown that discovery cannot be reached. An agent that says nothing
 // knows nothing.
 func (p *Program) notReached(err error) {
-	if errors.Is(err, nametable.ErrNobody) || p.config.Settings.Pushed {
+	if errors.Is(err, discovery.ErrNobody) || p.config.Settings.Pushed {
 		p.unreached.Store(true)
 	}
 }
@@ -205,10 +205,10 @@
 func (p *Program) Lost(err error) {
 	p.notReached(err)
 	if p.shared() {
-		p.log.Debug("name table lost", "err", err)
+		p.log.Debug("watch on discovery lost", "err", err)
 		p.sharer.Lost()
 		return
 	}
-	p.log.Warn("name table lost", "err", err)
-	p.loop.ListLost(errors.Is(err, nametable.ErrNobody))
+	p.log.Warn("watch on discovery lost", "err", err)
+	p.loop.ListLost(errors.Is(err, discovery.ErrNobody))
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -21,10 +21,10 @@
 	"caperrelay/internal/config"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/clients"
+	"caperrelay/internal/net/discovery"
 	"caperrelay/internal/net/handover"
-	"caperrelay/internal/net/instances"
 	"caperrelay/internal/net/loadreport"
-	"caperrelay/internal/net/nametable"
+	"caperrelay/internal/net/upstream"
 	"caperrelay/internal/wire"
 )
 
@@ -72,8 +72,8 @@
 	address string // set before the phase is Serving
 	admin   string // likewise; empty: operators have no address
 	loop    *dispatch.Loop
-	pool    *instances.Pool
-	watcher *nametable.Watcher
+	pool    *upstream.Pool
+	watcher *discovery.Watcher
 	server  *clients.Server
 	loads   *loadreport.Reader
 	bounds  bounds
@@ -117,10 +117,10 @@
 	p := &Program{config: c, log: logger, fresh: make(chan struct{}), reloads: make(chan func(error), 4), cordons: cordons{out: map[string]bool{}, write: replace}, discovery: c.Discovery, names: c.Names, since: time.Now()}
 	sockets := c.Limits.Sockets - reservedSockets
 	p.bounds.pool = sockets * 2 / 5
-	p.pool = instances.NewPool(instances.Limits{
+	p.pool = upstream.NewPool(upstream.Limits{
 		Connections: p.bounds.pool, Connect: c.Settings.Limits.ConnectTimeout, Idle: c.Settings.Limits.ConnIdle,
 	})
-	p.watcher = nametable.NewWatcher(c.Discovery, c.Known.Revision, c.Settings)
+	p.watcher = discovery.NewWatcher(c.Discovery, c.Known.Revision, c.Settings)
 	p.bounds.listener = sockets - p.bounds.pool
 	s := p.bound(c.Settings)
 	var err error
