--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -62,7 +62,7 @@
 			}
 			v := Failed
 			if r, ok := h.Client.(Repeater); len(h.attempts) == 0 || ok && r.Repeats() {
-				v = Nacked
+				v = Refused
 			}
 			l.tell(decide.RequestLapsed{Request: r})
 			l.answer(h, Answer{Verdict: v})
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -51,12 +51,12 @@
 func (b *Books) Refused(class string) {
 	b.Taken.Add(1)
 	b.late.Add(1)
-	b.answers[Nacked].Add(1)
+	b.answers[Refused].Add(1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.classes {
 		if c.name == class {
-			c.answers[Nacked].Add(1)
+			c.answers[Refused].Add(1)
 		}
 	}
 }
@@ -99,7 +99,7 @@
 	b.mu.Lock()
 	for _, c := range b.classes {
 		line("passed."+c.name, c.answers[Served].Load())
-		line("dropped."+c.name, c.answers[Nacked].Load())
+		line("dropped."+c.name, c.answers[Refused].Load())
 		line("bad_gateway."+c.name, c.answers[Failed].Load()+c.answers[Unusable].Load())
 	}
 	b.mu.Unlock()
@@ -136,7 +136,7 @@
 	line := func(name string, n *atomic.Int64) { all = append(all, figure{name, n.Load()}) }
 	line("commands_taken_in", &b.Taken)
 	line("commands_answered", &b.answers[Served])
-	line("commands_nacked", &b.answers[Nacked])
+	line("commands_nacked", &b.answers[Refused])
 	line("commands_failed", &b.answers[Failed])
 	line("commands_unusable", &b.answers[Unusable])
 	line("commands_lapsed", &b.Lapsed)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -68,7 +68,7 @@
 // The verdicts.
 const (
 	Served   Verdict = iota
-	Nacked           // refused: trying again is harmless
+	Refused           // refused: trying again is harmless
 	Failed           // promises nothing
 	Unusable         // no instance can do it as it stands, and none has
 	numVerdicts
@@ -78,7 +78,7 @@
 type Answer struct {
 	Verdict    Verdict
 	Result     []byte        // of a served command: what the instance gave for it
-	RetryAfter time.Duration // of a nack: 0 is no advice
+	RetryAfter time.Duration // of a refusal: 0 is no advice
 	Value      any           // of a served command, where its result is no text
 	Instance   string        // that served it
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -130,7 +130,7 @@
 // When the process's time is over nothing waits on: what may have run twice without harm, or was never sent, is refused,
 // all else has failed, and instances are told to leave it.
 func TestFinishAnswersAll(t *testing.T) {
-	for repeats, want := range map[bool]Verdict{true: Nacked, false: Failed} {
+	for repeats, want := range map[bool]Verdict{true: Refused, false: Failed} {
 		f, c := &fleet{}, &repeater{repeats: repeats}
 		l := loop(t, f)
 		l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, true)
@@ -146,7 +146,7 @@
 			l.batch()
 		}
 		require.Equal(t, []Answer{{Verdict: want}}, c.answers)
-		require.Equal(t, []Verdict{Nacked}, []Verdict{waits.answers[0].Verdict})
+		require.Equal(t, []Verdict{Refused}, []Verdict{waits.answers[0].Verdict})
 		require.Equal(t, f.sent, f.givenUp)
 		require.Empty(t, l.requests)
 		require.Zero(t, l.Holding())
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -57,7 +57,7 @@
 		}
 		l.fail(decide.FailRequest{Request: g.asked[0].request})
 		require.Len(t, c.answers, 1)
-		require.Equal(t, map[bool]Verdict{false: Nacked, true: Failed}[passed], c.answers[0].Verdict)
+		require.Equal(t, map[bool]Verdict{false: Refused, true: Failed}[passed], c.answers[0].Verdict)
 		require.Len(t, g.never, map[bool]int{false: 1}[passed])
 		l.Pass(g.asked[0], func() bool { return true })
 		l.batch()
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -202,9 +202,9 @@
 	})
 }
 
-func (l *Loop) nack(r decide.Refuse) {
+func (l *Loop) refuse(r decide.Refuse) {
 	if h := l.requests[r.Request]; h != nil && !h.answered {
-		l.answer(h, Answer{Verdict: Nacked, RetryAfter: r.RetryAfter})
+		l.answer(h, Answer{Verdict: Refused, RetryAfter: r.RetryAfter})
 	}
 }
 
@@ -215,7 +215,7 @@
 	}
 	v := Failed
 	if h.unsent() { // the module knows of no gates
-		v = Nacked
+		v = Refused
 		for _, a := range h.attempts {
 			if !a.over {
 				l.end(a, decide.Moot)
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -23,7 +23,7 @@
 		case decide.Cancel:
 			l.cancel(a)
 		case decide.Refuse:
-			l.nack(a)
+			l.refuse(a)
 		case decide.FailRequest:
 			l.fail(a)
 		case decide.WakeMe:
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -391,7 +391,7 @@
 	last, over := c.server.last()
 	if over {
 		c.server.books.Refused(cmd.Class)
-		return c.relay(dispatch.Answer{Verdict: dispatch.Nacked}, q.Close)
+		return c.relay(dispatch.Answer{Verdict: dispatch.Refused}, q.Close)
 	}
 	if !last.IsZero() && cmd.Deadline.After(last) {
 		cmd.Deadline = last
@@ -522,7 +522,7 @@
 	switch a.Verdict {
 	case dispatch.Served:
 		return c.reply(200, nil, string(a.Result), end)
-	case dispatch.Nacked:
+	case dispatch.Refused:
 		var h http1.Header
 		if a.RetryAfter > 0 {
 			h = http1.Header{{Name: "Retry-After", Value: seconds(a.RetryAfter)}}
--- a/internal/net/clients/leaving_test.go
+++ b/internal/net/clients/leaving_test.go
@@ -97,7 +97,7 @@
 		require.NoError(t, err)
 		br := bufio.NewReader(nc)
 		for range behind + 1 {
-			core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+			core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 			p, err := http1.ReadResponse(br, "POST")
 			require.NoError(t, err)
 			require.Equal(t, []any{503, false}, []any{p.Status, p.Close})
@@ -145,7 +145,7 @@
 	q, err := http1.ReadRequest(bufio.NewReader(strings.NewReader(leavingCommand)), nil)
 	require.NoError(t, err)
 	go c.command(q, time.Time{})
-	core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+	core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 	require.Equal(t, 503, ask(t, client, "").Status)
 }
 
@@ -198,7 +198,7 @@
 	require.LessOrEqual(t, c.br.Size(), mostAhead)
 	require.LessOrEqual(t, c.dropped, mostDropped+4<<10)
 	w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1)}
-	w.answer <- word{Answer: dispatch.Answer{Verdict: dispatch.Nacked}}
+	w.answer <- word{Answer: dispatch.Answer{Verdict: dispatch.Refused}}
 	go c.wait(w)
 	p, err := http1.ReadResponse(bufio.NewReader(client), "POST")
 	require.NoError(t, err)
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -293,7 +293,7 @@
 	c := &conn{server: s, nc: nc, since: time.Now(), answered: p.Answered, br: bufio.NewReader(nc)}
 	verdict := dispatch.Failed
 	if p.Request != nil { // nobody has taken it
-		verdict = dispatch.Nacked
+		verdict = dispatch.Refused
 	}
 	if w != nil {
 		s.core.Lapse(w.cmd)
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -142,7 +142,7 @@
 	third := dial()
 	fmt.Fprint(third, ready)
 	crowded(t, s)
-	held.Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked, RetryAfter: 1500500 * time.Microsecond})
+	held.Client.Answer(dispatch.Answer{Verdict: dispatch.Refused, RetryAfter: 1500500 * time.Microsecond})
 	p, err := http1.ReadResponse(bufio.NewReader(first), "POST")
 	require.NoError(t, err)
 	require.Equal(t, []any{503, "1.501", true}, []any{p.Status, p.Header.Get("Retry-After"), p.Close})
@@ -379,7 +379,7 @@
 			if behind == 3000 {
 				until(t, s, func(c *conn) bool { return c.flood })
 			}
-			first.Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+			first.Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 			br := bufio.NewReader(nc)
 			p, err := http1.ReadResponse(br, "POST")
 			require.NoError(t, err)
@@ -390,7 +390,7 @@
 				continue
 			}
 			for range behind {
-				c.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+				c.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 				p, err = http1.ReadResponse(br, "POST")
 				require.NoError(t, err)
 				require.Equal(t, 503, p.Status)
--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -571,7 +571,7 @@
 	switch a.Verdict {
 	case dispatch.Served:
 		fate, why = gang.Done, ""
-	case dispatch.Nacked:
+	case dispatch.Refused:
 		fate, why = gang.NeverRan, "refused"
 	case dispatch.Unusable:
 		fate, why = gang.NeverRan, "no encoder can do it as it stands"
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -45,7 +45,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.Order[0] == e.refuse {
-		c.Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+		c.Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 		return
 	}
 	e.begun[c.ID] = time.Now()
--- a/internal/net/plain/front.go
+++ b/internal/net/plain/front.go
@@ -354,7 +354,7 @@
 			return replyHead(nc, p, q.Close)
 		}
 		return reply(nc, q, p.Status, onward(p.Header), p.Body, q.Close)
-	case dispatch.Nacked:
+	case dispatch.Refused:
 		var h http1.Header
 		if a.RetryAfter > 0 {
 			h = http1.Header{{Name: "Retry-After", Value: strconv.Itoa(int((a.RetryAfter + time.Second - 1) / time.Second))}}
--- a/internal/net/promises/server.go
+++ b/internal/net/promises/server.go
@@ -357,7 +357,7 @@
 	switch a.Verdict {
 	case dispatch.Served:
 		v = promise.Served
-	case dispatch.Nacked:
+	case dispatch.Refused:
 		v = promise.TurnedAway
 	case dispatch.Unusable:
 		v = promise.NoUse
--- a/winglb/intercept.go
+++ b/winglb/intercept.go
@@ -117,7 +117,7 @@
 	switch a.Verdict {
 	case dispatch.Served:
 		return c.deliver(a.Value.(*result))
-	case dispatch.Nacked:
+	case dispatch.Refused:
 		if err := c.lastError(); err != nil && a.RetryAfter == 0 {
 			return err // an encoder has said why
 		}
