Give the picker's test an attempt with its request

Cause: since a client's leaving is marked on its request, Attempt.Expired looks at that; the test made an attempt without one, which no program does, and panicked.

--- a/winglb/pick_test.go
+++ b/winglb/pick_test.go
@@ -29,7 +29,7 @@
 	c := &conn{}
 	p := picker{&policy{subs: map[string]*sub{"s-1": {conn: c, state: connectivity.Ready}}}}
 	pick := func(change func(*attempt)) (*attempt, error) {
-		a := &attempt{fleet: f, of: &dispatch.Attempt{}, instance: "s-1"}
+		a := &attempt{fleet: f, of: &dispatch.Attempt{Command: &dispatch.Command{}}, instance: "s-1"}
 		if change != nil {
 			change(a)
 		}
