--- /dev/null
+++ b/internal/net/sock/sock_test.go
@@ -0,0 +1,91 @@
+package sock
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pair is both ends of a connection.
+func pair(t *testing.T) (ours, theirs *net.TCPConn) {
+	l, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	other, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { other.Close() })
+	return c.(*net.TCPConn), other.(*net.TCPConn)
+}
+
+// A look tells what lies on a connection, and takes nothing of it: neither bytes nor the end behind them.
+func TestLook(t *testing.T) {
+	reset := func(c *net.TCPConn) {
+		c.SetLinger(0)
+		c.Close()
+	}
+	for name, one := range map[string]struct {
+		does func(*net.TCPConn)
+		want State
+	}{
+		"nothing":           {func(*net.TCPConn) {}, Empty},
+		"a byte":            {func(c *net.TCPConn) { c.Write([]byte("x")) }, Data},
+		"a byte, then FIN":  {func(c *net.TCPConn) { c.Write([]byte("x")); c.Close() }, Data},
+		"FIN":               {func(c *net.TCPConn) { c.Close() }, Closed},
+		"half closed":       {func(c *net.TCPConn) { c.CloseWrite() }, Closed},
+		"RST":               {reset, Closed},
+		"RST over a byte":   {func(c *net.TCPConn) { c.Write([]byte("x")); reset(c) }, Data},
+		"their reads ended": {func(c *net.TCPConn) { c.CloseRead() }, Empty},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := pair(t)
+			one.does(theirs)
+			require.Equal(t, one.want, Look(ours))
+			require.Equal(t, one.want, Look(ours))
+			if one.want == Data {
+				var b [2]byte
+				n, err := ours.Read(b[:])
+				require.NoError(t, err)
+				require.Equal(t, "x", string(b[:n]))
+			}
+		})
+	}
+}
+
+// What cannot be looked at counts as closed: nobody is to use it.
+func TestLookAtWhatIsOfNoUse(t *testing.T) {
+	ours, _ := pair(t)
+	require.NoError(t, ours.SetReadDeadline(time.Unix(1, 0)))
+	require.Equal(t, Closed, Look(ours))
+	require.NoError(t, ours.Close())
+	require.Equal(t, Closed, Look(ours))
+	one, other := net.Pipe()
+	defer other.Close()
+	defer one.Close()
+	require.Equal(t, Closed, Look(one))
+}
+
+// Two listeners share an address, and once one of them ends all connections come to the other.
+func TestAddressIsShared(t *testing.T) {
+	first, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	second, err := Listen(first.Addr().String())
+	require.NoError(t, err)
+	defer second.Close()
+	require.NoError(t, first.Close())
+	for range 9 {
+		c, err := net.Dial("tcp", second.Addr().String())
+		require.NoError(t, err)
+		other, err := second.Accept()
+		require.NoError(t, err)
+		require.NoError(t, other.Close())
+		_, err = c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		require.NoError(t, c.Close())
+	}
+}
