Tell an encoder to give up an attempt whose answer was spoilt or cut

Read: each way in which an answer can end. All are bounded (line, head, fields, interim answers, chunks, trailer, body: http1; in time by the attempt's deadline and a second) and told once. At fault: one that is garbled, oversized or cut was told as a reset and its connection closed, and nothing else. Its encoder may have written a whole 202 in its own eyes, so the close is no give-up, and the module may send the request again, at the same encoder too, while the first runs: `duplicate`. Ruled out: resets before any byte of an answer, which the protocol makes an end of their own; an answer that never ends, which the loop gives up at the deadline with a DELETE; whole answers with a RST over them unread, which the kernel still hands out.

The reset itself is told at once.

What cannot be seen: a second answer that comes after the next request was written is read as that one's. What is done instead is as before: a look directly before the write, rests of 50 ms where an encoder talks unasked.

Tests: answer_test.go (spoilt in 21 ways, cut in 14, trickling, without end, unread under a RST, second answers, closes in the moment of reuse, requests cut while they are written, early answers).

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -23,6 +23,10 @@
 	})
 }
 
+// Leaving says that the fleet gives an attempt up by itself, before it tells of its end. Confirmed follows once the instance
+// knows.
+func (a *Attempt) Leaving() { a.leaving.Store(true) }
+
 // Written says that an attempt has gone out whole.
 func (l *Loop) Written(*Attempt) { l.Books.written.Add(1) }
 
--- /dev/null
+++ b/internal/net/upstream/answer_test.go
@@ -0,0 +1,365 @@
+package upstream
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/http1"
+)
+
+const unprocessed = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// sent has an attempt sent on a new connection and read by its encoder.
+func (e *encoder) sent(p *Pool) (*dispatch.Attempt, *peer) {
+	a := attempt("s-1")
+	a.Fresh = true
+	p.Send(a)
+	c := e.accept()
+	c.read()
+	return a, c
+}
+
+// An answer that is spoilt, oversized or cut ends its own attempt as a reset, told once, and its own connection. The encoder,
+// which may think that it has the job, is told to give it up.
+func TestSpoiltAnswers(t *testing.T) {
+	const head = "HTTP/1.1 202 Accepted\r\n"
+	field := "X: " + strings.Repeat("x", 4000) + "\r\n"
+	for name, answer := range map[string]string{
+		"no HTTP":              "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n",
+		"no status":            "HTTP/1.1 abc\r\n\r\n",
+		"status below":         "HTTP/1.1 099 Low\r\n\r\n",
+		"other version":        "HTTP/3.0 202 Accepted\r\n\r\n",
+		"endless line":         head + "X: " + strings.Repeat("x", 2*http1.MaxLine),
+		"endless head":         head + strings.Repeat(field, 8),
+		"too many fields":      head + strings.Repeat("X: x\r\n", http1.MaxFields+1),
+		"field without a name": head + ": x\r\n\r\n",
+		"zero byte":            head + "X: a\x00b\r\n\r\n",
+		"interim without end":  strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20),
+		"huge length":          head + "Content-Length: 99999999999\r\n\r\n",
+		"negative length":      head + "Content-Length: -1\r\n\r\n",
+		"length past numbers":  head + "Content-Length: 99999999999999999999999\r\n\r\n",
+		"two lengths":          head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"length and chunks":    head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"unknown coding":       head + "Transfer-Encoding: gzip\r\n\r\n",
+		"bad chunk":            head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+		"huge chunk":           head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+		"chunks without end":   head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", 80),
+		"trailer without end":  head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat(field, 8),
+		"body without end":     head + "\r\n" + strings.Repeat("x", http1.MaxBody+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t)
+			p, r := dial(t, e, 9)
+			_, c := e.sent(p)
+			c.write(answer)
+			require.Equal(t, decide.Reset, next(t, r.ended))
+			d := e.accept()
+			d.isGiveUp()
+			d.write(deleted)
+			c.ends()
+			rests(t, p, 1)
+			require.Equal(t, 1, open(p))
+			require.Empty(t, r.ended)
+			require.Empty(t, r.taken)
+		})
+	}
+}
+
+// An answer that is cut in the middle is a reset, be it by FIN, by RST or by a RST over bytes that nobody has read, and the
+// encoder is told to give up: it may have been about to take the job. One that breaks before an answer's first byte has
+// told its end itself.
+func TestCutAnswers(t *testing.T) {
+	ends := map[string]func(*peer){
+		"FIN": func(c *peer) { require.NoError(t, c.Close()) },
+		"RST": (*peer).reset,
+	}
+	for name, end := range ends {
+		for text, told := range map[string]bool{
+			"": false, "H": true, "HTTP/1.1 20": true, "HTTP/1.1 202 Accepted\r\n": true,
+			"HTTP/1.1 202 Accepted\r\nContent-Length: 5\r\n\r\nab":              true,
+			"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n5\r\na": true,
+			"HTTP/1.1 100 Continue\r\n\r\n":                                     true,
+		} {
+			t.Run(name+" after "+text, func(t *testing.T) {
+				e := listen(t)
+				p, r := dial(t, e, 9)
+				_, c := e.sent(p)
+				c.write(text)
+				end(c)
+				require.Equal(t, decide.Reset, next(t, r.ended))
+				if told {
+					d := e.accept()
+					d.isGiveUp()
+					d.write(deleted)
+				}
+				rests(t, p, map[bool]int{true: 1}[told])
+				e.nobody()
+				require.Empty(t, r.ended)
+			})
+		}
+	}
+}
+
+// paused holds up whoever has written an attempt whole until the test lets go, so that an answer lies unread.
+type paused struct {
+	reports
+	written, on chan bool
+}
+
+func (p paused) Written(*dispatch.Attempt) {
+	p.written <- true
+	<-p.on
+}
+
+// pause returns a pool that stops after each attempt's last byte.
+func pause(t *testing.T, e *encoder) (*Pool, paused) {
+	p, r := dial(t, e, 9)
+	held := paused{r, make(chan bool, 9), make(chan bool, 9)}
+	p.ReportTo(held)
+	return p, held
+}
+
+// A whole answer counts though the connection is reset over it before anybody has read it; what comes next goes out on
+// another connection.
+func TestAnswerBeforeAReset(t *testing.T) {
+	for answer, check := range map[string]func(*testing.T, paused, *dispatch.Attempt){
+		accepted:    func(t *testing.T, r paused, a *dispatch.Attempt) { require.Equal(t, a, next(t, r.taken)) },
+		unprocessed: func(t *testing.T, r paused, _ *dispatch.Attempt) { require.Equal(t, decide.Full, next(t, r.ended)) },
+	} {
+		e := listen(t)
+		p, r := pause(t, e)
+		a, c := e.sent(p)
+		next(t, r.written)
+		c.write(answer)
+		c.reset()
+		r.on <- true
+		check(t, r, a)
+		rests(t, p, 1)
+		r.on <- true
+		p.Send(attempt("s-1"))
+		e.accept().read()
+		require.Empty(t, r.ended)
+	}
+}
+
+// A reset right behind the request's last byte, before any answer, is told as one: the job may run.
+func TestResetBehindTheLastByte(t *testing.T) {
+	e := listen(t)
+	p, r := pause(t, e)
+	_, c := e.sent(p)
+	next(t, r.written)
+	c.reset()
+	r.on <- true
+	require.Equal(t, decide.Reset, next(t, r.ended))
+	require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+	require.Empty(t, r.ended)
+}
+
+// An attempt that is given up while its answer lies unread is taken back all the same, and the answer is nobody's.
+func TestGiveUpOverAnUnreadAnswer(t *testing.T) {
+	e := listen(t)
+	p, r := pause(t, e)
+	a, c := e.sent(p)
+	next(t, r.written)
+	c.write(accepted)
+	p.GiveUp(a)
+	d := e.accept()
+	d.isGiveUp()
+	r.on <- true
+	require.Equal(t, decide.Reset, next(t, r.ended), "which the loop drops")
+	d.write(deleted)
+	rests(t, p, 1)
+	require.Empty(t, r.taken)
+	require.Empty(t, r.ended)
+}
+
+// An answer that never ends is waited for until the attempt's deadline, and given up then: the encoder is told, the
+// connection closed, and one end is told.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 202 Acc", "HTTP/1.1 202 Accepted\r\n\r\nbody", "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+		e := listen(t)
+		p, r := dial(t, e, 9)
+		a, c := e.sent(p)
+		c.write(text)
+		p.GiveUp(a) // as the loop does at the deadline
+		d := e.accept()
+		d.isGiveUp()
+		d.write(deleted)
+		require.Equal(t, decide.Reset, next(t, r.ended), "which the loop drops")
+		c.ends()
+		rests(t, p, 1)
+		require.Equal(t, 1, open(p))
+		e.nobody()
+		require.Empty(t, r.ended)
+	}
+}
+
+// Should the loop stand still at the deadline, the pool ends the attempt by itself a while later, also one that goes on
+// sending: the bound is a moment, not a pause between bytes.
+func TestAnswerThatTricklesIsBoundedInTime(t *testing.T) {
+	e := listen(t)
+	p, r := dial(t, e, 9)
+	a := attempt("s-1")
+	a.Deadline = time.Now().Add(500 * time.Millisecond)
+	p.Send(a)
+	c := e.accept()
+	c.read()
+	c.write("HTTP/1.1 202 Accepted\r\nX: ")
+	trickle := time.NewTicker(20 * time.Millisecond)
+	defer trickle.Stop()
+	go func() {
+		for range trickle.C {
+			if _, err := io.WriteString(c, "x"); err != nil {
+				return
+			}
+		}
+	}()
+	require.Equal(t, decide.Reset, next(t, r.ended))
+	require.WithinRange(t, time.Now(), a.Deadline.Add(courtesy), a.Deadline.Add(patience))
+	e.accept().isGiveUp()
+}
+
+// Second answers are nobody's: not one that comes with the first, nor one that lies on the connection when the next request
+// is due. The connection is closed, and the next request goes out on another.
+func TestSecondAnswersBeforeTheNextRequest(t *testing.T) {
+	for name, second := range map[string]func(*peer, *Pool){
+		"with the first": func(c *peer, p *Pool) {
+			c.write(accepted + unprocessed)
+		},
+		"between two": func(c *peer, p *Pool) {
+			c.write(accepted)
+			rests(c.t, p, 1)
+			c.write(unprocessed)
+		},
+		"half of one between two": func(c *peer, p *Pool) {
+			c.write(accepted)
+			rests(c.t, p, 1)
+			c.write("HTTP/1.1 50")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t)
+			p, r := dial(t, e, 9)
+			a, c := e.sent(p)
+			second(c, p)
+			require.Equal(t, a, next(t, r.taken))
+			b := attempt("s-1")
+			p.Send(b)
+			d := e.accept()
+			d.read()
+			d.write(accepted)
+			require.Equal(t, b, next(t, r.taken))
+			c.ends()
+			require.Empty(t, r.ended)
+		})
+	}
+}
+
+// A connection that the encoder closes while it is idle carries nothing more, whether by FIN or by RST: seen before a byte is
+// written, it is replaced, and nothing is told.
+func TestIdleConnectionClosedByItsEncoder(t *testing.T) {
+	for name, end := range map[string]func(*peer){"FIN": func(c *peer) { c.Close() }, "RST": (*peer).reset} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t)
+			p, r := dial(t, e, 9)
+			end(e.serves(p, r))
+			p.Send(attempt("s-1"))
+			e.accept().read()
+			require.Empty(t, r.ended)
+			require.Equal(t, 1, open(p))
+		})
+	}
+}
+
+// Closed in the very moment of its reuse, after the look and before the first byte, an idle connection is told by how far
+// the request can have come: never written whole, it did not run; else it is a reset, since the encoder may have read it.
+func TestConnectionClosedInTheMomentOfReuse(t *testing.T) {
+	for name, one := range map[string]struct {
+		end  func(*peer)
+		want decide.Outcome
+	}{
+		"FIN unseen": {func(c *peer) { c.Close() }, decide.Reset},
+		"RST":        {(*peer).reset, decide.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t)
+			p, r := dial(t, e, 9)
+			c := e.serves(p, r)
+			a := attempt("s-1")
+			outcome := make(chan end, 1)
+			p.start("s-1", &exchange{
+				method: "POST", target: "/api", id: "c1", deadline: a.Deadline, gated: true, done: func(e end) { outcome <- e },
+				expired: func(time.Time) bool { // asked directly before the first byte
+					one.end(c)
+					return false
+				},
+			})
+			end := next(t, outcome)
+			o, over := end.outcome()
+			require.True(t, over)
+			require.Equal(t, one.want, o)
+			require.Positive(t, end.kept, "by which the module knows that the connection was an old one")
+			require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+		})
+	}
+}
+
+// A request that breaks off before its last byte is written never ran, whatever the encoder said before it broke off.
+func TestRequestCutWhileItIsWritten(t *testing.T) {
+	for name, end := range map[string]func(*peer){
+		"RST":                func(c *peer) { c.reset() },
+		"FIN over unread":    func(c *peer) { c.Close() },
+		"answer, then RST":   func(c *peer) { c.write(unprocessed); c.reset() },
+		"taken, then RST":    func(c *peer) { c.write(accepted); c.reset() },
+		"half, then RST":     func(c *peer) { c.write("HTTP/1.1 50"); c.reset() },
+		"error, then closed": func(c *peer) { c.write("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t)
+			p, r := dial(t, e, 9)
+			c := e.narrow(p)
+			p.Send(large())
+			c.readByte()
+			end(c)
+			require.Equal(t, decide.ConnectFailed, next(t, r.ended))
+			require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+			require.Empty(t, r.ended)
+		})
+	}
+}
+
+// An answer that comes while the request is still being written is read once that is done: handed back, it never ran.
+func TestAnswerWhileTheRequestIsWritten(t *testing.T) {
+	e := listen(t)
+	p, r := dial(t, e, 9)
+	c := e.narrow(p)
+	p.Send(large())
+	c.readByte()
+	c.write(unprocessed)
+	require.NoError(t, c.br.UnreadByte())
+	c.read()
+	require.Equal(t, decide.Full, next(t, r.ended))
+	rests(t, p, 1)
+	require.Empty(t, r.ended)
+}
+
+// An encoder that answers early and reads no further holds its attempt up until the deadline, no longer.
+func TestAnswerToWhatIsNeverRead(t *testing.T) {
+	e := listen(t)
+	p, r := dial(t, e, 9)
+	c := e.narrow(p)
+	a := large()
+	a.Deadline = time.Now().Add(time.Second)
+	p.Send(a)
+	c.readByte()
+	c.write(unprocessed)
+	require.Equal(t, decide.ConnectFailed, next(t, r.ended))
+	require.WithinRange(t, time.Now(), a.Deadline.Add(courtesy), a.Deadline.Add(patience))
+	require.Eventually(t, func() bool { return open(p) == 0 }, patience, time.Millisecond)
+}
--- a/internal/net/upstream/conn.go
+++ b/internal/net/upstream/conn.go
@@ -29,6 +29,7 @@
 	response *http1.Response // where it was answered
 	kept     time.Duration   // how long its connection had been idle; 0: it was new
 	unknown  bool            // where it was unsent: no such encoder was ever listed
+	spoilt   bool            // where it broke: not before something of an answer had come
 }
 
 // unusable tells whether the encoder says that no encoder could do the request as it stands.
@@ -209,6 +210,7 @@
 	if talks {
 		c.pool.talked(c.in)
 	}
+	e.spoilt = e.spoilt && !aborted // else who aborted it takes it back
 	return e, !aborted && !talks && (e.stage == unsent || e.stage == answered && !e.response.Close)
 }
 
@@ -286,9 +288,12 @@
 	if x.sent != nil {
 		x.sent()
 	}
+	if _, err := c.br.Peek(1); err != nil {
+		return end{stage: broken}
+	}
 	p, err := http1.ReadResponse(c.br, x.method)
 	if err != nil {
-		return end{stage: broken}
+		return end{stage: broken, spoilt: true}
 	}
 	return end{stage: answered, response: p}
 }
--- a/internal/net/upstream/encoder_test.go
+++ b/internal/net/upstream/encoder_test.go
@@ -148,6 +148,15 @@
 	require.NoError(c.t, err)
 }
 
+// nobody checks that no connection waits to be accepted: one of the test's own is the first.
+func (e *encoder) nobody() {
+	e.t.Helper()
+	c, err := net.Dial("tcp", e.Addr().String())
+	require.NoError(e.t, err)
+	defer c.Close()
+	require.Equal(e.t, c.LocalAddr().String(), e.accept().RemoteAddr().String(), "another came before")
+}
+
 // list is the list's line of an encoder.
 func (e *encoder) list(state decide.WorkerState) dispatch.List {
 	return dispatch.List{Members: []dispatch.Member{{ID: "s-1", Address: e.Addr().String(), State: state}}}
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -223,6 +223,10 @@
 		if e.unusable() {
 			p.reports.Unusable(a)
 		} else if o, over := e.outcome(); over {
+			if e.spoilt { // the encoder may take it for taken
+				a.Leaving()
+				p.takeBack(a)
+			}
 			if r := p.load(e); r != nil {
 				p.reports.Loaded(a, *r)
 			}
