Take a null in a load report for a figure that is not told

Read: loadreport against oversized, garbled and odd reports. All were bounded refusals but one: a named field that is null was read as 0 (encoding/json leaves the number as it was), so an encoder with "x0": null had no free slots.

--- a/internal/net/loadreport/loadreport.go
+++ b/internal/net/loadreport/loadreport.go
@@ -71,7 +71,7 @@
 		}
 		found := map[string]float64{}
 		for name, value := range all {
-			if name = wire.ReportField(name); named[name] {
+			if name = wire.ReportField(name); named[name] && string(value) != "null" {
 				var n float64
 				if err := json.Unmarshal(value, &n); err != nil {
 					return nil, fmt.Errorf("%s: %w", name, err)
--- a/internal/net/loadreport/loadreport_test.go
+++ b/internal/net/loadreport/loadreport_test.go
@@ -45,3 +45,27 @@
 	require.False(t, none.Any())
 	require.Nil(t, none.Line("TEXT x0=3"))
 }
+
+// A figure that is null is not told. It was read as 0: an encoder with no room.
+func TestNullIsNoFigure(t *testing.T) {
+	r := New([]string{"x0", "inflight"}, slog.New(slog.DiscardHandler))
+	require.Equal(t, &decide.Report{Active: 7, Waiting: -1, FreeSlots: -1, FreeMemory: -1}, r.Object([]byte(`{"x0":null,"inflight":7}`)))
+}
+
+// Whatever an encoder sends is read or refused: no panic, and no figure out of bounds.
+func FuzzReports(f *testing.F) {
+	for _, seed := range []string{`{"x0":1}`, `{"x0":null}`, `{"x0":[1]}`, "TEXT x0=1", "TEXT =,=", "text x0=0x1p9,queue=1e5", "TEXT ", `{"x0":1e400}`} {
+		f.Add(seed)
+	}
+	r := New([]string{"x0", "queue", "inflight", "x1"}, slog.New(slog.DiscardHandler))
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, got := range []*decide.Report{r.Object([]byte(text)), r.Line(text)} {
+			if got == nil {
+				continue
+			}
+			for _, n := range []float64{got.Active, got.Waiting, got.FreeSlots, got.FreeMemory} {
+				require.True(t, n == -1 || n >= 0 && n <= maxFigure, n)
+			}
+		}
+	})
+}
