--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -68,7 +68,7 @@
 // The verdicts.
 const (
 	Served   Verdict = iota
-	Refused           // refused: trying again is harmless
+	Refused          // refused: trying again is harmless
 	Failed           // promises nothing
 	Unusable         // no instance can do it as it stands, and none has
 	numVerdicts
