The last look before an attempt's first byte goes to the client's connection itself

Cause: a leaving counted once the goroutine that watches the connection had run. On a machine short of CPU, or a process that stood still, that goroutine and the one whose new connection to an encoder has just come up become runnable together, in any order: the attempt could be written with the client's FIN unread for long.

Change: Expired, which is asked directly before the first byte, also looks at the client's connection (one peek, no wait) where its client offers that. The look does not go through the read lock, which the watching goroutine holds, nor through the read deadline, which an answer sets. It leaves the same mark as Lapse, so that no further attempt is made.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -62,6 +62,25 @@
 	Started(instance string, runs bool)
 }
 
+// Watched is a client whose connection can be looked at: it may have gone though nobody has come to calling Lapse yet.
+type Watched interface {
+	// Gone may be called from any goroutine, and must not block.
+	Gone() bool
+}
+
+// gone tells whether a command's client has gone, by what is known here and by a look at it where it can be looked at.
+func (c *Command) gone() bool {
+	if c.left.Load() {
+		return true
+	}
+	w, ok := c.Client.(Watched)
+	if !ok || !w.Gone() {
+		return false
+	}
+	c.left.Store(true)
+	return true
+}
+
 // Verdict is the kind of a final answer.
 type Verdict int
 
@@ -127,10 +146,10 @@
 
 // Expired tells whether an attempt is not to be sent any more: its command is answered or its client has gone, be it while it
 // waited for a connection and nothing is called off, or the lease that it goes by has ended. A client has gone as soon as Lapse
-// is called, however far behind the loop is. Whoever sends looks as late as possible: the process may have been stopped for a
+// is called, however far behind the loop is, and as soon as its connection shows it. Whoever sends looks as late as possible: the process may have been stopped for a
 // while.
 func (a *Attempt) Expired(now time.Time) bool {
-	return a.vain.Load() || a.Command.left.Load() || !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may()
+	return a.vain.Load() || !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may() || a.Command.gone()
 }
 
 // NameTable tells of the instances, after Subscribe, by Loop.Listed and Loop.ListLost.
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"caperrelay/internal/dispatch"
@@ -354,6 +355,33 @@
 // Repeats tells whether its command may be tried again even when it may have run.
 func (w *waiter) Repeats() bool { return w.repeats }
 
+// Gone looks at the connection: the goroutine that watches it may not have come to run since its end.
+func (w *waiter) Gone() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nc != nil && closed(w.nc)
+}
+
+// closed tells whether the other side has closed a connection, or it is broken, as far as no bytes stand before that. Unlike
+// sock.Look it does not wait for a goroutine that reads.
+func closed(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	var one [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return ended || err != nil
+}
+
 // Pass wakes it likewise.
 func (w *waiter) Pass(handed bool) { w.say(word{passed: true, handed: handed}) }
 
@@ -399,7 +427,7 @@
 	if err := c.present(); err != nil { // it may have stood in a backlog for long
 		return c.leave(err)
 	}
-	w := &waiter{cmd: cmd, end: q.Close, repeats: repeats, answer: make(chan word, 1)}
+	w := &waiter{cmd: cmd, end: q.Close, repeats: repeats, answer: make(chan word, 1), nc: c.nc}
 	cmd.Client = w
 	c.server.core.Take(cmd)
 	return c.wait(w)
--- a/internal/net/clients/leaving_test.go
+++ b/internal/net/clients/leaving_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -210,3 +211,32 @@
 type endless struct{}
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// The look at a client's connection needs neither the goroutine that watches it nor the loop, and waits for neither: on a
+// machine short of CPU both may come to run long after an attempt.
+func TestLookAtAClient(t *testing.T) {
+	for name, leave := range goes {
+		here, client := accepted(t)
+		w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1), nc: here}
+		w.cmd.Client = w
+		a := &dispatch.Attempt{Command: w.cmd}
+		reads := make(chan error)
+		go func() {
+			_, err := here.Read(make([]byte, 1))
+			reads <- err
+			_, err = here.Read(make([]byte, 1))
+			reads <- err
+		}()
+		require.False(t, a.Expired(time.Now()), name)
+		client.Write([]byte("x"))
+		require.NoError(t, <-reads)
+		require.False(t, a.Expired(time.Now()), name)
+		here.SetReadDeadline(past)
+		require.ErrorIs(t, <-reads, os.ErrDeadlineExceeded)
+		require.False(t, a.Expired(time.Now()), "a passed deadline is no end")
+		leave(client)
+		require.Eventually(t, func() bool { return a.Expired(time.Now()) }, 20*time.Second, time.Millisecond, name)
+	}
+	w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1)}
+	require.False(t, w.Gone(), "it is on its way from an older process")
+}
