Requests whose connections die with an older process lapse in the newer one

Cause: Server.ReturnAll forgot the connections that the older process had not passed by its death (clients/server.go), but their requests stayed in hand and were sent, also further attempts, for clients that had been cut off. Checked beside it and right: a client that leaves while its connection is on its way is seen at once by the newer process (Adopt, wait, command).

Change: what is forgotten lapses.

Tests: TestConnectionsLostWithTheOlderProcess fails without it.

--- a/internal/net/clients/leaving_test.go
+++ b/internal/net/clients/leaving_test.go
@@ -240,3 +240,42 @@
 	w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1)}
 	require.False(t, w.Gone(), "it is on its way from an older process")
 }
+
+// A client that left while its connection was on its way between two processes has gone in the newer one: its request, in hand
+// or not yet, is not sent.
+func TestGoneOnTheWayBetweenProcesses(t *testing.T) {
+	for name, leave := range goes {
+		core, s := newServer(9)
+		here, client := accepted(t)
+		cmd := &dispatch.Command{ID: "1"}
+		s.Expect(cmd, false)
+		leave(client)
+		s.Adopt(here, Passed{Answered: true, ID: "1"})
+		select {
+		case lapsed := <-core.lapsed:
+			require.Same(t, cmd, lapsed, name)
+		case <-time.After(20 * time.Second):
+			require.FailNow(t, "nobody saw it go", name)
+		}
+		here, client = accepted(t)
+		q, err := http1.ReadRequest(bufio.NewReader(strings.NewReader(leavingCommand)), nil)
+		require.NoError(t, err)
+		leave(client)
+		s.Adopt(here, Passed{Answered: true, ID: "1", Request: q, Deadline: time.Now().Add(time.Minute)})
+		require.Eventually(t, func() bool { return s.Connections() == 0 }, 20*time.Second, time.Millisecond)
+		require.Empty(t, core.taken, name)
+	}
+}
+
+// An older process that dies takes the connections with it that it has not passed: their requests went on to be sent though
+// nobody could be answered.
+func TestConnectionsLostWithTheOlderProcess(t *testing.T) {
+	core, s := newServer(9)
+	cmd := &dispatch.Command{ID: "1"}
+	s.Expect(cmd, false)
+	s.ReturnAll()
+	require.Len(t, core.lapsed, 1)
+	require.Same(t, cmd, <-core.lapsed)
+	s.ReturnAll()
+	require.Empty(t, core.lapsed)
+}
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -334,13 +336,18 @@
 	return true
 }
 
-// ReturnAll takes back what is left of the older process's slots: it has gone.
+// ReturnAll takes back what is left of the older process's slots: it has gone, and with it the connections that have not come.
+// Nobody waits for the requests of those any more.
 func (s *Server) ReturnAll() {
 	for s.Returned() {
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	lost := slices.Collect(maps.Values(s.expected))
 	clear(s.expected)
+	s.mu.Unlock()
+	for _, w := range lost {
+		s.core.Lapse(w.cmd)
+	}
 }
 
 // Connections is how many connections there are, with those of an older process.
