Let the cold start's story wait for a daemon that does not listen yet

Need: since a process serves only once discovery has told or cannot be reached, 4 s at most, the daemon of TestColdStartWhileListsAreDown has no listener at the moment at which the story had its job refused. The story now takes nothing but no connection until the refusal comes, and waits for that. It failed before (0 where 503 was wanted), in one run of all tests in which everything else passed; alone it passes now.

--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -138,7 +138,11 @@
 	w.lists.Down(true)
 	w.start(0, fleet)
 	w.await("each has asked in vain", func() bool { return w.asked(0, fleet) })
-	require.Equal(t, 503, w.job(0, "publish"), "it knows no encoder yet")
+	w.await("it refuses, knowing no encoder yet", func() bool {
+		status := w.job(0, "publish")
+		require.Contains(t, []int{0, 503}, status, "nothing but no connection, until it listens, and a refusal")
+		return status == 503
+	})
 	w.lists.Down(false)
 	w.told(fleet)
 	w.serves(0, fleet)
