--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -23,6 +23,10 @@
 	})
 }
 
+// Leaving says that the fleet gives an attempt up by itself, before it tells of its end. Confirmed follows once the instance
+// knows.
+func (a *Attempt) Leaving() { a.leaving.Store(true) }
+
 // Written says that an attempt has gone out whole.
 func (l *Loop) Written(*Attempt) { l.Books.written.Add(1) }
 
@@ -202,9 +206,9 @@
 	})
 }
 
-func (l *Loop) nack(r decide.Refuse) {
+func (l *Loop) refuse(r decide.Refuse) {
 	if h := l.requests[r.Request]; h != nil && !h.answered {
-		l.answer(h, Answer{Verdict: Nacked, RetryAfter: r.RetryAfter})
+		l.answer(h, Answer{Verdict: Refused, RetryAfter: r.RetryAfter})
 	}
 }
 
@@ -215,7 +219,7 @@
 	}
 	v := Failed
 	if h.unsent() { // the module knows of no gates
-		v = Nacked
+		v = Refused
 		for _, a := range h.attempts {
 			if !a.over {
 				l.end(a, decide.Moot)
--- a/internal/net/clients/leaving_test.go
+++ b/internal/net/clients/leaving_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -96,7 +98,7 @@
 		require.NoError(t, err)
 		br := bufio.NewReader(nc)
 		for range behind + 1 {
-			core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+			core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 			p, err := http1.ReadResponse(br, "POST")
 			require.NoError(t, err)
 			require.Equal(t, []any{503, false}, []any{p.Status, p.Close})
@@ -144,6 +146,136 @@
 	q, err := http1.ReadRequest(bufio.NewReader(strings.NewReader(leavingCommand)), nil)
 	require.NoError(t, err)
 	go c.command(q, time.Time{})
-	core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Nacked})
+	core.next(t).Client.Answer(dispatch.Answer{Verdict: dispatch.Refused})
 	require.Equal(t, 503, ask(t, client, "").Status)
 }
+
+// A client that floods the connection behind its request could go unseen, and its request was sent on seconds later. Whether
+// it stays or goes, its request is ended once more has come than is read for that: with one answer, and none after it.
+func TestFloodEndsItsRequest(t *testing.T) {
+	flood := strings.Repeat("x", mostAhead+mostDropped+http1.MaxBody)
+	for _, stays := range []bool{true, false} {
+		core, s, dial := serve(t, 2, 0)
+		nc := dial()
+		_, err := fmt.Fprint(nc, leavingCommand)
+		require.NoError(t, err)
+		cmd := core.next(t)
+		_, err = fmt.Fprint(nc, flood)
+		require.NoError(t, err)
+		if !stays {
+			nc.Close()
+		}
+		select {
+		case lapsed := <-core.lapsed:
+			require.Same(t, cmd, lapsed)
+		case <-time.After(20 * time.Second):
+			require.FailNow(t, "nothing ended it")
+		}
+		cmd.Client.Answer(dispatch.Answer{Verdict: dispatch.Served, Result: []byte("late")}) // the loop had not heard of it
+		if stays {
+			br := bufio.NewReader(nc)
+			p, err := http1.ReadResponse(br, "POST")
+			require.NoError(t, err)
+			require.Equal(t, []any{413, true}, []any{p.Status, p.Close})
+			_, err = br.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			nc.Close()
+		}
+		require.Eventually(t, func() bool { return s.Connections() == 0 }, 20*time.Second, time.Millisecond)
+		require.Empty(t, core.taken)
+		require.Empty(t, core.lapsed)
+		require.Zero(t, shown(t, s, "closed_cut"))
+	}
+}
+
+// What is kept and read of a flood is bounded, and an answer that is there by its end is the client's all the same.
+func TestFloodIsBounded(t *testing.T) {
+	core, s := newServer(1)
+	here, client := accepted(t)
+	c := &conn{server: s, nc: here, state: handling}
+	c.buffer(nil, http1.MaxLine)
+	go io.Copy(client, endless{})
+	require.ErrorIs(t, c.watch(), errFlood)
+	require.LessOrEqual(t, c.br.Size(), mostAhead)
+	require.LessOrEqual(t, c.dropped, mostDropped+4<<10)
+	w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1)}
+	w.answer <- word{Answer: dispatch.Answer{Verdict: dispatch.Refused}}
+	go c.wait(w)
+	p, err := http1.ReadResponse(bufio.NewReader(client), "POST")
+	require.NoError(t, err)
+	require.Equal(t, 503, p.Status)
+	require.Empty(t, core.lapsed)
+}
+
+// endless has something to read for ever.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// The look at a client's connection needs neither the goroutine that watches it nor the loop, and waits for neither: on a
+// machine short of CPU both may come to run long after an attempt.
+func TestLookAtAClient(t *testing.T) {
+	for name, leave := range goes {
+		here, client := accepted(t)
+		w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1), nc: here}
+		w.cmd.Client = w
+		a := &dispatch.Attempt{Command: w.cmd}
+		reads := make(chan error)
+		go func() {
+			_, err := here.Read(make([]byte, 1))
+			reads <- err
+			_, err = here.Read(make([]byte, 1))
+			reads <- err
+		}()
+		require.False(t, a.Expired(time.Now()), name)
+		client.Write([]byte("x"))
+		require.NoError(t, <-reads)
+		require.False(t, a.Expired(time.Now()), name)
+		here.SetReadDeadline(past)
+		require.ErrorIs(t, <-reads, os.ErrDeadlineExceeded)
+		require.False(t, a.Expired(time.Now()), "a passed deadline is no end")
+		leave(client)
+		require.Eventually(t, func() bool { return a.Expired(time.Now()) }, 20*time.Second, time.Millisecond, name)
+	}
+	w := &waiter{cmd: &dispatch.Command{ID: "1"}, answer: make(chan word, 1)}
+	require.False(t, w.Gone(), "it is on its way from an older process")
+}
+
+// A client that left while its connection was on its way between two processes has gone in the newer one: its request, in hand
+// or not yet, is not sent.
+func TestGoneOnTheWayBetweenProcesses(t *testing.T) {
+	for name, leave := range goes {
+		core, s := newServer(9)
+		here, client := accepted(t)
+		cmd := &dispatch.Command{ID: "1"}
+		s.Expect(cmd, false)
+		leave(client)
+		s.Adopt(here, Passed{Answered: true, ID: "1"})
+		select {
+		case lapsed := <-core.lapsed:
+			require.Same(t, cmd, lapsed, name)
+		case <-time.After(20 * time.Second):
+			require.FailNow(t, "nobody saw it go", name)
+		}
+		here, client = accepted(t)
+		q, err := http1.ReadRequest(bufio.NewReader(strings.NewReader(leavingCommand)), nil)
+		require.NoError(t, err)
+		leave(client)
+		s.Adopt(here, Passed{Answered: true, ID: "1", Request: q, Deadline: time.Now().Add(time.Minute)})
+		require.Eventually(t, func() bool { return s.Connections() == 0 }, 20*time.Second, time.Millisecond)
+		require.Empty(t, core.taken, name)
+	}
+}
+
+// An older process that dies takes the connections with it that it has not passed: their requests went on to be sent though
+// nobody could be answered.
+func TestConnectionsLostWithTheOlderProcess(t *testing.T) {
+	core, s := newServer(9)
+	cmd := &dispatch.Command{ID: "1"}
+	s.Expect(cmd, false)
+	s.ReturnAll()
+	require.Len(t, core.lapsed, 1)
+	require.Same(t, cmd, <-core.lapsed)
+	s.ReturnAll()
+	require.Empty(t, core.lapsed)
+}
--- a/internal/net/instances/encoder_test.go
+++ b/internal/net/upstream/encoder_test.go
@@ -1,4 +1,4 @@
-package instances
+package upstream
 
 import (
 	"bufio"
@@ -124,7 +124,7 @@
 	nc, err := dialer.Dial("tcp", e.Addr().String())
 	require.NoError(e.t, err)
 	p.mu.Lock()
-	in := p.instances["s-1"]
+	in := p.endpoints["s-1"]
 	c := &conn{
 		pool: p, in: in, work: make(chan *exchange, 1), epoch: in.epoch, dialed: time.Now(), since: time.Now(),
 		nc: nc, br: bufio.NewReaderSize(nc, http1.MaxLine),
@@ -148,6 +148,15 @@
 	require.NoError(c.t, err)
 }
 
+// nobody checks that no connection waits to be accepted: one of the test's own is the first.
+func (e *encoder) nobody() {
+	e.t.Helper()
+	c, err := net.Dial("tcp", e.Addr().String())
+	require.NoError(e.t, err)
+	defer c.Close()
+	require.Equal(e.t, c.LocalAddr().String(), e.accept().RemoteAddr().String(), "another came before")
+}
+
 // list is the list's line of an encoder.
 func (e *encoder) list(state decide.WorkerState) dispatch.List {
 	return dispatch.List{Members: []dispatch.Member{{ID: "s-1", Address: e.Addr().String(), State: state}}}
