Keep nothing of other settings at a reload or a take-over but what is known of encoders

Seen in a review of what a reload with another customer's settings leaves (and a property test of reloads against fresh starts): classes and tenants that the settings have no more went on to set the pace of backoffs, the turns of cold encoders, the size that encoders are taken to have, how often the fleet is sorted and how many attempts there may be where no rule says so; a class whose jobs are others under the name of before went on with what was learned of those; turns and ages reckoned by other rules held on; zones and kinds that the settings do not name were taken for ones that those of before named; a request that waits while its class changes kept the encoders of that moment; a request that must not run twice, handed over to a process whose settings have another class of that name, was sent again by the newer one's.

Change: the module unlearns what the replaced settings reckoned (decide/retune.go), counts only classes and tenants that the settings have, and begins a class of other jobs anew; the loop knows which names are the settings' own, and renumbers what an older process hands over by names.

--- a/decide/api.go
+++ b/decide/api.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 )
 
@@ -162,6 +161,7 @@
 	Zone                    int
 	Granularity             time.Duration
 	Classes                 []Class
+	First                   int // the class whose times pace what no rule does: the first that the settings name
 	Tenants                 []Tenant
 	OverShareWorth          float64
 	Limits                  Limits
@@ -406,7 +406,7 @@
 // New returns a dispatcher that has just started and holds nothing.
 func New(s Settings) (*Dispatcher, error) {
 	d := &Dispatcher{
-		rng: rand.New(rand.NewPCG(s.Seed, uint64(s.Dispatcher))), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
+		rng: s.random(), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
 		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, cordons: map[uint32]bool{},
 		requests: map[uint32]*request{}, keys: map[uint64]demand{}, peers: map[int]*peer{}, sums: map[uint32]*loadSum{}, bad: tally{N: errMemory},
 	}
@@ -416,7 +416,7 @@
 	return d, nil
 }
 
-// Retune has the dispatcher go by other settings from now on, with all that it knows; an error says
+// Retune has the dispatcher go by other settings from now on, with all that it knows of workers; an error says
 // that it cannot, and goes by the old ones. Classes and tenants must keep their numbers: those that
 // are no more stay, marked so. Requests in hand keep the class that they came with.
 func (d *Dispatcher) Retune(s Settings) error {
@@ -429,8 +429,9 @@
 	if len(s.Classes) < len(d.classes) || len(s.Tenants) < len(d.tenants) {
 		return errors.New("decide: a class or tenant has lost its number")
 	}
+	d.unlearn(s)
 	d.s = s
-	d.budget = AttemptBudget{Spare: extraSpare, PerRequest: extraShare, Span: max(s.Classes[0].Deadline, time.Second)}
+	d.budget = AttemptBudget{Spare: extraSpare, PerRequest: extraShare, Span: max(s.Classes[s.First].Deadline, time.Second)}
 	if s.Rules.Budget != nil {
 		d.budget = *s.Rules.Budget
 	}
@@ -439,8 +440,7 @@
 		c := &class{errs: tally{N: errMemory}}
 		if i < len(d.classes) {
 			if c = d.classes[i]; c.Class != s.Classes[i] {
-				c = &class{}
-				*c = *d.classes[i]
+				c = d.redefine(i, s.Classes[i])
 			}
 			d.classes[i] = c
 		} else {
@@ -455,6 +455,7 @@
 		all := []Label{{Zone: Any, Kind: c.Kind}}
 		c.deflt = &block{Block: Block{Workers: all, Strategy: Platform, Invalidate: Invalidate{Rule: Overload}}}
 	}
+	d.count()
 	for _, w := range d.workers {
 		for range len(d.classes) - len(w.errs) {
 			w.errs, w.refusals = append(w.errs, tally{N: 3}), append(w.refusals, refusal{})
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -162,7 +162,7 @@
 	if !d.stale && d.learned <= len(d.fleet)/sortPace || d.now < d.ordered && len(d.fleet) > 0 {
 		return
 	}
-	d.ordered, d.learned = d.now+d.s.Classes[0].Aim*time.Duration(1+len(d.fleet)/(4*sortPace)), 0
+	d.ordered, d.learned = d.now+d.s.Classes[d.s.First].Aim*time.Duration(1+len(d.fleet)/(4*sortPace)), 0
 	changed := d.stale
 	if d.stale {
 		d.stale = false
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -180,8 +180,9 @@
 	}
 	d.recount()
 	for i, l := range m.Classes[:min(len(m.Classes), len(d.classes))] {
-		c := d.classes[i]
-		c.run, c.logRun, c.jobs, c.budget, c.errs = l.Run, l.LogRun, l.Jobs, l.Budget, l.Errs
+		if c := d.classes[i]; l != (ClassMemory{}) { // else nothing is told of it
+			c.run, c.logRun, c.jobs, c.budget, c.errs = l.Run, l.LogRun, l.Jobs, l.Budget, l.Errs
+		}
 	}
 	for id, k := range m.Kinds {
 		*d.kind(id) = k
--- a/decide/retune_test.go
+++ b/decide/retune_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -52,3 +53,141 @@
 		t.Error("settings that cannot be followed count")
 	}
 }
+
+// leaves is settings with classes and tenants of which the first ones have left.
+func leaves(s Settings, classes, tenants int) Settings {
+	s.Classes, s.Tenants = slices.Clone(s.Classes), slices.Clone(s.Tenants)
+	for i := range classes {
+		s.Classes[i].Left = true
+	}
+	for i := range tenants {
+		s.Tenants[i].Left = true
+	}
+	s.First = classes
+	return s
+}
+
+// Classes and tenants that the settings have no more went on to set the pace of backoffs, the turns of cold workers, the size that workers
+// are taken to have, how often the fleet is sorted and how many attempts there may be where no rule says so.
+func TestWhatHasLeftCountsNoMore(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Classes = []Class{
+		{Aim: 5 * ms, Deadline: time.Minute, Worth: 1, Kind: Any}, {Aim: time.Minute, Deadline: time.Minute, Worth: 9, Kind: Any},
+		{Aim: 200 * ms, Deadline: 4 * time.Second, Worth: 2, Kind: Any}, {Aim: 300 * ms, Deadline: 3 * time.Second, Worth: 3, Kind: Any},
+	}
+	s.Tenants = []Tenant{{QuotaPerSecond: 500}, {QuotaPerSecond: 7}}
+	w := fleet(t, s, 3)
+	for _, c := range w.d.classes {
+		c.run, c.logRun, c.jobs = c.Aim.Seconds(), math.Log(c.Aim.Seconds()), 40
+	}
+	for _, r := range w.d.workers {
+		r.refusals[2].Until, r.refusals[3].Until = w.now+time.Minute, w.now+time.Minute
+	}
+	if err := w.d.Retune(leaves(s, 2, 1)); err != nil {
+		t.Fatal(err)
+	}
+	gone := leaves(s, 2, 1)
+	if gone.First = 1; w.d.Retune(gone) == nil {
+		t.Error("a class that has left is the first")
+	}
+	d := w.d
+	_, avoided := d.Fleet()
+	for name, is := range map[string][2]any{
+		"pace": {d.pace(), 200 * ms}, "longest deadline": {d.longestDeadline(), 4 * time.Second}, "longest run": {math.Round(1000 * d.longest()), 300.0},
+		"agreed rate": {d.agreed(), 7.0}, "usual run": {d.usual(0) < 0.31, true}, "mean worth": {d.worth(), 2.5}, "avoided": {avoided, 3},
+		"span of attempts": {d.budget.Span, 4 * time.Second},
+	} {
+		if is[0] != is[1] {
+			t.Errorf("%s: %v, not %v", name, is[0], is[1])
+		}
+	}
+	w.handle(Wake{})
+	if at := w.d.ordered - w.now; at != 200*ms {
+		t.Errorf("the fleet is sorted again after %v", at)
+	}
+}
+
+// A class whose jobs are others under the name of before went on with what was learned of those: its first requests were taken for later
+// tries of clients that had used most of their time, and were late before they were in time.
+func TestOtherJobsUnderTheSameName(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Classes[0].Deadline = 10 * time.Second
+	w := fleet(t, s, 1)
+	w.d.classes[0].run, w.d.classes[0].jobs = 60, 200
+	w.handle(w.arrive(0, 10*time.Second).Request)
+	kept := s
+	kept.Classes = slices.Clone(s.Classes)
+	kept.Classes[0].Worth, kept.Classes[0].Effect = 77, Unsafe
+	if err := w.d.Retune(kept); err != nil || w.d.classes[0].jobs != 200 || w.d.classes[0].budget != 10*time.Second {
+		t.Errorf("what a job is worth says nothing of how long it runs: %v", err)
+	}
+	w.d.workers[1].refusals[0], w.d.workers[1].errs[0] = refusal{3, w.now + time.Minute}, tally{8, 1}
+	next := s
+	next.Classes = slices.Clone(s.Classes)
+	next.Classes[0].Aim, next.Classes[0].Deadline = 300*ms, 6*time.Second
+	if err := w.d.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	w.s = next
+	if c := w.d.classes[0]; c.run != 0 || c.jobs != 0 || w.d.workers[1].refusals[0].N != 0 || w.d.workers[1].errs[0].Share != 0 {
+		t.Error("what was learned of the jobs of before is kept")
+	}
+	j := w.arrive(0, 6*time.Second)
+	w.handle(j.Request)
+	if r := w.d.requests[j.ID]; r.limit != w.now+300*ms {
+		t.Errorf("its aim is over in %v", r.limit-w.now)
+	}
+}
+
+// A request that waits while its class changes kept the workers of that moment for good: it went to none that the list told of later.
+func TestWaitingRequestSeesNewWorkers(t *testing.T) {
+	w := newWorld(t, site(1, true, false, false))
+	w.handle(ListFull{})
+	j := w.arrive(0, time.Second)
+	w.handle(j.Request)
+	if err := w.d.Retune(leaves(w.s, 1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	w.now += time.Millisecond
+	w.list[1] = Worker{ID: 1, State: Ready}
+	for _, a := range w.handle(ListDelta{Workers: []Worker{{ID: 1, State: Ready}}}) {
+		if s, ok := a.(Send); ok && s.Request == j.ID {
+			return
+		}
+	}
+	t.Error("it is not sent")
+}
+
+// Turns of cold workers that were reckoned by other rules held on: of one dispatcher for the turns of hundreds, or without a rule for
+// workers that are cold by the new one. The ages of connections were told apart by parts of the time of before.
+func TestReckonedByOtherRules(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Dispatchers, s.Limits.ConnIdle, s.Limits.ConnectTimeout = 400, 64*time.Second, 2*time.Second
+	w := newWorld(t, s)
+	w.list[1] = Worker{ID: 1, State: Ready, Started: w.now - time.Second}
+	w.handle(ListFull{Workers: []Worker{w.list[1]}})
+	w.d.workers[1].coldNext = w.now + time.Minute
+	w.d.ages[4], w.d.setups, w.d.stall = tally{6, 1}, [4]time.Duration{time.Second, time.Second, time.Second, time.Second}, time.Minute
+	same := s
+	same.Prices.Waste = 0.5
+	if err := w.d.Retune(same); err != nil || w.d.workers[1].coldNext == 0 || w.d.ages[4].N == 0 {
+		t.Errorf("a price says nothing of these: %v", err)
+	}
+	w.d.order[0], w.d.order[3] = w.d.order[3], w.d.order[0]
+	next := s
+	next.Dispatchers, next.Limits.ConnIdle, next.Limits.ConnectTimeout, next.Rules.FallWindow = 1, 4*time.Second, 50*ms, 500*ms
+	if err := w.d.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	if d := w.d; d.workers[1].coldNext != 0 || d.ages[4].N != 0 || d.setup() != 50*ms || d.stall != 500*ms || !slices.IsSorted(d.order) {
+		t.Errorf("turn %v, ages %v, setup %v, stall %v", d.workers[1].coldNext, d.ages, d.setup(), d.stall)
+	}
+	warm := next
+	warm.Rules.Cold = 0
+	if err := w.d.Retune(warm); err != nil || len(w.d.owed) != 0 {
+		t.Errorf("%d are owed a job where none is cold: %v", len(w.d.owed), err)
+	}
+	if err := w.d.Retune(next); err != nil || len(w.d.owed) != 1 {
+		t.Errorf("%d are owed a job: %v", len(w.d.owed), err)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -164,6 +164,7 @@
 	now                   time.Duration
 	rng                   *rand.Rand
 	classes               []*class
+	current               []*class // those that the settings have
 	workers               map[uint32]*worker
 	fleet                 []*worker // by ID
 	kinds                 map[int]*kindStat
@@ -293,7 +294,7 @@
 // pace is the time scale of this deployment's jobs: the shortest class's typical run.
 func (d *Dispatcher) pace() time.Duration {
 	shorter := func(a, b *class) int { return cmp.Compare(a.typical(), b.typical()) }
-	return slices.MinFunc(d.classes, shorter).typical()
+	return slices.MinFunc(d.current, shorter).typical()
 }
 
 // slowness is a worker's log run time against the mean, its kind's where little is known.
@@ -305,7 +306,7 @@
 
 // longestDeadline is of all classes.
 func (d *Dispatcher) longestDeadline() (most time.Duration) {
-	for _, c := range d.classes {
+	for _, c := range d.current {
 		most = max(most, c.Deadline)
 	}
 	return most
@@ -314,7 +315,7 @@
 // longest is the mean run of the class that runs longest, in seconds.
 func (d *Dispatcher) longest() float64 {
 	most := 0.0
-	for _, c := range d.classes {
+	for _, c := range d.current {
 		most = max(most, c.mean())
 	}
 	return most
@@ -323,6 +324,7 @@
 // upsert takes lines of the worker list: of a new process nothing is known.
 func (d *Dispatcher) upsert(lines []Worker, whole bool) {
 	d.lists++
+	renumbered := false
 	for _, l := range lines {
 		w := d.workers[l.ID]
 		if w != nil && l.State == Ready && l.Started < w.Started { // an old list, of an earlier process
@@ -337,6 +339,7 @@
 			}
 			w = d.begin(l)
 		}
+		renumbered = d.place(w, l) || renumbered
 		said, held, started := l.State, w.State, max(w.Started, l.Started)
 		w.Worker, w.listed = l, d.lists
 		w.Started, w.State = started, held
@@ -352,6 +355,9 @@
 		}
 	}
 	d.recount()
+	if renumbered {
+		d.leaveZones()
+	}
 	listed := len(d.workers) - len(unlisted)
 	if d.most = max(d.most, listed); len(unlisted) > d.most { // bounded: those named last stay
 		slices.SortFunc(unlisted, func(a, b *worker) int {
@@ -417,7 +423,7 @@
 // fill puts the workers into the blocks in the order given, those of platform blocks by ID
 // and those of blocks by key, if the fleet has changed, on a hash ring.
 func (d *Dispatcher) fill(best []*worker, changed bool) {
-	for _, c := range d.classes {
+	for _, c := range d.defined() {
 		for _, b := range append(c.blocks, c.deflt) {
 			from := best
 			if b.ByKey {
@@ -500,8 +506,10 @@
 
 // agreed is how many requests a second the tenants have agreed, at all dispatchers together.
 func (d *Dispatcher) agreed() (rate float64) {
-	for i := range d.s.Tenants {
-		rate += d.s.Tenants[i].QuotaPerSecond
+	for _, t := range d.s.Tenants {
+		if !t.Left {
+			rate += t.QuotaPerSecond
+		}
 	}
 	return rate
 }
@@ -510,7 +518,7 @@
 // of no length had been seen. 0 while not known.
 func (d *Dispatcher) usual(more float64) float64 {
 	run, jobs := 0.0, 0.0
-	for _, c := range d.classes {
+	for _, c := range d.current {
 		run, jobs = run+c.jobs*c.typical().Seconds(), jobs+c.jobs
 	}
 	return run / max(jobs+more, 1)
@@ -534,7 +542,10 @@
 			continue
 		}
 		listed++
-		barred := !slices.ContainsFunc(w.refusals, func(f refusal) bool { return f.Until <= d.now })
+		barred := true
+		for i, c := range d.classes {
+			barred = barred && (c.Left || w.refusals[i].Until > d.now)
+		}
 		if !w.ready() || w.strikes > 0 || barred {
 			avoided++
 		}
@@ -568,11 +579,9 @@
 // worth is the mean of what a request of each class is worth.
 func (d *Dispatcher) worth() float64 {
 	mean, n := 0.0, 0.0
-	for _, c := range d.classes {
-		if !c.Left {
-			mean += c.Worth
-			n++
-		}
+	for _, c := range d.current {
+		mean += c.Worth
+		n++
 	}
 	return mean / max(n, 1)
 }
--- a/decide/validate.go
+++ b/decide/validate.go
@@ -11,6 +11,9 @@
 	if len(s.Classes) == 0 || s.Dispatchers < 1 || s.Limits.Attempts < 1 {
 		return errors.New("settings need a class, a dispatcher and an attempt")
 	}
+	if s.First < 0 || s.First >= len(s.Classes) || s.Classes[s.First].Left {
+		return fmt.Errorf("class %d cannot be the first of %d", s.First, len(s.Classes))
+	}
 	if len(s.Policies) != len(s.Classes) {
 		return fmt.Errorf("%d policies for %d classes", len(s.Policies), len(s.Classes))
 	}
--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -140,11 +140,11 @@
 func (l *Loop) ours(given Handed, at []int) decide.Memory {
 	m := given.Module
 	for i := range m.Workers {
-		m.Workers[i].ID = l.number(given.Numbers[m.Workers[i].ID])
+		m.Workers[i].Worker = l.renumber(m.Workers[i].Worker, given)
 	}
 	known := make([]decide.ClassMemory, len(l.names.Classes))
 	for i, c := range m.Classes[:min(len(m.Classes), len(at))] {
-		if at[i] >= 0 {
+		if at[i] >= 0 && i < len(given.Classes) && given.Classes[i].SameJobs(l.settings.Classes[at[i]]) {
 			known[at[i]] = c
 		}
 	}
@@ -155,6 +155,13 @@
 	return m
 }
 
+// renumber is a worker of another process's memory by our numbers.
+func (l *Loop) renumber(w decide.Worker, given Handed) decide.Worker {
+	w.ID = l.number(given.Numbers[w.ID])
+	w.Zone, w.Kind = l.zone(named(given.Names.Zones, w.Zone)), l.kind(named(given.Names.Kinds, w.Kind))
+	return w
+}
+
 // Relieve takes all that another process has handed over. Each command must have its payload and
 // its client again.
 func (l *Loop) Relieve(given Handed) {
@@ -173,7 +180,7 @@
 			r := c.Memory
 			r.ID, r.Class = l.newID(), at[r.Class]
 			for i := range r.Attempts {
-				r.Attempts[i].Worker.ID = l.number(given.Numbers[r.Attempts[i].Worker.ID])
+				r.Attempts[i].Worker = l.renumber(r.Attempts[i].Worker, given)
 			}
 			l.resume(c, r.ID, r.Class)
 			m.Requests = append(m.Requests, r)
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,10 +55,8 @@
 	b.answers[Refused].Add(1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, c := range b.classes {
-		if c.name == class {
-			c.answers[Refused].Add(1)
-		}
+	if i := slices.IndexFunc(b.classes, func(c *classBook) bool { return c.name == class }); i >= 0 {
+		b.classes[i].answers[Refused].Add(1)
 	}
 }
 
@@ -67,12 +66,17 @@
 	answers [numVerdicts]atomic.Int64
 }
 
-// open begins a book for each class that has none yet.
+// open begins a book for each class that has none yet. One that an older process defined otherwise is in the same book.
 func (b *Books) open(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, name := range names[len(b.classes):] {
-		b.classes = append(b.classes, &classBook{name: name})
+		name = strings.TrimSuffix(name, former)
+		book := &classBook{name: name}
+		if i := slices.IndexFunc(b.classes, func(c *classBook) bool { return c.name == name }); i >= 0 {
+			book = b.classes[i]
+		}
+		b.classes = append(b.classes, book)
 	}
 }
 
@@ -97,7 +101,10 @@
 func (b *Books) figures() (all []figure) {
 	line := func(name string, n int64) { all = append(all, figure{"proxy." + name, n}) }
 	b.mu.Lock()
-	for _, c := range b.classes {
+	for i, c := range b.classes {
+		if slices.Index(b.classes, c) < i {
+			continue
+		}
 		line("passed."+c.name, c.answers[Served].Load())
 		line("dropped."+c.name, c.answers[Refused].Load())
 		line("bad_gateway."+c.name, c.answers[Failed].Load()+c.answers[Unusable].Load())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -159,7 +159,8 @@
 type Loop struct {
 	mod      *decide.Dispatcher
 	settings decide.Settings
-	names    wire.Names
+	names    wire.Names // all that are numbered
+	own      wire.Names // of those, the ones that the settings have
 	fleet    Fleet
 	table    NameTable
 	other    Other
@@ -201,14 +202,16 @@
 
 // New returns a loop for a dispatcher that holds nothing.
 func New(s decide.Settings, n wire.Names, fleet Fleet, table NameTable, other Other, logger *slog.Logger) (*Loop, error) {
+	l := &Loop{
+		fleet: fleet, table: table, other: other, log: logger, in: make(chan message, inbox),
+		ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
+	}
+	s, all := l.fit(s, n)
 	mod, err := decide.New(s)
 	if err != nil {
 		return nil, err
 	}
-	l := &Loop{
-		mod: mod, settings: s, names: n, fleet: fleet, table: table, other: other, log: logger, in: make(chan message, inbox),
-		ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
-	}
+	l.mod, l.settings, l.names, l.own = mod, s, all.Names, n
 	l.Books.open(n.Classes)
 	return l, nil
 }
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -75,9 +75,9 @@
 }
 
 // line is one line of the name table in the settings' terms.
-func line(m Member, id uint32, n wire.Names) decide.Worker {
+func (l *Loop) line(m Member, id uint32) decide.Worker {
 	return decide.Worker{
-		ID: id, Zone: place(n.Zones, m.Zone), Kind: place(n.Kinds, m.Kind), Cell: m.Cell, Rating: m.Size,
+		ID: id, Zone: l.zone(m.Zone), Kind: l.kind(m.Kind), Cell: m.Cell, Rating: m.Size,
 		Started: wallTime(m.Started), State: m.State,
 	}
 }
@@ -100,7 +100,7 @@
 func (l *Loop) listed(list List, cached bool) {
 	var ws []decide.Worker
 	for _, m := range list.Members {
-		ws = append(ws, line(m, l.number(m.ID), l.names))
+		ws = append(ws, l.line(m, l.number(m.ID)))
 	}
 	l.prune(list)
 	if list.Complete || cached {
