Encoders' connections keep their places while idle clients could make room

Cause: a connection on which an encoder calls back stood in one rank with idle clients (clients/conn.go use), the longest idle first, so that the encoders' were the first to go; and while somebody waited for a place each answer, also to a call-back, ended its connection (reply, await). The listener's makeRoom was asked again every 5 ms and ended one connection more each time while the first was still on its way out. Out of descriptors (EMFILE) idle connections that were ended kept theirs for half a second, for the other side's end, so that twenty and more were ended for one place.

Change: encoders' connections between two calls come last of all that can be spared, and only where no place is about to be free; answers to call-backs do not end theirs. While one connection is about to end no other is. A want of descriptors counts as somebody waiting, until a connection comes in.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -61,7 +61,8 @@
 	done    use = iota // has its answer and is only kept from being reset
 	mute               // connected and said nothing: whoever has a request sends it at once
 	halting            // began a request and does not end it
-	spare              // stands between two requests
+	spare              // a client's, stands between two requests
+	kept               // an encoder's, does so too: word of jobs comes on it, which ends what clients wait for
 	inUse
 )
 
@@ -74,6 +75,8 @@
 		return mute
 	case c.state == reading && age >= p.halting:
 		return halting
+	case c.state == waiting && c.answered && c.instance:
+		return kept
 	case c.state == waiting && c.answered:
 		return spare
 	}
@@ -197,7 +200,7 @@
 		c.since, until = now, now.Add(idlePatience)
 	}
 	err := c.nc.SetReadDeadline(until)
-	if c.evicted || !first && s.crowded { // before it was here, or since its last answer was under way
+	if c.evicted || !first && s.crowded && !c.instance { // before it was here, or since its last answer was under way
 		c.evict()
 	}
 	s.mu.Unlock()
@@ -266,7 +269,7 @@
 	c.server.mu.Lock()
 	c.answered = true
 	end = end || c.flood
-	due := c.evicted || c.server.crowded || c.server.draining && c.server.heir == nil && !c.instance
+	due := c.evicted || !c.instance && (c.server.crowded || c.server.draining && c.server.heir == nil)
 	c.server.mu.Unlock()
 	if due && !end {
 		end = c.more >= mostMore || !c.another()
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -79,7 +79,7 @@
 	draining bool
 	by       time.Time // commands are to be answered by then; zero: as their clients say
 	over     bool      // then has come
-	crowded  bool      // somebody waits for a connection: answers close theirs
+	crowded  bool      // somebody waits for a connection: answers to clients close theirs
 	conns    map[*conn]struct{}
 	heir     Heir               // takes over; nil: nobody
 	lent     int                // slots that connections of an older process still take
@@ -144,11 +144,13 @@
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
+			s.setCrowded(false)
 			s.begin(nc)
 			continue
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+			s.setCrowded(true)
 			s.makeRoom(time.Now())
 		}
 		// Guards against a busy loop, and the program's end, while descriptors run short.
@@ -435,18 +437,24 @@
 	return true
 }
 
-// makeRoom ends the connection that can best be spared, if there is one.
+// makeRoom ends the connection that can best be spared, if there is one and none is about to end already. An encoder's goes
+// only where no other place will be free within a moment.
 func (s *Server) makeRoom(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var spared *conn
+	soon := false
 	for c := range s.conns {
+		soon = soon || c.state == lingering
+		if c.evicted && (c.state == waiting || c.state == lingering) {
+			return
+		}
 		if u := c.use(now); !c.evicted && u < inUse && (spared == nil || u < spared.use(now) ||
 			u == spared.use(now) && c.since.Before(spared.since)) {
 			spared = c
 		}
 	}
-	if spared != nil {
+	if spared != nil && !(soon && spared.use(now) == kept) {
 		spared.evict()
 	}
 }
