Read lists past faulty entries, older lists and blanks; tell whose call failed and when

Seen in a review of the side of discovery and listed in the roadmap as not mended: one entry with an unknown phase, a wrong type or no id ended the watch at every call, so that the dispatcher stayed blind to all encoders (list.go, ParseList); a list that came behind a newer one on the same watch revived an encoder that was gone (watch.go, read); blanks before a list were kept by the JSON decoder without bound, and any blank counted as the watch's beat (watch.go, objects); a want of descriptors here counted as nobody reached, which also ended a new process's wait for its list (watch.go, watch); ask.go took a failed call of the list's clock for a watch that had ended, since only the module's own calls set its time, and asked again at the first pace.

Entries that cannot be read are passed over and logged with place and id, and an encoder that a whole list names so stays as it was; a list in the configuration is as strict as before. Older lists on one watch are passed over, logged, and no news to the clock. Only empty lines are beats, and nothing between lists is kept. ListFailed tells how long before the call was made.

--- a/decide/api.go
+++ b/decide/api.go
@@ -239,8 +239,12 @@
 	// ListDelta changes the lines it holds.
 	ListDelta struct{ Workers []Worker }
 	// ListFailed: a subscription or a fetch failed; the list stays. Nobody: the call reached nobody, and cost
-	// nobody anything.
-	ListFailed struct{ Nobody bool }
+	// nobody anything. After: how long before that the call was made, also where it was not this module that asked; 0:
+	// not told.
+	ListFailed struct {
+		Nobody bool
+		After  time.Duration
+	}
 	// Request has arrived and is owed one final answer.
 	Request struct {
 		ID            uint32
@@ -474,13 +478,13 @@
 		case ListFull:
 			d.list(e.Workers, true)
 			if e.Cached && d.s.Subscribe {
-				d.ask(false)
+				d.ask(ListFailed{})
 			}
 		case ListDelta:
 			d.list(e.Workers, false)
 		case ListFailed:
 			d.note(&d.listLost, true, "worker list lost", "")
-			d.ask(e.Nobody)
+			d.ask(e)
 		case Request:
 			d.arrive(e)
 		case StreamStarted:
--- a/decide/ask.go
+++ b/decide/ask.go
@@ -24,10 +24,13 @@
 // time, and asked for again at an even pace, since nobody can tell a service that is down from one that is run over. Only
 // where calls have waited and failed for longer than a service is down does the time grow with each: at an even pace above
 // what it bears it would fail all of them for ever. A few dispatchers run over no service.
-func (d *Dispatcher) ask(nobody bool) {
+func (d *Dispatcher) ask(failed ListFailed) {
+	if failed.After > 0 { // the list's clock may have made the call
+		d.called = d.now - failed.After
+	}
 	within := d.s.Rules.MustAskIn
 	spread := min(time.Duration(d.s.Dispatchers)*listPace, time.Duration(listSpread*float64(within)))
-	few, nobody := spread < within/fewParts/4, nobody || d.now-d.called < within/downParts
+	few, nobody := spread < within/fewParts/4, failed.Nobody || d.now-d.called < within/downParts
 	if d.now-d.called >= within { // no call waits for so long: a watch has ended
 		d.failures = 0
 	}
--- a/decide/list_test.go
+++ b/decide/list_test.go
@@ -173,6 +173,15 @@
 				t.Errorf("%d dispatchers: after watches that ended asked for after %v to %v, of %v", dispatchers, soonest, latest, spread)
 			}
 		}
+		s.Dispatchers = 300
+		w = newWorld(t, s)
+		asks(w, ListFailed{}, 0)
+		for range 20 { // calls that the list's clock makes, long after the last of the module's own
+			w.now += time.Minute
+			if after := asks(w, ListFailed{After: time.Second}, 0); after < nextSpread/2 {
+				t.Errorf("a call that failed after a second was taken for a watch, and repeated after %v", after)
+			}
+		}
 		few := s
 		few.Dispatchers = 12
 		w = newWorld(t, few)
--- a/internal/dispatch/takein.go
+++ b/internal/dispatch/takein.go
@@ -142,9 +142,10 @@
 	l.post(func(l *Loop) { l.tell(decide.Holds{Worker: l.number(id), Slots: slots, Spans: spans}) })
 }
 
-// ListLost says that the watch on the name table, or a call for one, has failed; nobody: that call reached none.
-func (l *Loop) ListLost(nobody bool) {
-	l.post(func(l *Loop) { l.tell(decide.ListFailed{Nobody: nobody}) })
+// ListLost says that the watch on the list, or the call for one, has failed, so long after the call; nobody: that reached
+// none.
+func (l *Loop) ListLost(nobody bool, after time.Duration) {
+	l.post(func(l *Loop) { l.tell(decide.ListFailed{Nobody: nobody, After: after}) })
 }
 
 // number is the module's id of an instance, the same at every dispatcher, since the module
--- a/internal/listclock/clock.go
+++ b/internal/listclock/clock.go
@@ -148,6 +148,12 @@
 	c.begun = -1
 }
 
+// PassedOver says that the list that has begun is none that counts: it is older than one before it.
+func (c *Clock) PassedOver(now time.Duration) {
+	c.at(now)
+	c.begun = -1
+}
+
 // knows takes that all is known up to a moment: what is open has not missed anything.
 func (c *Clock) knows(upTo time.Duration) {
 	if c.state == watching && c.mute < 0 {
--- /dev/null
+++ b/internal/net/discovery/faulty_test.go
@@ -0,0 +1,201 @@
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/decide"
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/http1"
+)
+
+// accepted is the next call at a listener on this machine, whose head is read.
+func accepted(t *testing.T, l net.Listener) net.Conn {
+	c, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = http1.ReadRequest(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	return c
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func member(id, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":"h:1","locality":"a","flavor":"m2","cell":3,"phase":%q,"size":1.0,"up_since_ms":0}`, id, phase)
+}
+
+func list(revision int, complete bool, members ...string) string {
+	return chunk(fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`+"\n", revision, complete, strings.Join(members, ",")))
+}
+
+// states is who a list names, and in what state.
+func states(l dispatch.List) map[string]decide.WorkerState {
+	all := map[string]decide.WorkerState{}
+	for _, m := range l.Members {
+		all[m.ID] = m.State
+	}
+	return all
+}
+
+// next is the next list that counts. A watch that is lost instead fails the test.
+func (s sink) next(t *testing.T) dispatch.List {
+	t.Helper()
+	select {
+	case l := <-s.listed:
+		return l
+	case err := <-s.lost:
+		require.FailNow(t, "the watch was lost", err.Error())
+	}
+	return dispatch.List{}
+}
+
+// One entry that cannot be read used to end the watch at every call: the dispatcher stayed blind to all other encoders.
+func TestFaultyEntriesArePassedOver(t *testing.T) {
+	l := listen(t)
+	w := NewWatcher(l.Addr().String(), 0, of(1, false))
+	s := run(t, w)
+	w.Subscribe()
+	c := accepted(t, l)
+	faults := []string{
+		member("s-2", "resting"), `{"host_port":"h:1","phase":"in_service"}`, `null`, `7`,
+		strings.Replace(member("s-3", "in_service"), "1.0", `"large"`, 1),
+		strings.Replace(member("s-4", "in_service"), `_ms":0`, `_ms":1e300`, 1),
+	}
+	fmt.Fprint(c, head, list(41, true, append(faults, member("s-1", "in_service"), member("s-5", "terminating"))...))
+	require.Equal(t, map[string]decide.WorkerState{"s-1": decide.Ready, "s-5": decide.Draining}, states(s.next(t)))
+	require.EqualError(t, <-s.faulty, `list: member 0, "s-2": unknown phase "resting"`)
+	require.EqualError(t, <-s.faulty, `list: member 1: no id`)
+	for range mostTold - 2 {
+		var entry *EntryError
+		require.ErrorAs(t, <-s.faulty, &entry)
+	}
+	require.EqualError(t, <-s.faulty, `list: 2 more members that cannot be read`)
+
+	// s-1 is listed, though nobody can tell as what: it stays what it was. s-9 was never there.
+	fmt.Fprint(c, list(42, true, member("s-1", "resting"), member("s-9", "resting"), member("s-6", "in_service")))
+	require.Equal(t, map[string]decide.WorkerState{"s-1": decide.Ready, "s-6": decide.Ready}, states(s.next(t)))
+	fmt.Fprint(c, list(43, false, member("s-1", "resting"), member("s-6", "terminating")))
+	require.Equal(t, map[string]decide.WorkerState{"s-6": decide.Draining}, states(s.next(t)))
+	require.Empty(t, s.lost, "the watch goes on")
+}
+
+// A faulty entry in the configuration stops the start and is named.
+func TestFaultyEntryOfAKnownList(t *testing.T) {
+	_, err := ParseList([]byte(`{"revision":1,"complete":true,"members":[` + member("s-1", "in_service") + `,` + member("s-2", "resting") + `]}`))
+	require.EqualError(t, err, `list: member 1, "s-2": unknown phase "resting"`)
+}
+
+// A list that comes late, behind a newer one, used to bring an encoder back that was gone.
+func TestOlderListOnAWatchIsPassedOver(t *testing.T) {
+	l := listen(t)
+	w := NewWatcher(l.Addr().String(), 0, of(1, false))
+	s := run(t, w)
+	w.Subscribe()
+	c := accepted(t, l)
+	fmt.Fprint(c, head, list(41, true, member("s-1", "in_service"), member("s-2", "in_service")))
+	fmt.Fprint(c, list(43, false, member("s-1", "terminated")))
+	fmt.Fprint(c, list(42, true, member("s-1", "in_service"), member("s-2", "in_service")))
+	fmt.Fprint(c, list(43, false, member("s-2", "terminating"))) // more of the same revision
+	for _, want := range []map[string]decide.WorkerState{
+		{"s-1": decide.Ready, "s-2": decide.Ready}, {"s-1": decide.Gone}, {"s-2": decide.Draining},
+	} {
+		require.Equal(t, want, states(s.next(t)))
+	}
+	var older *OlderListError
+	require.ErrorAs(t, <-s.faulty, &older)
+	require.Equal(t, OlderListError{Revision: 42, Last: 43}, *older)
+	require.Empty(t, s.lost)
+	c.Close()
+	<-s.lost
+	w.Subscribe()
+	c = accepted(t, l) // a watch that begins may tell of an earlier revision: discovery has begun anew
+	fmt.Fprint(c, head, list(1, true, member("s-1", "in_service")))
+	require.EqualValues(t, 1, s.next(t).Revision)
+}
+
+// An older list is no news: what it brings is as old as the last that counted, and the watch is opened anew by then.
+func TestOlderListsKeepNoWatchAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWatcher("h:1", 0, of(300, false))
+		calls := table(t, w)
+		s := run(t, w)
+		w.Subscribe()
+		c := <-calls
+		c.Write([]byte(head + list(43, true, member("s-1", "in_service"))))
+		<-s.listed
+		told := time.Now()
+		for len(calls) == 0 && time.Since(told) < time.Minute {
+			c.Write([]byte(list(42, true, member("s-1", "in_service"))))
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		require.LessOrEqual(t, (<-calls).at.Sub(told), 5*time.Second)
+		require.Empty(t, s.listed)
+	})
+}
+
+// Blanks before a list used to be kept until it came, without a bound.
+func TestBlanksAreNotKept(t *testing.T) {
+	blanks := strings.Repeat(" \t\r\n", 1<<20)
+	w := NewWatcher("h:1", 0, of(1, false))
+	body := io.MultiReader(strings.NewReader(blanks), strings.NewReader(drained))
+	text, err := io.ReadAll(&objects{in: body, w: w, sink: newManyBeats(), empty: true})
+	require.NoError(t, err)
+	require.Equal(t, drained, string(bytes.TrimSpace(text)))
+	require.Len(t, text, len(drained))
+}
+
+// manyBeats takes any number of beats.
+type manyBeats struct{ sink }
+
+func newManyBeats() manyBeats { return manyBeats{newSink()} }
+
+func (manyBeats) Alive() {}
+
+// A want of descriptors here says nothing of discovery: a new process must not take it for one that nobody reaches. The
+// loss says how long ago the call was made, whoever made it.
+func TestWantOfDescriptorsIsNotNobody(t *testing.T) {
+	for _, tt := range []struct {
+		errno  syscall.Errno
+		nobody bool
+	}{
+		{syscall.ECONNREFUSED, true}, {syscall.EHOSTUNREACH, true}, {syscall.ETIMEDOUT, true},
+		{syscall.EMFILE, false}, {syscall.ENFILE, false}, {syscall.ENOBUFS, false}, {syscall.EADDRNOTAVAIL, false},
+	} {
+		t.Run(tt.errno.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWatcher("h:1", 0, of(3, false))
+				w.dial = func(context.Context, string, time.Time) (net.Conn, error) {
+					time.Sleep(700 * time.Millisecond)
+					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", tt.errno)}
+				}
+				s := run(t, w)
+				w.Subscribe()
+				for range 3 { // the later ones are the clock's
+					err := <-s.lost
+					require.Equal(t, tt.nobody, errors.Is(err, ErrNobody), err)
+					require.Equal(t, 700*time.Millisecond, err.(lostWatch).after)
+				}
+			})
+		})
+	}
+}
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -2,16 +2,17 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"caperrelay/decide"
@@ -21,7 +22,8 @@
 )
 
 const (
-	maxObject = 4 << 20               // bytes of one list, with the blanks before it
+	maxObject = 4 << 20               // bytes of one list
+	mostTold  = 4                     // faulty entries of one list that are told of, one by one
 	pace      = 20 * time.Millisecond // a dispatcher, at which the fleet's calls for one cause are spread; as in decide
 	slack     = 10 * time.Millisecond // by which a timer may be early
 )
@@ -29,6 +31,13 @@
 // ErrNobody says that a call has reached nobody: it has cost the service nothing.
 var ErrNobody = errors.New("nobody reached")
 
+// OlderListError says that a list is older than one before it on the same watch.
+type OlderListError struct{ Revision, Last int64 }
+
+func (e *OlderListError) Error() string {
+	return fmt.Sprintf("list: revision %d behind %d on one watch", e.Revision, e.Last)
+}
+
 // Sink takes what discovery tells. Its calls come from one goroutine and in order.
 type Sink interface {
 	// Listed takes a list as it was read.
@@ -38,11 +47,13 @@
 	// Silent: the watch, or the call for one, has fallen silent, for the nth time in a row from 1, and is made anew
 	// right now.
 	Silent(n int, err error)
-	// Lost: the watch, or the call for one, has failed. The table stays as it was.
-	Lost(error)
+	// Lost: the watch, or the call for one, has failed, so long after the call was made. The list stays as it was.
+	Lost(err error, after time.Duration)
+	// Faulty: an entry of a list, or a list, is passed over. The watch goes on.
+	Faulty(error)
 }
 
-// Watcher keeps a watch on the name table's changes. When it calls goes by its [listclock.Clock], and by Subscribe.
+// Watcher keeps a watch on the changes of discovery's list. When it calls goes by its [listclock.Clock], and by Subscribe.
 type Watcher struct {
 	start  time.Time // of the clock
 	wanted chan struct{}
@@ -53,6 +64,8 @@
 	clock    *listclock.Clock
 	address  string
 	revision int64
+	called   time.Duration      // when the last call was made
+	table    dispatch.Table     // as told, of the watch's goroutine
 	leave    context.CancelFunc // ends the watch that is on
 	rested   bool               // the watch that is on was ended by Rest
 	answered bool               // the call for it succeeded
@@ -97,6 +110,13 @@
 
 func (w *Watcher) now() time.Duration { return time.Since(w.start) }
 
+// since is how long ago the last call was made.
+func (w *Watcher) since() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now() - w.called
+}
+
 func nudge(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -179,7 +199,7 @@
 			silent++
 			sink.Silent(silent, err)
 		case lost:
-			sink.Lost(err)
+			sink.Lost(err, w.since())
 		}
 	}
 }
@@ -214,7 +234,8 @@
 	if again && w.rested {
 		return "", 0, false
 	}
-	w.clock.Called(w.now(), 0, rand.Float64())
+	w.called = w.now()
+	w.clock.Called(w.called, 0, rand.Float64())
 	w.leave, w.rested, w.answered = leave, false, false
 	return w.address, w.revision, true
 }
@@ -261,6 +282,13 @@
 	}
 }
 
+// passedOver tells the clock that what came was no news.
+func (w *Watcher) passedOver() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clock.PassedOver(w.now())
+}
+
 // beat tells the clock that nothing has changed.
 func (w *Watcher) beat() {
 	w.mu.Lock()
@@ -278,6 +306,9 @@
 
 func (w *Watcher) watch(ctx context.Context, sink Sink, address string, revision int64) error {
 	conn, err := w.dial(ctx, address, w.deadline())
+	if scarce(err) {
+		return fmt.Errorf("no descriptor for a call: %w", err)
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNobody, err)
 	}
@@ -305,9 +336,20 @@
 	return w.read(sink, body)
 }
 
+// scarce tells whether this machine or process had too little for a call: that says nothing of whom it was for.
+func scarce(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
+
 // read reads lists until the watch ends. Each is a JSON value, on one line or on many.
 func (w *Watcher) read(sink Sink, body io.Reader) error {
-	in := &objects{in: body, w: w, sink: sink}
+	in := &objects{in: body, w: w, sink: sink, empty: true}
+	last := int64(math.MinInt64)
 	for values := json.NewDecoder(in); ; {
 		var text json.RawMessage
 		if err := values.Decode(&text); errors.Is(err, io.EOF) {
@@ -315,20 +357,40 @@
 		} else if err != nil {
 			return err
 		}
-		l, err := ParseList(text)
+		l, faulty, err := readList(text)
 		if err != nil {
 			return err
 		}
-		w.told(l.Revision)
 		rest, err := io.ReadAll(values.Buffered())
 		if err != nil {
 			return err
 		}
+		if l.Revision < last {
+			w.passedOver()
+			in.next(rest)
+			sink.Faulty(&OlderListError{Revision: l.Revision, Last: last})
+			continue
+		}
+		last = l.Revision
+		w.told(last)
 		in.next(rest)
+		report(sink, faulty)
+		l = keep(l, faulty, w.table.Members())
+		w.table.Take(l)
 		sink.Listed(l)
 	}
 }
 
+// report tells of the entries of a list that are passed over, the first ones one by one.
+func report(sink Sink, faulty []*EntryError) {
+	for _, f := range faulty[:min(len(faulty), mostTold)] {
+		sink.Faulty(f)
+	}
+	if more := len(faulty) - mostTold; more > 0 {
+		sink.Faulty(fmt.Errorf("list: %d more members that cannot be read", more))
+	}
+}
+
 // signs tells the clock of each sign of life on a connection, and goes by its patience.
 type signs struct {
 	net.Conn
@@ -350,36 +412,66 @@
 	return n, err
 }
 
-// objects passes a watch's body on and tells blanks between lists, which are its beat, from those inside.
+// objects passes a watch's body on without what stands between lists, and tells the empty lines there, which are the
+// beat of the watch. Blanks inside a list, or on the line that it ends on, are none.
 type objects struct {
-	in   io.Reader
-	w    *Watcher
-	sink Sink
-	size int // of the list that has begun; 0: none has
+	in    io.Reader
+	w     *Watcher
+	sink  Sink
+	size  int  // of the list that has begun; 0: none has
+	empty bool // nothing has come on the line that is being read
 }
 
 func (o *objects) Read(p []byte) (int, error) {
-	n, err := o.in.Read(p)
-	if o.take(p[:n]); n > 0 && o.size == 0 {
+	for {
+		n, err := o.in.Read(p)
+		text := o.take(p[:n])
+		if o.size > maxObject {
+			return 0, fmt.Errorf("a list of over %d bytes", maxObject)
+		}
+		if len(text) > 0 || err != nil {
+			return copy(p, text), err
+		}
+	}
+}
+
+// next says that a list is whole, and what came with it of the next.
+func (o *objects) next(rest []byte) {
+	o.size, o.empty = 0, false
+	o.take(rest)
+}
+
+// take returns what is not between lists.
+func (o *objects) take(text []byte) []byte {
+	if o.size > 0 {
+		o.size += len(text)
+		return text
+	}
+	text, beats := o.between(text)
+	if beats {
 		o.w.beat()
 		o.sink.Alive()
 	}
-	if o.size > maxObject {
-		return 0, fmt.Errorf("a list of over %d bytes", maxObject)
+	if len(text) > 0 {
+		o.w.mu.Lock()
+		o.w.clock.Begun(o.w.now())
+		o.w.mu.Unlock()
 	}
-	return n, err
+	o.size = len(text)
+	return text
 }
 
-// next says that a list is whole, and what came with it of the next.
-func (o *objects) next(rest []byte) { o.size = 0; o.take(rest) }
-
-func (o *objects) take(text []byte) {
-	if o.size == 0 {
-		if text = bytes.TrimLeft(text, " \t\r\n"); len(text) > 0 {
-			o.w.mu.Lock()
-			o.w.clock.Begun(o.w.now())
-			o.w.mu.Unlock()
+// between returns the text from the next list on, and whether an empty line stands before it.
+func (o *objects) between(text []byte) (rest []byte, beats bool) {
+	for i, c := range text {
+		switch c {
+		case '\n':
+			beats = beats || o.empty
+			o.empty = true
+		case ' ', '\t', '\r':
+		default:
+			return text[i:], beats
 		}
 	}
-	o.size += len(text)
+	return nil, beats
 }
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -201,8 +201,13 @@
 	}
 }
 
-// Lost takes the end of a watch.
-func (p *Program) Lost(err error) {
+// Faulty takes that a list, or an entry of one, is passed over.
+func (p *Program) Faulty(err error) {
+	p.log.Error("list from discovery", "err", err)
+}
+
+// Lost takes the end of a watch, or of a call for one that was made so long before.
+func (p *Program) Lost(err error, after time.Duration) {
 	p.notReached(err)
 	if p.shared() {
 		p.log.Debug("watch on discovery lost", "err", err)
@@ -210,5 +215,5 @@
 		return
 	}
 	p.log.Warn("watch on discovery lost", "err", err)
-	p.loop.ListLost(errors.Is(err, discovery.ErrNobody))
+	p.loop.ListLost(errors.Is(err, discovery.ErrNobody), after)
 }
