Members take part from the start on: no daemon calls for the list by itself first

Cause: since a new process serves only once discovery has told, the members part, which opened at Serving, came into force after each daemon's own first watch (full/members.go); eight daemons so made eight calls and the four watchers four more, 12 at the least. It opens at Starting now, its first try to listen is made before Open returns, and the loop's first call is then the sharer's.

--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -426,8 +426,13 @@
 	}
 }
 
-// worstWindow is the most work sent to a cold encoder in a window of the rule, by its budget at the window's start.
-func (m *mass) worstWindow(e *massEncoder) (worst float64) {
+// window is the most that a cold encoder is sent in a window of the rule, against what it bears then.
+type window struct {
+	ofN    float64 // by what the settings allow it, N
+	ofPage float64 // by N + 2 x root of N + 2 requests of mean work, at which it falls
+}
+
+func (m *mass) worstWindow(e *massEncoder) (worst window) {
 	rules := m.settings.Rules
 	for i, first := range e.got {
 		if e.warmth(first.at) >= 1 {
@@ -439,8 +444,10 @@
 				work += g.work
 			}
 		}
-		budget := rules.FallMultiple * float64(e.slots) * e.speed * e.warmth(first.at) * rules.FallWindow.Seconds()
-		worst = max(worst, work/budget)
+		got := work / massMeanWork
+		n := rules.FallMultiple * float64(e.slots) * e.speed * e.warmth(first.at) * rules.FallWindow.Seconds() / massMeanWork
+		worst.ofN = max(worst.ofN, got/n)
+		worst.ofPage = max(worst.ofPage, got/(n+2*math.Sqrt(n)+2))
 	}
 	return worst
 }
@@ -507,7 +514,7 @@
 					continue
 				}
 				cold++
-				x := m.worstWindow(e)
+				x := m.worstWindow(e).ofN
 				if worst = max(worst, x); x > 1 {
 					over++
 				}
@@ -540,3 +547,60 @@
 		fleets, cold, over, near, worst, served, m.served[0]/m.asked[0], m.served[1]/m.asked[1], float64(m.sends)/float64(m.firsts),
 		float64(m.fetched[0])/float64(m.begun[0]), float64(m.crossed)/float64(m.firsts))
 }
+
+// TestColdEncodersBearAllDispatchers: what all dispatchers of a fleet together send to an encoder that has just started
+// stays within N + 2 x root of N + 2 requests of mean work, in fleets of few, of twenty to thirty and of many, with most
+// dispatchers restarted in the middle. -mass draws over 1,700 encoders of each sort.
+func TestColdEncodersBearAllDispatchers(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		least, most   int // dispatchers
+		encoders      func(dispatchers, seed int) int
+		fleets, whole int
+	}{
+		{"few", 3, 6, func(n, seed int) int { return 2*n + seed%7 }, 8, 360},
+		{"twenty to thirty", 20, 30, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 8, 300},
+		{"many", 40, 120, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 4, 100},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			fleets := tt.fleets
+			if *whole {
+				fleets = tt.whole
+			}
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			turns := make(chan bool, runtime.GOMAXPROCS(0))
+			cold, over, worst := 0, 0, 0.0
+			asked, served := 0.0, 0.0
+			for seed := range fleets {
+				all.Go(func() {
+					turns <- true
+					defer func() { <-turns }()
+					dispatchers := tt.least + seed*7%(tt.most-tt.least+1)
+					m := newMass(uint64(seed)+5000, dispatchers, tt.encoders(dispatchers, seed), 1+seed%3)
+					m.after(4*time.Second, m.renew)
+					m.after(9*time.Second, m.restart)
+					m.play(16*time.Second, func(time.Duration) float64 { return 0.6 + 0.05*float64(seed%7) })
+					mu.Lock()
+					defer mu.Unlock()
+					asked, served = asked+m.asked[0]+m.asked[1], served+m.served[0]+m.served[1]
+					for _, e := range m.all {
+						if e.Started == 0 {
+							continue
+						}
+						cold++
+						x := m.worstWindow(e).ofPage
+						if worst = max(worst, x); x > 1 {
+							over++
+						}
+					}
+				})
+			}
+			all.Wait()
+			t.Logf("%d of %d cold encoders over, the worst %.2f times; served %.3f", over, cold, worst, served/asked)
+			if over > 0 {
+				t.Errorf("%d of %d cold encoders were sent more than they bear, the worst %.2f times as much", over, cold, worst)
+			}
+		})
+	}
+}
--- a/internal/full/members.go
+++ b/internal/full/members.go
@@ -33,8 +33,8 @@
 
 func (a *among) Phase(ctx context.Context, p program.Phase) error {
 	switch p {
-	case program.Serving, program.Quiescing, program.Quiesced:
-		a.Open(ctx)
+	case program.Starting, program.Serving, program.Quiescing, program.Quiesced:
+		a.Open(ctx) // from the start on: a process that waits for its list is not to call for it by itself
 	case program.Yielded, program.Stopped:
 		a.Close()
 	}
--- a/internal/net/members/members.go
+++ b/internal/net/members/members.go
@@ -92,15 +92,18 @@
 	return &Server{o: o, lists: lists, log: logger, sends: make(chan struct{}, mostSends)}
 }
 
-// Open begins: it listens as soon as the address is free, which an older process may still have.
+// Open begins: it listens at once, or as soon as the address is free, which an older process may still have. Where it
+// listens at once, it is in force when Open returns.
 func (s *Server) Open(ctx context.Context) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.cancel != nil {
+		s.mu.Unlock()
 		return
 	}
 	ctx, s.cancel = context.WithCancel(ctx)
-	go s.run(ctx)
+	s.mu.Unlock()
+	err := s.open(ctx)
+	go s.run(ctx, err)
 }
 
 // Close ends it. Others find out by themselves: the address may be the next process's already.
@@ -158,21 +161,26 @@
 	}
 }
 
-func (s *Server) run(ctx context.Context) {
-	for every := time.NewTicker(openEvery); ; <-every.C {
-		err := s.open(ctx)
-		if err == nil {
-			every.Stop()
-			break
-		}
+// await opens as soon as the address is free, after a first try that failed or not; false: the context has ended.
+func (s *Server) await(ctx context.Context, err error) bool {
+	every := time.NewTicker(openEvery)
+	defer every.Stop()
+	for ; err != nil; err = s.open(ctx) {
 		s.log.Debug("members: address not free", "listen", s.o.Listen, "err", err)
 		select {
 		case <-ctx.Done():
-			every.Stop()
-			return
-		default:
+			return false
+		case <-every.C:
 		}
 	}
+	return ctx.Err() == nil
+}
+
+// run takes part until the context ends, after a first try to open.
+func (s *Server) run(ctx context.Context, opened error) {
+	if !s.await(ctx, opened) {
+		return
+	}
 	s.lists.Watch(false) // what was begun alone; roles are taken from now on
 	looked := time.Time{}
 	for every := time.NewTicker(tick); ; {
