--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,6 +21,7 @@
 	progressSlack = 1.5     // progress intervals without a note that mean standing still
 	maxStrikes    = 6       // doublings of the readmission backoff
 	coldShare     = 0.5     // part of the cold budget that is used at all
+	coldLength    = 1.25    // of what a dispatcher's turn there is for, that a job may last
 	speedMemory   = 64.0    // jobs that a worker's speed is judged on
 	speedPrior    = 8.0     // jobs of its kind that a worker's own speed must outweigh at most,
 	sizePrior     = 2.0     // jobs that must be outweighed before a worker's size is reckoned from their runs
@@ -598,7 +599,7 @@
 	for d.now-w.coldNext > window && !w.owed {
 		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
-	fits := r.Slots*r.c.wary() <= max(d.plan(w)*d.warmth(w)*window.Seconds()/2, 2*unit)
+	fits := r.Slots*r.c.wary() <= max(d.plan(w)*d.warmth(w)*window.Seconds()/2, coldLength*unit)
 	return d.now >= w.coldNext && place >= 0 && fits
 }
 
--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -550,7 +550,7 @@
 
 // TestColdEncodersBearAllDispatchers: what all dispatchers of a fleet together send to an encoder that has just started
 // stays within N + 2 x root of N + 2 requests of mean work, in fleets of few, of twenty to thirty and of many, with most
-// dispatchers restarted in the middle. -mass draws over 1,700 encoders of each sort.
+// dispatchers restarted in the middle. -mass draws about 1,700 encoders or more of each sort.
 func TestColdEncodersBearAllDispatchers(t *testing.T) {
 	for _, tt := range []struct {
 		name          string
@@ -559,7 +559,7 @@
 		fleets, whole int
 	}{
 		{"few", 3, 6, func(n, seed int) int { return 2*n + seed%7 }, 8, 360},
-		{"twenty to thirty", 20, 30, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 8, 300},
+		{"twenty to thirty", 20, 30, func(n, seed int) int { return n * (1 + seed%6) / 10 }, 8, 500},
 		{"many", 40, 120, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 4, 100},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/fleetmodel/encoder.go
+++ b/internal/fleetmodel/encoder.go
@@ -95,7 +95,7 @@
 	// As many requests of mean work as the budget has, and some slack for chance.
 	mean := e.w.d.mean()
 	n := rules.FallMultiple * e.Slots * e.Speed * e.warmth() * rules.FallWindow.Seconds() / mean
-	if sum/mean <= n+3*math.Sqrt(n)+3 {
+	if sum/mean <= n+2*math.Sqrt(n)+2 {
 		return
 	}
 	e.w.result.Fallen++
