A give-up under way at a hand-over keeps its encoder from a second attempt

The older process does not tell of the encoder's answer, so the newer one sends that request to other encoders only.

--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -42,6 +42,7 @@
 	N        int
 	Taken    bool // by the instance, else it has ended:
 	Unusable bool
+	Leaving  bool // it has ended here, and the encoder may have it yet
 	Outcome  decide.Outcome
 	Kept     time.Duration
 	Report   *decide.Report `json:",omitempty"`
@@ -200,10 +201,8 @@
 			Command: h.Command, Instance: t.Instance, N: n, Deadline: t.Deadline, request: h.request,
 			over: t.Over, taken: t.Taken, elsewhere: !t.Over && !t.Taken,
 		}
-		if h.attempts = append(h.attempts, a); t.Leaving { // no word of it will come: give-ups are over by then
-			a.leaving.Store(true)
-			l.timers.At(time.Now().Add(leavingMost), a.Confirmed)
-		}
+		h.attempts = append(h.attempts, a)
+		a.leaving.Store(t.Leaving) // for good: the older process does not tell of the encoder's answer
 		if !a.over {
 			h.out++
 			l.timers.Start(&a.deadline, a.Deadline, func() { l.expire(a) })
@@ -211,9 +210,6 @@
 	}
 }
 
-// leavingMost is how long a give-up may be on its way.
-const leavingMost = time.Second
-
 // Became takes what has become of an attempt that went out from an older process.
 func (l *Loop) Became(f Fate) {
 	l.post(func(l *Loop) {
@@ -226,6 +222,9 @@
 			return
 		}
 		a := h.attempts[f.N]
+		if f.Leaving {
+			a.Leaving()
+		}
 		switch a.elsewhere, a.kept, a.report = false, f.Kept, f.Report; {
 		case f.Taken:
 			l.taken(a)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -92,6 +92,46 @@
 	require.Len(t, f.sent, 2)
 }
 
+// A give-up that is on its way while the request changes hands, or an attempt whose answer was spoilt after that, keeps the
+// newer process from a second attempt there: it hears of no answer, however long it waits.
+func TestNoSecondAttemptWhileTheFirstIsLeavingElsewhere(t *testing.T) {
+	for name, leave := range map[string]struct{ before, after func(older *Loop, a *Attempt) }{
+		"given up before": {before: func(older *Loop, a *Attempt) { older.cancel(decide.Cancel{Request: a.request}) }},
+		"spoilt after": {after: func(older *Loop, a *Attempt) {
+			a.Leaving()
+			older.Ended(a, decide.Reset, 0)
+		}},
+	} {
+		older, f, _ := begin(t)
+		l, first := loop(t, f), f.sent[0]
+		older.Listed(List{Members: []Member{{ID: "s-1", State: decide.Draining}}}, true) // so that it waits with the older
+		older.batch()
+		if leave.before != nil {
+			leave.before(older, first)
+		}
+		older.Yield(func(given Handed) bool {
+			given.Commands[0].Client = &client{}
+			l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}, {ID: "s-2", State: decide.Ready}}}, true)
+			l.Relieve(given)
+			return true
+		})
+		older.batch()
+		if leave.after != nil {
+			leave.after(older, first)
+			older.batch()
+			l.Became(f.became[0])
+		}
+		l.batch()
+		l.timers.Fire(time.Now().Add(time.Minute)) // longer than any give-up is on its way
+		request := l.ids["c1"].request
+		for _, id := range []string{"s-1", "s-2"} { // the second perhaps once more
+			l.send(decide.Send{Request: request, Worker: l.number(id)}, time.Now())
+		}
+		require.Len(t, f.sent, 2, name)
+		require.Equal(t, "s-2", f.sent[1].Instance, name)
+	}
+}
+
 // A client went while an attempt still waited for its connection, and where nothing is called off that was sent all the same.
 func TestNothingIsSentForWhoHasGone(t *testing.T) {
 	for name, over := range map[string]func(*Loop, *Attempt){
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -15,7 +15,7 @@
 	l.post(func(l *Loop) {
 		switch {
 		case l.yielded:
-			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Outcome: o, Kept: kept, Report: a.report})
+			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Leaving: a.leaving.Load(), Outcome: o, Kept: kept, Report: a.report})
 		case !a.over:
 			a.kept = kept
 			l.end(a, o)
