Tell hangs from queues: what attempts lately took to start counts on top

At fault: watch in decide.go takes a job for hung after four runs without a sign of life, and among many dispatchers one hears nothing of an encoder at which it has one job. Ruled out: refusals and lost connections (under a tenth), the share for queued jobs (it does not bind hung ones).

Change: twice what the last 16 starts took, in the mean, counts on top of the four runs. TestQueueOfOthersIsNoHang fails without it (30 moves of 40).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -35,7 +35,8 @@
 	muchWorth     = 1.2     // times the mean class's, above which a request does not wait for a token
 	mostTokens    = 4.0     // saved up, so that a seldom used dispatcher need not wait for the next
 	leastAdmitted = 0.25    // always let out
-	hungRuns      = 4       // typical runs without a sign of life from its worker that a job may take
+	hungRuns      = 4       // typical runs without a sign of life from its worker that a job may take,
+	hungStarts    = 2       // on top of so many times what attempts lately took to start: a queue is no hang
 	freshMemory   = 4.0     // first jobs at workers not known that those to come are judged by
 	freshProbes   = 4       // probes that such a one may leave unanswered before it gets a trial
 	freshDoubt    = 0.5     // and the share that came to nothing from which on they are in doubt
@@ -767,8 +768,7 @@
 	if d.s.Rules.warmth(a.sent-w.Started) >= 1 { // what was late at a cold one says nothing of it warm: few would go back
 		w.late.add(!prompt, lateMemory)
 	}
-	d.learned++
-	d.sawSetup(a, delay-d.late)
+	d.sawStart(a, delay-d.late)
 	if prompt {
 		if !a.fresh && (w.lead == 0 || delay < w.lead) {
 			w.lead = delay
@@ -1076,7 +1076,7 @@
 			d.do(Cancel{Request: r.ID, Attempt: i})
 			continue
 		}
-		hung := d.now-a.sent-d.late > max(r.c.Aim, hungRuns*r.c.typical()) && a.w.lived < a.sent // no life since
+		hung := d.now-a.sent-d.late > max(r.c.Aim, hungRuns*r.c.typical()+hungStarts*d.usualStart()) && a.w.lived < a.sent // no life since
 		if d.s.TellsStart && !a.started && d.now-a.sent > d.grace(r, a) {
 			first := !a.queued
 			if a.queued = true; first {
--- a/decide/moves_test.go
+++ b/decide/moves_test.go
@@ -67,6 +67,32 @@
 	require.Positive(t, w.d.workers[first].strikes)
 }
 
+// TestQueueOfOthersIsNoHang: among many dispatchers one has a job or two at a worker, and hears nothing of it while those of
+// others run. Where jobs queued for longer than four runs each counted as hung and was moved, so that it ran twice.
+func TestQueueOfOthersIsNoHang(t *testing.T) {
+	s := site(1, true, false, false)
+	s.Classes[0].LateWorth = 0.5
+	w := fleet(t, s, 40)
+	moves := 0
+	for n := range 60 {
+		w.now += 10 * ms
+		_, j := w.place(0)
+		for range 40 { // its worker is at work for others
+			w.now += 10 * ms
+			w.handle(Wake{})
+		}
+		if n >= 20 && len(j.tries) > 1 {
+			moves++
+		}
+		for try := range j.tries { // what is called off runs all the same
+			w.handle(JobStarted{j.ID, try})
+		}
+		w.now += 20 * ms
+		w.handle(w.end(j, len(j.tries)-1, OK, nil))
+	}
+	require.LessOrEqual(t, moves, 2)
+}
+
 // TestCeilingGrowsForLargeJobs: a job of two slots at a ceiling of three leaves no room for another. Its prompt start, or
 // end where starts are not told, once said nothing: such jobs went one at a time for ever.
 func TestCeilingGrowsForLargeJobs(t *testing.T) {
--- a/decide/retune.go
+++ b/decide/retune.go
@@ -69,6 +69,7 @@
 	*c = *d.classes[i]
 	if !c.SameJobs(to) {
 		c.run, c.logRun, c.jobs, c.budget, c.errs = 0, 0, 0, 0, tally{N: errMemory}
+		d.starts = average{} // of queues of those jobs
 		for _, w := range d.workers {
 			w.errs[i], w.refusals[i] = tally{N: 3}, refusal{}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -191,6 +191,7 @@
 	waiting, running      int     // attempts out in a worker's queue, and at work, at the last sweep
 	toldAll, peersAt      time.Duration
 	setups                [4]time.Duration // what the last new connections added to a job's start
+	starts                average          // seconds from attempts' sending to their start
 	openOnly              bool             // in the pick at hand: only workers with an idle connection
 	confirms              bool             // workers tell at once that they have an attempt
 	silent                time.Duration    // kept connections may carry nothing until then
@@ -464,6 +465,29 @@
 	}
 }
 
+// sawStart takes how long after its sending an attempt was started.
+func (d *Dispatcher) sawStart(a *attempt, delay time.Duration) {
+	d.learned++
+	d.starts.add(delay.Seconds())
+	d.sawSetup(a, delay)
+}
+
+// usualStart is how long after its sending an attempt is started lately, wherever it went.
+func (d *Dispatcher) usualStart() time.Duration {
+	return time.Duration(d.starts.mean * float64(time.Second))
+}
+
+// average is a mean that follows the last few values.
+type average struct{ mean, n float64 }
+
+// averageMemory is how many of them.
+const averageMemory = 16.0
+
+func (a *average) add(value float64) {
+	a.n = min(a.n+1, averageMemory)
+	a.mean += (value - a.mean) / a.n
+}
+
 func (d *Dispatcher) sawSetup(a *attempt, delay time.Duration) {
 	if a.fresh {
 		copy(d.setups[1:], d.setups[:])
