--- a/decide/state.go
+++ b/decide/state.go
@@ -508,11 +508,9 @@
 	return r.ColdFrom + (1-r.ColdFrom)*float64(age)/float64(r.Cold)
 }
 
-// plan is the part of the rule's budget for a worker that is planned, once it is warm: seconds of usual runs a second. A
-// slow one bears less of them than it has slots; that one is fast is not counted on.
+// plan is the part of the rule's budget for a worker that is planned, once it is warm: slot seconds a second.
 func (d *Dispatcher) plan(w *worker) float64 {
-	speed := min(1, math.Exp(-d.slowness(w)))
-	return coldShare * d.s.Rules.FallMultiple * d.size(w) * speed
+	return coldShare * d.s.Rules.FallMultiple * d.size(w)
 }
 
 // lasts is how long after its aim a request's job may still start and end in time. It counts only for what
