--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -26,6 +26,7 @@
 	list     []Worker
 	settings Settings
 	fetch    time.Duration
+	kinds    []massKind
 	// Worth asked for and served in time, jobs begun and those that fetched, by class; first tries, sends, crossings.
 	asked, served          [2]float64
 	begun, fetched         [2]int
@@ -108,9 +109,26 @@
 
 const massHop = time.Millisecond
 
+// massKind is a kind of encoder.
+type massKind struct {
+	slots int
+	speed float64
+}
+
+// massKinds are those of the site; massShares says how common each is.
+var (
+	massKinds  = []massKind{{4, 1.6}, {3, 0.97}, {5, 0.6}}
+	massShares = []int{0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 2}
+)
+
 // newMass draws a deployment of so many dispatchers and encoders in so many zones.
 func newMass(seed uint64, dispatchers, encoders, zones int) *mass {
-	m := &mass{rng: rand.New(rand.NewPCG(seed, 9)), now: time.Hour, encoders: map[uint32]*massEncoder{}}
+	return newMassOf(massKinds, seed, dispatchers, encoders, zones)
+}
+
+// newMassOf draws one of other kinds of encoder.
+func newMassOf(kinds []massKind, seed uint64, dispatchers, encoders, zones int) *mass {
+	m := &mass{rng: rand.New(rand.NewPCG(seed, 9)), now: time.Hour, encoders: map[uint32]*massEncoder{}, kinds: kinds}
 	s := site(seed, true, false, false)
 	s.Dispatchers, s.Granularity, s.Progress = dispatchers, 2*ms, time.Second
 	s.Classes = []Class{
@@ -146,10 +164,10 @@
 
 // add has an encoder start, long ago for 0.
 func (m *mass) add(id uint32, zone int, started time.Duration) *massEncoder {
-	kind := [...]int{0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 2}[m.rng.IntN(11)]
+	kind := massShares[m.rng.IntN(len(massShares))]
 	e := &massEncoder{Worker: Worker{ID: id, Zone: zone, Kind: kind, Started: started, State: Ready}}
-	e.slots = []int{4, 3, 5}[kind]
-	e.speed = []float64{1.6, 0.97, 0.6}[kind] * math.Exp(0.15*m.rng.NormFloat64())
+	e.slots = m.kinds[kind].slots
+	e.speed = m.kinds[kind].speed * math.Exp(0.15*m.rng.NormFloat64())
 	e.coldFrom, e.warm = 0.14+0.2*m.rng.Float64(), time.Duration(10+14*m.rng.Float64())*time.Second
 	m.encoders[id] = e
 	m.all = append(m.all, e)
@@ -553,6 +571,7 @@
 	least, most   int // dispatchers
 	encoders      func(dispatchers, seed int) int
 	fleets, whole int // in an ordinary run, and with -mass
+	kinds         []massKind
 }
 
 // TestColdEncodersBearAllDispatchers: what all dispatchers of a fleet together send to an encoder that has just started
@@ -560,16 +579,22 @@
 // restarted in the middle. -mass draws about 1,700 encoders or more of each sort.
 func TestColdEncodersBearAllDispatchers(t *testing.T) {
 	t.Run("twenty to thirty", func(t *testing.T) {
-		drawn{20, 30, func(n, seed int) int { return n * (1 + seed%6) / 10 }, 8, 500}.bear(t)
+		drawn{20, 30, func(n, seed int) int { return n * (1 + seed%6) / 10 }, 8, 500, massKinds}.bear(t)
 	})
 	t.Run("many", func(t *testing.T) {
-		drawn{40, 120, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 4, 100}.bear(t)
+		drawn{40, 120, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 4, 100, massKinds}.bear(t)
 	})
 }
 
 // TestColdEncodersBearFewDispatchers is the same of fleets of three to six.
 func TestColdEncodersBearFewDispatchers(t *testing.T) {
-	drawn{3, 6, func(n, seed int) int { return 2*n + seed%7 }, 8, 360}.bear(t)
+	drawn{3, 6, func(n, seed int) int { return 2*n + seed%7 }, 8, 360, massKinds}.bear(t)
+}
+
+// TestColdEncodersOfUnequalKinds is the same of many dispatchers, where the smallest kind does a quarter of what the largest does.
+func TestColdEncodersOfUnequalKinds(t *testing.T) {
+	kinds := []massKind{{7, 1.3}, {5, 1}, {3, 0.65}}
+	drawn{60, 120, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 4, 100, kinds}.bear(t)
 }
 
 // bear plays the fleets and fails where an encoder was sent more than it bears.
@@ -613,7 +638,7 @@
 // play plays one fleet: a release, most dispatchers killed during it.
 func (d drawn) play(seed int) *mass {
 	dispatchers := d.least + seed*7%(d.most-d.least+1)
-	m := newMass(uint64(seed)+5000, dispatchers, d.encoders(dispatchers, seed), 1+seed%3)
+	m := newMassOf(d.kinds, uint64(seed)+5000, dispatchers, d.encoders(dispatchers, seed), 1+seed%3)
 	m.after(4*time.Second, m.renew)
 	m.after(9*time.Second, m.restart)
 	m.play(16*time.Second, func(time.Duration) float64 { return 0.6 + 0.05*float64(seed%7) })
