--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -498,51 +498,73 @@
 	}
 }
 
-var whole = flag.Bool("mass", false, "play the whole measurement of make prove-mass")
+// release plays a release with most dispatchers killed in the middle.
+func (m *mass) release(seed int) {
+	m.after(4*time.Second, m.renew)
+	m.after(9*time.Second, m.restart)
+	m.play(16*time.Second, func(time.Duration) float64 { return 0.6 + 0.05*float64(seed%7) })
+}
 
-// TestColdEncodersOfManyFleets: releases with most dispatchers restarted in the middle, in fleets of many sizes. A chance
-// in the jobs' lengths is left, so that it is counted how many of the cold encoders meet a window over the rule's
-// budget: with -mass 83 of 1,775 before turns waited for known runs, 14 of 1,786 since. -mass plays a hundred fleets
-// and a calm day of 200 dispatchers.
-func TestColdEncodersOfManyFleets(t *testing.T) {
-	fleets := 8
-	if *whole {
-		fleets = 100
+// started is the encoders that have started since the beginning.
+func (m *mass) started() (all []*massEncoder) {
+	for _, e := range m.all {
+		if e.Started != 0 {
+			all = append(all, e)
+		}
 	}
+	return all
+}
+
+// playAll plays fleets by their seeds, as many at once as there are processors, and has each counted, one at a time.
+func playAll(fleets int, play func(seed int) *mass, count func(*mass)) {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	turns := make(chan bool, runtime.GOMAXPROCS(0))
-	cold, over, near, worst := 0, 0, 0, 0.0
 	for seed := range fleets {
 		all.Go(func() {
 			turns <- true
 			defer func() { <-turns }()
-			dispatchers := 40
-			if *whole {
-				dispatchers = []int{40, 60, 80, 120}[seed%4]
-			}
-			m := newMass(uint64(seed)+100, dispatchers, dispatchers*(4+seed%5)/10, 1+seed%3)
-			m.after(4*time.Second, m.renew)
-			m.after(9*time.Second, m.restart)
-			m.play(16*time.Second, func(time.Duration) float64 { return 0.6 + 0.05*float64(seed%7) })
+			m := play(seed)
 			mu.Lock()
 			defer mu.Unlock()
-			for _, e := range m.all {
-				if e.Started == 0 {
-					continue
-				}
-				cold++
-				x := m.worstWindow(e).ofN
-				if worst = max(worst, x); x > 1 {
-					over++
-				}
-				if x > 0.8 {
-					near++
-				}
-			}
+			count(m)
 		})
 	}
 	all.Wait()
+}
+
+var whole = flag.Bool("mass", false, "play the whole measurement of make prove-mass")
+
+// TestColdEncodersOfManyFleets: releases with most dispatchers restarted in the middle, in fleets of many sizes. A chance
+// in the jobs' lengths is left, so that it is counted how many of the cold encoders meet a window over the rule's
+// budget: with -mass 83 of 1,775 before turns waited for known runs, 14 of 1,786 since. -mass plays a hundred fleets
+// and a calm day of 200 dispatchers.
+func TestColdEncodersOfManyFleets(t *testing.T) {
+	fleets := 8
+	if *whole {
+		fleets = 100
+	}
+	cold, over, near, worst := 0, 0, 0, 0.0
+	playAll(fleets, func(seed int) *mass {
+		dispatchers := 40
+		if *whole {
+			dispatchers = []int{40, 60, 80, 120}[seed%4]
+		}
+		m := newMass(uint64(seed)+100, dispatchers, dispatchers*(4+seed%5)/10, 1+seed%3)
+		m.release(seed)
+		return m
+	}, func(m *mass) {
+		for _, e := range m.started() {
+			cold++
+			x := m.worstWindow(e).ofN
+			if worst = max(worst, x); x > 1 {
+				over++
+			}
+			if x > 0.8 {
+				near++
+			}
+		}
+	})
 	if over*50 > cold {
 		t.Errorf("%d of %d cold encoders met a window over the rule's budget, the worst %.2f times", over, cold, worst)
 	}
@@ -603,32 +625,18 @@
 	if *whole {
 		fleets = d.whole
 	}
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	turns := make(chan bool, runtime.GOMAXPROCS(0))
 	cold, over, worst := 0, 0, 0.0
 	asked, served := 0.0, 0.0
-	for seed := range fleets {
-		all.Go(func() {
-			turns <- true
-			defer func() { <-turns }()
-			m := d.play(seed)
-			mu.Lock()
-			defer mu.Unlock()
-			asked, served = asked+m.asked[0]+m.asked[1], served+m.served[0]+m.served[1]
-			for _, e := range m.all {
-				if e.Started == 0 {
-					continue
-				}
-				cold++
-				x := m.worstWindow(e).ofPage
-				if worst = max(worst, x); x > 1 {
-					over++
-				}
+	playAll(fleets, d.play, func(m *mass) {
+		asked, served = asked+m.asked[0]+m.asked[1], served+m.served[0]+m.served[1]
+		for _, e := range m.started() {
+			cold++
+			x := m.worstWindow(e).ofPage
+			if worst = max(worst, x); x > 1 {
+				over++
 			}
-		})
-	}
-	all.Wait()
+		}
+	})
 	t.Logf("prove mass: %d to %d dispatchers: %d of %d cold encoders over, the worst %.2f times; served %.3f", d.least, d.most, over, cold, worst, served/asked)
 	if over > 0 {
 		t.Errorf("%d of %d cold encoders were sent more than they bear, the worst %.2f times as much", over, cold, worst)
@@ -639,8 +647,6 @@
 func (d drawn) play(seed int) *mass {
 	dispatchers := d.least + seed*7%(d.most-d.least+1)
 	m := newMassOf(d.kinds, uint64(seed)+5000, dispatchers, d.encoders(dispatchers, seed), 1+seed%3)
-	m.after(4*time.Second, m.renew)
-	m.after(9*time.Second, m.restart)
-	m.play(16*time.Second, func(time.Duration) float64 { return 0.6 + 0.05*float64(seed%7) })
+	m.release(seed)
 	return m
 }
