--- a/decide/mass_model_test.go
+++ b/decide/mass_model_test.go
@@ -126,14 +126,12 @@
 	drawn   []float64 // cumulative shares of the traffic
 	keyed   bool      // encoders fetch what a request's key needs
 	kinds   []massKind
+	common  []int // kinds by number, each as often as it is common
 	adjust  func(*Settings)
 }
 
-// massKinds are those of the site; massShares says how common each is.
-var (
-	massKinds  = []massKind{{4, 1.6}, {3, 0.97}, {5, 0.6}}
-	massShares = []int{0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 2}
-)
+// massKinds are those of the site.
+var massKinds = []massKind{{4, 1.6}, {3, 0.97}, {5, 0.6}}
 
 // lectureTerms are the terms of a site with short previews and long publishes.
 func lectureTerms(kinds []massKind) massTerms {
@@ -146,6 +144,7 @@
 		drawn:   []float64{.23, .42, .57, .68, .78, .86, .94, 1},
 		keyed:   true,
 		kinds:   kinds,
+		common:  []int{0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 2},
 		adjust: func(s *Settings) {
 			s.Prices = Prices{CrossZone: 0.1, Waste: 0.3, LateFail: 0.031, Probe: 0.0013}
 			s.Rules.Cold, s.Rules.ColdFrom, s.Rules.DrainGrace = 24*time.Second, 0.14, 750*ms
@@ -206,7 +205,7 @@
 
 // add has an encoder start, long ago for 0.
 func (m *mass) add(id uint32, zone int, started time.Duration) *massEncoder {
-	kind := massShares[m.rng.IntN(len(massShares))]
+	kind := m.terms.common[m.rng.IntN(len(m.terms.common))]
 	e := &massEncoder{Worker: Worker{ID: id, Zone: zone, Kind: kind, Started: started, State: Ready}}
 	e.slots = m.terms.kinds[kind].slots
 	e.speed = m.terms.kinds[kind].speed * math.Exp(0.15*m.rng.NormFloat64())
--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -199,6 +199,34 @@
 	drawn{60, 120, func(n, seed int) int { return n * (4 + seed%5) / 10 }, 4, 100, lectureTerms(kinds)}.bear(t)
 }
 
+// shortJobTerms are the terms of a site with short jobs, three classes of very unequal length and no keys.
+func shortJobTerms() massTerms {
+	return massTerms{
+		classes: []massClass{
+			{Class{Aim: 160 * ms, Stretch: 2.25, Deadline: 2400 * ms, Worth: 7, LateWorth: 0.1, Effect: Unsafe, Kind: Any}, 0.39, 0.1, 0.53},
+			{Class{Aim: 240 * ms, Stretch: 2.5, Deadline: 3600 * ms, Worth: 1, Effect: Safe, Kind: Any}, 0.52, 0.14, 0.75},
+			{Class{Aim: 900 * ms, Stretch: 1.5, Deadline: 14 * time.Second, Worth: 4, LateWorth: 0.35, Effect: Safe, Kind: Any}, 0.09, 0.95, 0.6},
+		},
+		tenants: []float64{.18, .14, .11, .09, .08, .07, .06, .06, .05, .05, .04, .03, .02, .02},
+		drawn:   []float64{.18, .32, .43, .52, .60, .67, .73, .79, .84, .89, .93, .96, .98, 1},
+		kinds:   []massKind{{8, 1.3}, {7, 0.85}, {4, 0.45}},
+		common:  []int{0, 0, 0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 2, 2, 2},
+		adjust: func(s *Settings) {
+			s.Limits.Attempts, s.Limits.SecondCopies = 2, false
+			s.Prices = Prices{CrossZone: 0.06, Waste: 0.2, LateFail: 0.05, Probe: 0.0008}
+			s.Rules.Cold, s.Rules.ColdFrom, s.Rules.DrainGrace = 24*time.Second, 0.14, time.Second
+			s.Rules.FallMultiple, s.Rules.FallWindow = 2.25, 1200*ms
+			s.Limits.ConnIdle, s.Limits.ConnectTimeout = 30*time.Second, 120*ms
+		},
+	}
+}
+
+// TestColdEncodersOfShortJobs is the same of hundreds of dispatchers whose jobs are short and of very unequal length. On
+// sundfahrt-quay an encoder that had started 11.2 s before fell over: it was sent 6.0 times what it could then do.
+func TestColdEncodersOfShortJobs(t *testing.T) {
+	drawn{270, 300, func(n, _ int) int { return n * 55 / 100 }, 2, 12, shortJobTerms()}.bear(t)
+}
+
 // bear plays the fleets and fails where an encoder was sent more than it bears.
 func (d drawn) bear(t *testing.T) {
 	fleets := d.fleets
