--- a/decide/arith.go
+++ b/decide/arith.go
@@ -18,6 +18,9 @@
 	return x ^ x>>31
 }
 
+// uniform is the hash of two numbers as a number between 0 and 1.
+func uniform(a, b uint64) float64 { return (float64(hash(a, b)>>11) + 0.5) / (1 << 53) }
+
 // coprime returns the first number from want up that is co-prime to n.
 func coprime(want, n int) int {
 	for s := max(want, 1); ; s++ {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -166,8 +166,7 @@
 	}
 	d.ordered, d.learned = d.now+d.s.Classes[d.s.First].Aim*time.Duration(1+len(d.fleet)/(4*sortPace)), 0
 	changed := d.stale
-	if d.stale {
-		d.stale = false
+	if d.stale = false; changed {
 		d.fleet = slices.AppendSeq(d.fleet[:0], maps.Values(d.workers))
 		d.fleet = slices.DeleteFunc(d.fleet, func(w *worker) bool {
 			return !w.ready() || w.unlisted && (w.strikes > 0 || w.lived == 0) && !d.outage()
@@ -186,8 +185,7 @@
 			w.retryAt = d.now + d.backoff(d.s.Rules.FallWindow, min(w.probes, maxStrikes))
 			d.do(Probe{Worker: w.ID})
 		}
-		own := (float64(hash(uint64(w.ID), uint64(d.party())+1)>>11) + 0.5) / (1 << 53)
-		slow, size := d.slowness(w), 1.0
+		own, slow, size := uniform(uint64(w.ID), uint64(d.party())+1), d.slowness(w), 1.0
 		if d.s.Rated && w.Rating > 0 {
 			size = w.Rating
 		} else {
@@ -585,11 +583,14 @@
 }
 
 // coldTurn tells whether a cold worker may have a job from here: in turns from the start that the list tells, lest all
-// send when they hear of it. Unused they lapse, lest they burst. Longer jobs wait until two fit the plan.
+// send when they hear of it. Unused they lapse, lest they burst. A job longer than a turn is for waits until two fit the
+// plan, and has a turn as much more seldom: among many dispatchers, no later turn of the same one makes up for it.
 func (d *Dispatcher) coldTurn(w *worker, r *request) bool {
 	place, n := d.turns()
 	half, window := d.s.Rules.Cold/2, d.s.Rules.FallWindow // by half the time to warm up each has had a turn:
-	unit := min(d.longest(), max(d.pace().Seconds(), d.plan(w)*d.part()*half.Seconds()*d.s.Rules.warmth(half/2)))
+	two := d.plan(w) * d.warmth(w) * window.Seconds() / 2
+	used := min(1, float64(len(since(d.taken, d.now-2*window))-1)) // part of the turns: where requests are few, most lapse
+	unit := min(d.longest(), max(d.pace().Seconds(), used*d.usualUpTo(two), d.plan(w)*d.part()*half.Seconds()*d.s.Rules.warmth(half/2)))
 	if w.coldNext == 0 {
 		turn := float64((hash(uint64(w.ID), uint64(w.Started))+uint64(place))%uint64(n)) + 0.5
 		w.coldNext = d.coldAt(w, w.Started, unit*turn/float64(n))
@@ -600,7 +601,8 @@
 	for d.now-w.coldNext > window && !w.owed {
 		w.coldNext = d.coldAt(w, w.coldNext, unit)
 	}
-	fits := r.Slots*r.c.wary() <= max(d.plan(w)*d.warmth(w)*window.Seconds()/2, coldLength*unit)
+	work, luck := r.Slots*r.c.wary(), uniform(hash(uint64(w.ID), uint64(w.coldNext)), uint64(place))
+	fits := work <= max(two, coldLength*unit) && (w.owed || work*used*luck <= coldLength*unit)
 	return d.now >= w.coldNext && place >= 0 && fits
 }
 
@@ -678,8 +680,7 @@
 	w := a.w
 	w.open--
 	silent := !a.started && a.note == a.sent
-	waited := d.now-a.sent > r.c.Aim // not just moved
-	bad := silent && (o == Reset || o == TimedOut || o == Cancelled && waited)
+	bad := silent && (o == Reset || o == TimedOut || o == Cancelled && d.now-a.sent > r.c.Aim) // not just moved
 	if bad || o == ConnectFailed || o == Cancelled {
 		w.conns = max(w.open, w.conns-1)
 	} else {
@@ -865,8 +866,7 @@
 func (d *Dispatcher) alive(w *worker) {
 	d.moved = d.moved || w.ghost > 0
 	w.ghost, w.lived, w.zone.lived, d.served = 0, d.now, d.now, true
-	w.retryAt = d.now
-	d.freed = true
+	w.retryAt, d.freed = d.now, true
 	if w.strikes > 0 {
 		d.judge(w, w.strikes/2)
 	}
@@ -1051,8 +1051,7 @@
 		}
 	}
 	clear(d.live[n:])
-	d.live = d.live[:n]
-	d.waiting, d.running = waiting, running
+	d.live, d.waiting, d.running = d.live[:n], waiting, running
 	d.note(&d.crowd, waiting > running, "jobs queue at the workers: late ones are called off",
 		"jobs no longer queue at the workers")
 	d.note(&d.dark, len(d.fleet) > 0 && d.outage(), "no worker is trusted: the least bad are tried",
--- a/decide/state.go
+++ b/decide/state.go
@@ -548,6 +548,18 @@
 	return run / max(jobs+more, 1)
 }
 
+// usualUpTo is the mean run in seconds of the jobs seen of those classes whose mean is no longer than a limit; 0 while
+// not known.
+func (d *Dispatcher) usualUpTo(limit float64) float64 {
+	run, jobs := 0.0, 0.0
+	for _, c := range d.current {
+		if c.mean() <= limit {
+			run, jobs = run+c.jobs*c.mean(), jobs+c.jobs
+		}
+	}
+	return run / max(jobs, 1)
+}
+
 // setup is what a new connection adds to the start of a job: the least of the last few, since
 // queues add to some only. Guards against taking slow connecting for queueing everywhere.
 func (d *Dispatcher) setup() time.Duration { return slices.Min(d.setups[:]) }
