--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,7 +24,8 @@
 	coldLength    = 1.25    // of what a dispatcher's turn there is for, that a job may last
 	speedMemory   = 64.0    // jobs that a worker's speed is judged on
 	speedPrior    = 8.0     // jobs of its kind that a worker's own speed must outweigh at most,
-	sizePrior     = 2.0     // jobs that must be outweighed before a worker's size is reckoned from their runs
+	sizePrior     = 2.0     // jobs that must be outweighed before a worker's size is reckoned from their runs,
+	slowPrior     = 0.5     // or a kind, one of several, to take so much longer in the log than the mean
 	speedSeen     = 2.5     // and times as many as there are workers to a dispatcher: many see few jobs of each
 	extraShare    = 0.5     // further attempts for a request, where no rule says how many,
 	extraSpare    = 5.0     // and so many on top, in the time that a client waits
--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -224,7 +224,8 @@
 // TestColdEncodersOfShortJobs is the same of hundreds of dispatchers whose jobs are short and of very unequal length. On
 // sundfahrt-quay an encoder that had started 11.2 s before fell over: it was sent 6.0 times what it could then do. Turns
 // were laid out for 0.074 s of work, by the shortest class, and used for jobs of 0.2 s in the mean (a log of all sends: 45
-// dispatchers sent it 13 s of work in 1.2 s, where 2.7 s were planned); with two turns each, none paid for it later.
+// dispatchers sent it 13 s of work in 1.2 s, where 2.7 s were planned); with two turns each, none paid for it later. Those
+// that fell were of the slowest kind, planned for as if it were of the mean size (2.9 where it did the work of 1.5).
 func TestColdEncodersOfShortJobs(t *testing.T) {
 	drawn{270, 300, func(n, _ int) int { return n * 55 / 100 }, 2, 12, shortJobTerms()}.bear(t)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -305,6 +305,15 @@
 	return (w.dev + prior*k.Dev/(k.N+prior)) / max(w.n+prior, 1e-9)
 }
 
+// kindSlowness is the log run time of a worker's kind against the mean. One of several that is not known may be slow.
+func (d *Dispatcher) kindSlowness(w *worker) float64 {
+	k, doubt := d.kind(w.Kind), 0.0
+	if len(d.kinds) > 1 {
+		doubt = slowPrior * sizePrior
+	}
+	return (k.Dev + doubt) / (k.N + sizePrior)
+}
+
 // longestDeadline is of all classes.
 func (d *Dispatcher) longestDeadline() (most time.Duration) {
 	for _, c := range d.current {
@@ -510,7 +519,7 @@
 
 // plan is the part of the rule's budget for a worker that is planned, once it is warm: slot seconds a second.
 func (d *Dispatcher) plan(w *worker) float64 {
-	return coldShare * d.s.Rules.FallMultiple * d.size(w)
+	return coldShare * d.s.Rules.FallMultiple * d.size(w) * min(1, math.Exp(-d.kindSlowness(w)))
 }
 
 // lasts is how long after its aim a request's job may still start and end in time. It counts only for what
