--- a/decide/further_test.go
+++ b/decide/further_test.go
@@ -259,3 +259,38 @@
 		}
 	}
 }
+
+// TestWhatWasNeverSentIsNoAttempt: while the pool of connections was full, or a request's only encoder had not confirmed
+// that an earlier attempt was given up, each attempt came back as never sent at once and counted: a request had used up
+// its three in one moment, and its client was refused long before its deadline.
+func TestWhatWasNeverSentIsNoAttempt(t *testing.T) {
+	w := fleet(t, site(1, true, false, false), 1)
+	j := w.arrive(0, time.Second)
+	w.handle(j.Request)
+	begun, room := w.now, w.now+80*ms
+	for w.now < room {
+		if n := len(j.tries) - 1; !j.tries[n].over {
+			w.handle(w.end(j, n, Moot, nil))
+		}
+		w.now += ms
+		w.handle(Wake{})
+	}
+	if j.answered {
+		t.Fatalf("answered after %d attempts that were never sent", len(j.tries))
+	}
+	if len(j.tries) > 20 {
+		t.Errorf("%d attempts in %v that could not be sent: no pause between them", len(j.tries), w.now-begun)
+	}
+	for w.now < room+100*ms && j.tries[len(j.tries)-1].over {
+		w.now += ms
+		w.handle(Wake{})
+	}
+	n := len(j.tries) - 1
+	if j.tries[n].over {
+		t.Fatalf("not sent again within %v of room", w.now-room)
+	}
+	w.handle(w.end(j, n, OK, nil))
+	if !j.answered {
+		t.Error("no answer")
+	}
+}
