--- a/decide/mass_model_test.go
+++ b/decide/mass_model_test.go
@@ -73,9 +73,12 @@
 	got      []massWork
 }
 
+// massWork is a job that an encoder was sent, and by whom. A dispatcher knows of no encoder but from the list.
 type massWork struct {
-	at   time.Duration
-	work float64
+	at    time.Duration
+	work  float64
+	class int
+	by    *massNode
 }
 
 type massEvent struct {
@@ -338,7 +341,7 @@
 	}
 	m.after(massHop, func() {
 		e := t.e
-		e.got = append(e.got, massWork{m.now, r.work})
+		e.got = append(e.got, massWork{m.now, r.work, r.class, n})
 		if e.gone {
 			m.ended(t, ConnectFailed)
 			return
--- a/decide/mass_test.go
+++ b/decide/mass_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math"
 	"runtime"
 	"slices"
@@ -26,30 +27,48 @@
 
 // window is the most that a cold encoder is sent in a window of the rule, against what it bears then.
 type window struct {
-	ofN    float64 // by what the settings allow it, N
-	ofPage float64 // by N + 2 x root of N + 2 requests of mean work, at which it falls
+	ofN      float64 // by what the settings allow it, N
+	ofAgreed float64 // by N + 2 x root of N + 2 requests of mean work
+	ofPage   float64 // the same; for N under 30 by N + 3 x root of N + 3
+	at       time.Duration
+	got      []massWork // in the window that is worst by ofAgreed
 }
 
 func (m *mass) worstWindow(e *massEncoder) (worst window) {
-	rules := m.settings.Rules
+	rules, mean := m.settings.Rules, m.terms.meanWork()
 	for i, first := range e.got {
 		if e.warmth(first.at) >= 1 {
 			break
 		}
-		work := 0.0
-		for _, g := range e.got[i:] {
-			if g.at < first.at+rules.FallWindow {
-				work += g.work
-			}
+		work, end := 0.0, i
+		for ; end < len(e.got) && e.got[end].at < first.at+rules.FallWindow; end++ {
+			work += e.got[end].work
+		}
+		got := work / mean
+		n := rules.FallMultiple * float64(e.slots) * e.speed * e.warmth(first.at) * rules.FallWindow.Seconds() / mean
+		agreed := n + 2*math.Sqrt(n) + 2
+		page := agreed
+		if n < 30 {
+			page = n + 3*math.Sqrt(n) + 3
 		}
-		got := work / m.terms.meanWork()
-		n := rules.FallMultiple * float64(e.slots) * e.speed * e.warmth(first.at) * rules.FallWindow.Seconds() / m.terms.meanWork()
 		worst.ofN = max(worst.ofN, got/n)
-		worst.ofPage = max(worst.ofPage, got/(n+2*math.Sqrt(n)+2))
+		worst.ofPage = max(worst.ofPage, got/page)
+		if got/agreed > worst.ofAgreed {
+			worst.ofAgreed, worst.at, worst.got = got/agreed, first.at, e.got[i:end]
+		}
 	}
 	return worst
 }
 
+// describe tells of a window what was sent, and by whom.
+func (m *mass) describe(e *massEncoder, w window) string {
+	text := fmt.Sprintf("kind %d, %.2f s after its start, %.2f times what it bears (%.2f by the page):", e.Kind, (w.at - e.Started).Seconds(), w.ofAgreed, w.ofPage)
+	for _, g := range w.got {
+		text += fmt.Sprintf(" class %d %.2f s by dispatcher %d;", g.class, g.work, slices.Index(m.nodes, g.by))
+	}
+	return text
+}
+
 // renew has four in ten encoders make way for cold ones within 2 s, as a release does.
 func (m *mass) renew() {
 	for i, l := range slices.Clone(m.list) {
@@ -236,19 +255,23 @@
 	if *whole {
 		fleets = d.whole
 	}
-	cold, over, worst := 0, 0, 0.0
+	cold, over, overByPage, worst := 0, 0, 0, 0.0
 	asked, served := 0.0, 0.0
 	playAll(fleets, d.play, func(m *mass) {
 		asked, served = asked+total(m.asked), served+total(m.served)
 		for _, e := range m.started() {
 			cold++
-			x := m.worstWindow(e).ofPage
-			if worst = max(worst, x); x > 1 {
+			x := m.worstWindow(e)
+			if x.ofPage > 1 {
+				overByPage++
+			}
+			if worst = max(worst, x.ofAgreed); x.ofAgreed > 1 {
 				over++
+				t.Logf("prove mass: over: %s", m.describe(e, x))
 			}
 		}
 	})
-	t.Logf("prove mass: %d to %d dispatchers: %d of %d cold encoders over, the worst %.2f times; served %.3f", d.least, d.most, over, cold, worst, served/asked)
+	t.Logf("prove mass: %d to %d dispatchers: %d of %d cold encoders over, the worst %.2f times (%d over by N + 3 x root of N + 3 under 30); served %.3f", d.least, d.most, over, cold, worst, overByPage, served/asked)
 	if over > 0 {
 		t.Errorf("%d of %d cold encoders were sent more than they bear, the worst %.2f times as much", over, cold, worst)
 	}
