--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// View is a group's machine; nil: there is none here.
+func (n *Node) View(group uint32, machine byte) Machine {
+	if g := n.groups[group]; g != nil && !g.halted {
+		return g.mux[machine]
+	}
+	return nil
+}
+
+// Known is whose stores are known to hold how many batches.
+func (n *Node) Known() map[uint64]uint64 { return n.known }
+
+// Status is a group as operators see it.
+type Status struct {
+	Group    uint32   `json:"group"`
+	Leader   string   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Applied  uint64   `json:"applied"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners,omitempty"`
+	Released bool     `json:"released"`
+	Halted   bool     `json:"halted,omitempty"`
+	Calm     bool     `json:"calm,omitempty"`
+}
+
+// Status is of all groups that are held here.
+func (n *Node) Status() (all []Status) {
+	names := func(ids []uint64) (out []string) {
+		for _, id := range ids {
+			out = append(out, fmt.Sprintf("%s/%08x", n.names[uint32(id>>32)], uint32(id)))
+		}
+		slices.Sort(out)
+		return out
+	}
+	for _, g := range n.order {
+		s := g.raw.BasicStatus()
+		all = append(all, Status{
+			Group: g.number, Leader: n.names[uint32(s.Lead>>32)], Term: s.GetTerm(), Applied: g.applied,
+			Voters: names(g.conf.GetVoters()), Learners: names(g.conf.GetLearners()), Released: g.released, Halted: g.halted, Calm: g.quiet,
+		})
+	}
+	return all
+}
+
+// Counts are figures of a node.
+func (n *Node) Counts(now time.Duration) (groups, leads, halted int, written uint64) {
+	for _, g := range n.order {
+		if _, _, ok := n.Lead(now, g.number); ok {
+			leads++
+		}
+		if g.halted {
+			halted++
+		}
+	}
+	return len(n.order), leads, halted, n.written
+}
--- /dev/null
+++ b/internal/rerun/command.go
@@ -0,0 +1,231 @@
+package rerun
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"caperrelay/internal/rerun/policy"
+)
+
+// Op is what a command does.
+type Op string
+
+// The commands.
+const (
+	OpPolicy   Op = "policy" // counts for runs that begin from now on
+	OpSubmit   Op = "submit"
+	OpStart    Op = "start" // a dispatcher is about to have a turn run: nobody else may
+	OpTurn     Op = "turn"  // changes nothing: whether a turn has been started and has no end
+	OpEnd      Op = "end"   // of a turn
+	OpLetters  Op = "letters"
+	OpSent     Op = "sent" // letters are confirmed
+	OpCallOff  Op = "call_off"
+	OpRoom     Op = "room"      // reruns that places take at once
+	OpTick     Op = "tick"      // time has passed
+	OpLook     Op = "look"      // changes nothing: a read in the order of all else
+	OpTakeOver Op = "take_over" // runs of a dispatcher that is gone: nobody knows what became of them
+)
+
+// Command is what is committed.
+type Command struct {
+	V        int               `json:"v"`
+	Op       Op                `json:"op"`
+	ID       string            `json:"id,omitempty"`
+	Pipeline string            `json:"pipeline,omitempty"`
+	Tenant   string            `json:"tenant,omitempty"`
+	Params   map[string]string `json:"params,omitempty"`
+	Text     string            `json:"text,omitempty"`
+	Site     *policy.Site      `json:"site,omitempty"`
+	Key      string            `json:"key,omitempty"`
+	Gen      int64             `json:"gen,omitempty"`
+	By       string            `json:"by,omitempty"`
+	OK       bool              `json:"ok,omitempty"`
+	Cause    policy.Cause      `json:"cause,omitempty"`
+	Input    string            `json:"input,omitempty"`
+	Place    *policy.Place     `json:"place,omitempty"`
+	Ran      time.Duration     `json:"ran,omitempty"`
+	Group    uint32            `json:"group,omitempty"`
+	Letters  []Letter          `json:"letters,omitempty"`
+	Seq      uint64            `json:"seq,omitempty"`
+	Rooms    map[string]int    `json:"rooms,omitempty"` // by zone.site
+}
+
+// Bytes is the command as it is proposed.
+func (c Command) Bytes() []byte {
+	c.V = Version
+	text, _ := json.Marshal(c) // plain data: it cannot fail
+	return text
+}
+
+// Result is what a command came to.
+type Result struct {
+	OK     bool    `json:"ok"`
+	Why    string  `json:"why,omitempty"`
+	Seq    uint64  `json:"seq,omitempty"` // letters that are taken in up to
+	Answer *Answer `json:"answer,omitempty"`
+	// Explained is the whole story, of a look.
+	Explained *Explained `json:"explained,omitempty"`
+}
+
+// ReadResult reads what Apply gave.
+func ReadResult(text []byte) (r Result, err error) {
+	err = json.Unmarshal(text, &r)
+	return r, err
+}
+
+// Apply steps the machine by a committed command. at is Unix time, and never less than before.
+func (m *Machine) Apply(_ uint64, at time.Duration, cmd []byte) []byte {
+	m.s.At = max(m.s.At, at)
+	var c Command
+	r := Result{Why: "it cannot be read"}
+	if err := json.Unmarshal(cmd, &c); err == nil && c.V != Version {
+		r.Why = fmt.Sprintf("version %d is not spoken here, %d is", c.V, Version)
+	} else if err == nil {
+		m.time()
+		r = m.step(&c)
+		m.settle()
+	}
+	text, _ := json.Marshal(r)
+	return text
+}
+
+func no(format string, args ...any) Result { return Result{Why: fmt.Sprintf(format, args...)} }
+
+func (m *Machine) step(c *Command) Result {
+	switch c.Op {
+	case OpPolicy:
+		return m.policy(c)
+	case OpSubmit:
+		return m.submit(c)
+	case OpStart:
+		return m.start(c)
+	case OpTurn:
+		if o := m.s.Outputs[c.Key]; o == nil || o.Turn == nil || o.Turn.Gen != c.Gen || o.Turn.Phase != Started {
+			return no("no such turn runs")
+		}
+		return Result{OK: true}
+	case OpEnd:
+		return m.end(c)
+	case OpLetters:
+		for _, l := range c.Letters {
+			if l.Seq == m.s.In[c.Group]+1 || m.faulty.GrantTwice && l.Kind == "grant" {
+				m.s.In[c.Group] = max(l.Seq, m.s.In[c.Group])
+				m.local = append(m.local, l)
+			}
+		}
+		return Result{OK: true, Seq: m.s.In[c.Group]}
+	case OpSent:
+		m.s.Out[c.Group] = slices.DeleteFunc(m.s.Out[c.Group], func(l Letter) bool { return l.Seq <= c.Seq })
+		return Result{OK: true}
+	case OpCallOff:
+		if r := m.s.Runs[c.ID]; r != nil && r.Answer == nil {
+			m.finish(r, Answer{Kind: CalledOff, Reason: "called off"})
+		} else if r == nil {
+			return no("no run %q", c.ID)
+		}
+		return Result{OK: true}
+	case OpRoom:
+		for place, room := range c.Rooms {
+			if len(m.s.Room) < mostKept && len(place) <= mostParam {
+				m.s.Room[place] = max(1, room)
+			}
+		}
+		return Result{OK: true}
+	case OpTick:
+		return Result{OK: true}
+	case OpLook:
+		e, ok := m.Explain(c.ID)
+		if !ok {
+			return no("no run %q", c.ID)
+		}
+		return Result{OK: true, Answer: e.Answer, Explained: &e}
+	case OpTakeOver:
+		for _, t := range m.Running(c.By) {
+			m.end(&Command{Key: t.Key, Gen: t.Gen, Cause: policy.MayHaveRun})
+		}
+		return Result{OK: true}
+	}
+	return no("no such command")
+}
+
+func (m *Machine) policy(c *Command) Result {
+	if c.Site == nil {
+		return no("without a site")
+	}
+	p, err := policy.Parse("policy", []byte(c.Text), *c.Site)
+	if err != nil {
+		return no("%v", err)
+	}
+	if before, known := m.s.Policies[p.Version]; known {
+		if before.Text != c.Text {
+			return no("version %q is another text: give it another version", p.Version)
+		}
+	} else {
+		m.s.Policies[p.Version], m.loaded[p.Version] = policyText{c.Text, *c.Site}, p
+		m.s.Versions = append(m.s.Versions, p.Version)
+	}
+	m.s.Current = p.Version
+	used := map[string]bool{p.Version: true}
+	for _, r := range m.s.Runs {
+		used[r.Policy] = true
+	}
+	for len(m.s.Versions) > mostPolicies {
+		i := slices.IndexFunc(m.s.Versions, func(v string) bool { return !used[v] })
+		if i < 0 {
+			break
+		}
+		delete(m.s.Policies, m.s.Versions[i])
+		delete(m.loaded, m.s.Versions[i])
+		m.s.Versions = slices.Delete(m.s.Versions, i, i+1)
+	}
+	return Result{OK: true}
+}
+
+func (m *Machine) submit(c *Command) Result {
+	if r := m.s.Runs[c.ID]; r != nil { // asked again: whoever asked did not hear
+		if r.Pipeline != c.Pipeline || r.Tenant != c.Tenant || !maps.Equal(r.Params, c.Params) {
+			return no("run %q is another", c.ID)
+		}
+		return Result{OK: true, Answer: r.Answer}
+	}
+	pol := m.loaded[m.s.Current]
+	switch {
+	case c.ID == "" || len(c.ID) > 96 || strings.ContainsAny(c.ID, "/ ~?#%"):
+		return no("a run's id has 1 to 96 bytes, without / ? # %% ~ and spaces")
+	case pol == nil:
+		return no("there is no policy yet")
+	case pol.Pipelines[c.Pipeline] == nil:
+		return no("version %q has no pipeline %q", pol.Version, c.Pipeline)
+	case len(m.s.Runs) >= mostRuns || len(m.s.Outputs) >= mostOutputs:
+		return no("the group holds %d runs and %d outputs: it is full", len(m.s.Runs), len(m.s.Outputs))
+	case len(c.Tenant) > mostParam || len(c.Params) > mostParams:
+		return no("too many parameters, or too long")
+	}
+	for k, v := range c.Params {
+		if len(k) > mostParam || len(v) > mostParam {
+			return no("too many parameters, or too long")
+		}
+	}
+	p := pol.Pipelines[c.Pipeline]
+	for _, s := range p.Stages {
+		if s.Shared != "" && (c.Params[s.Shared] == "" || strings.ContainsAny(c.Params[s.Shared], "/ ")) {
+			return no("stage %q is shared by the parameter %q, which must be given, without / and spaces", s.Name, s.Shared)
+		}
+	}
+	r := &Run{
+		ID: c.ID, Pipeline: c.Pipeline, Policy: pol.Version, Tenant: c.Tenant, Params: c.Params,
+		Began: m.s.At, Until: m.s.At + p.Within, Uses: make([]int, len(p.Rules)), p: p,
+	}
+	for range p.Stages {
+		r.Stages = append(r.Stages, &Stage{})
+	}
+	m.s.Runs[c.ID] = r
+	m.open++
+	m.wake(r.Until, "run", r.ID)
+	m.advance(r)
+	return Result{OK: true}
+}
--- /dev/null
+++ b/internal/rerun/model.go
@@ -0,0 +1,252 @@
+package rerun
+
+import (
+	"time"
+
+	"caperrelay/internal/rerun/policy"
+)
+
+// Kind is how a run of a pipeline ended.
+type Kind string
+
+// The ends.
+const (
+	Done      Kind = "done"
+	Dead      Kind = "dead"
+	Person    Kind = "needs_person" // what must not run twice may have run, or the policy says so
+	LateEnd   Kind = "late"
+	CalledOff Kind = "called_off"
+)
+
+// Answer is a run's one final answer.
+type Answer struct {
+	Kind   Kind          `json:"kind"`
+	Stage  string        `json:"stage,omitempty"` // because of which, unless it is done
+	Cause  policy.Cause  `json:"cause,omitempty"`
+	Reason string        `json:"reason,omitempty"` // what is known
+	At     time.Duration `json:"at"`               // Unix time
+	Work   time.Duration `json:"work"`             // that reruns it asked for took
+	Reruns int           `json:"reruns"`
+	Result string        `json:"result,omitempty"` // that the last of its result stages gave
+}
+
+// Line is one of a run's story.
+type Line struct {
+	At   time.Duration `json:"at"`
+	Rule int           `json:"rule,omitempty"` // line of the policy's file; 0: none
+	Text string        `json:"text"`
+}
+
+// Run is one run of a pipeline.
+type Run struct {
+	ID       string            `json:"id"`
+	Pipeline string            `json:"pipeline"`
+	Policy   string            `json:"policy"` // version, from its beginning to its end
+	Tenant   string            `json:"tenant,omitempty"`
+	Params   map[string]string `json:"params,omitempty"`
+	Began    time.Duration     `json:"began"`
+	Until    time.Duration     `json:"until"`
+	Stages   []*Stage          `json:"stages"`
+	Uses     []int             `json:"uses,omitempty"` // of each rule
+	Others   int               `json:"others,omitempty"`
+	Reruns   int               `json:"reruns,omitempty"`
+	Work     time.Duration     `json:"work,omitempty"` // of reruns that it began
+	Answer   *Answer           `json:"answer,omitempty"`
+	Story    []Line            `json:"story,omitempty"`
+
+	p *policy.Pipeline
+}
+
+// Stage is one of a run's. Generations count from 1; 0 is none.
+type Stage struct {
+	Have   int64          `json:"have,omitempty"` // generation of its output that the run uses
+	Over   int64          `json:"over,omitempty"` // generations up to this one do not count
+	Of     []int64        `json:"of,omitempty"`   // generations of its inputs, by its needs, that are asked for
+	Wants  bool           `json:"wants,omitempty"`
+	Own    bool           `json:"own,omitempty"` // it has been asked for anew, by a rule of this run
+	Ran    bool           `json:"ran,omitempty"` // of one that must not run twice: it may have
+	Runs   int64          `json:"runs,omitempty"`
+	At     policy.Place   `json:"at"`
+	Made   time.Duration  `json:"made,omitempty"`
+	Result string         `json:"result,omitempty"`
+	Rule   int            `json:"rule,omitempty"`  // one above the rule by which it is asked for anew
+	Bad    []policy.Place `json:"bad,omitempty"`   // where generations of it came to nothing, the last ones
+	Sites  []policy.Place `json:"sites,omitempty"` // of which that is said often
+	Next   *Next          `json:"next,omitempty"`  // since it failed
+	Tried  *Tried         `json:"tried,omitempty"`
+	Doubt  *Claim         `json:"doubt,omitempty"` // it runs for a second opinion on this
+}
+
+// Next is what is to be done since a stage failed.
+type Next struct {
+	Rule   int            `json:"rule"`
+	Target int            `json:"target"`
+	Bad    int64          `json:"bad"` // generation of the target's output that came to nothing
+	Cause  policy.Cause   `json:"cause"`
+	Failed policy.Place   `json:"failed"` // whom the rerun must not be at
+	Print  string         `json:"print"`
+	Phase  string         `json:"phase"` // claim, wait, trial
+	At     time.Duration  `json:"at,omitempty"`
+	Claim  *Claim         `json:"claim,omitempty"`
+	Second bool           `json:"second,omitempty"` // the stage itself runs elsewhere first: is its claim true?
+	Sites  []policy.Place `json:"sites,omitempty"`  // that the fingerprint told are bad
+}
+
+// Tried is a trial, or a place in its wake, whose verdict this stage's next end is.
+type Tried struct {
+	Print string `json:"print"`
+	Key   string `json:"key"`
+}
+
+// Claim is that a worker calls an output bad.
+type Claim struct {
+	Worker string `json:"worker"`
+	Key    string `json:"key"`
+	Gen    int64  `json:"gen"`
+}
+
+// Output is what a stage makes, of one run or of all that share it.
+type Output struct {
+	Key    string           `json:"key"`
+	Last   int64            `json:"last"`           // generation that was begun last
+	Gen    int64            `json:"gen,omitempty"`  // that was made last
+	Of     []int64          `json:"of,omitempty"`   // made of these
+	At     policy.Place     `json:"at"`             // where
+	Made   time.Duration    `json:"made,omitempty"` // when
+	Result string           `json:"result,omitempty"`
+	Turn   *Turn            `json:"turn,omitempty"`
+	Wants  map[string]*Want `json:"wants,omitempty"` // by run
+	Users  map[string]int64 `json:"users,omitempty"` // run and the generation that it was told
+	Idle   time.Duration    `json:"idle,omitempty"`
+	// Accrued: its first run has added to the budgets.
+	Accrued bool `json:"accrued,omitempty"`
+}
+
+// Account is what a group may spend of a budget: in microseconds of work.
+type Account struct {
+	Balance int64 `json:"balance"`
+	Accrued int64 `json:"accrued"` // by first runs, ever
+	Spent   int64 `json:"spent"`   // by reruns, ever
+	Asked   int64 `json:"asked,omitempty"`
+	Spare   int64 `json:"spare,omitempty"` // as the policies say that each account has from the start
+}
+
+// Pool is what the root has of a budget, for groups that ask.
+type Pool struct {
+	Balance int64    `json:"balance"`
+	Spare   int64    `json:"spare"` // that it was given at its start
+	Asking  []asking `json:"asking,omitempty"`
+}
+
+type asking struct {
+	Group  uint32 `json:"group"`
+	Amount int64  `json:"amount"`
+}
+
+// Want is that a run needs an output: a generation over one, of inputs of at least these generations.
+type Want struct {
+	Run    string            `json:"run"`
+	Stage  int               `json:"stage"`
+	Name   string            `json:"name"`
+	Class  string            `json:"class"`
+	Once   bool              `json:"once,omitempty"`
+	Tenant string            `json:"tenant,omitempty"`
+	Params map[string]string `json:"params,omitempty"`
+	Over   int64             `json:"over,omitempty"`
+	Of     []int64           `json:"of,omitempty"`
+	Inputs []string          `json:"inputs,omitempty"` // keys
+	Work   time.Duration     `json:"work"`
+	Within time.Duration     `json:"within"` // of one run
+	Until  time.Duration     `json:"until"`
+	Where  policy.Where      `json:"where,omitempty"`
+	Failed policy.Place      `json:"failed"`
+	Avoid  []policy.Place    `json:"avoid,omitempty"`  // where earlier generations came to nothing, likewise
+	Doubt  []policy.Place    `json:"doubt,omitempty"`  // sites of which the same is said often: others are taken if there are
+	Accrue []Share           `json:"accrue,omitempty"` // accounts that a first run adds to
+	Charge []string          `json:"charge,omitempty"` // accounts that a rerun takes from
+	Spare  time.Duration     `json:"spare,omitempty"`
+}
+
+// Share is an account and the share of first runs' work that it gets.
+type Share struct {
+	Account string  `json:"account"`
+	Of      float64 `json:"of"`
+}
+
+// Turn is the making of a generation.
+type Turn struct {
+	Want                // of who began it
+	Gen   int64         `json:"gen"`
+	First bool          `json:"first,omitempty"`
+	Phase Phase         `json:"phase"`
+	Order uint64        `json:"order"`
+	By    string        `json:"by,omitempty"` // dispatcher
+	Began time.Duration `json:"began,omitempty"`
+}
+
+// Phase is how far a turn is.
+type Phase string
+
+// The phases.
+const (
+	Paying  Phase = "pay"   // its budget is asked for
+	Queued  Phase = "queue" // it may start
+	Started Phase = "run"
+)
+
+// Print is a fingerprint: stage, cause and place of failures that may be one.
+type Print struct {
+	Trying  []string      `json:"trying,omitempty"` // runs whose verdicts are out
+	Waiting []Letter      `json:"waiting,omitempty"`
+	Room    int           `json:"room"` // at once; doubled by a good verdict
+	Bad     int           `json:"bad,omitempty"`
+	Not     time.Duration `json:"not,omitempty"` // before which no further trial begins
+	Idle    time.Duration `json:"idle,omitempty"`
+}
+
+// Often is how often one thing was said of a site, of late.
+type Often struct {
+	Site policy.Place  `json:"site"` // zone and site alone
+	N    int           `json:"n"`
+	Last time.Duration `json:"last"`
+}
+
+// Claimant is a worker that called outputs bad.
+type Claimant struct {
+	Open    []Claim          `json:"open,omitempty"` // neither confirmed nor refuted
+	Trust   int              `json:"trust"`          // how many may be open and are believed
+	Since   time.Duration    `json:"since"`
+	Refuted int              `json:"refuted,omitempty"`
+	Claims  int              `json:"claims,omitempty"`
+	Content map[string]int64 `json:"content,omitempty"` // by stage: its runs that were content with their inputs
+	Until   time.Duration    `json:"until,omitempty"`   // it is not believed
+}
+
+// Letter is what one object tells another, in this group or another one. Between groups letters are numbered and taken
+// in once, in their order.
+type Letter struct {
+	Seq    uint64         `json:"seq,omitempty"`
+	Kind   string         `json:"kind"`
+	To     string         `json:"to"` // key of the object
+	From   string         `json:"from,omitempty"`
+	Stage  int            `json:"stage,omitempty"`
+	Gen    int64          `json:"gen,omitempty"`
+	Of     []int64        `json:"of,omitempty"`
+	At     policy.Place   `json:"at"`
+	Made   time.Duration  `json:"made,omitempty"`
+	Key    string         `json:"key,omitempty"`
+	Cause  policy.Cause   `json:"cause,omitempty"`
+	Input  string         `json:"input,omitempty"`
+	Ran    time.Duration  `json:"ran,omitempty"`
+	Text   string         `json:"text,omitempty"`
+	OK     bool           `json:"ok,omitempty"`
+	Amount int64          `json:"amount,omitempty"`
+	Spare  int64          `json:"spare,omitempty"`
+	Group  uint32         `json:"group,omitempty"`
+	Want   *Want          `json:"want,omitempty"`
+	Worker string         `json:"worker,omitempty"`
+	Sites  []policy.Place `json:"sites,omitempty"`
+}
+
+// Faults switches a rule off, for the tests that must notice.
+type Faults struct{ AnyGeneration, GrantTwice, NoTrial, Unsafe bool }
