--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -375,6 +375,7 @@
 	link     *handover.Link
 	state    chan standing // how the older stands
 	gone     chan struct{} // closed once the link has ended
+	met      bool          // the older has told how it stands
 	commands []*dispatch.HandedCommand
 }
 
@@ -389,7 +390,13 @@
 			f.Close()
 		}
 	})
-	r.olderGone()
+	if r.met {
+		r.olderGone()
+		return
+	}
+	r.mu.Lock()
+	r.older = nil
+	r.mu.Unlock()
 }
 
 func (r *relief) take(ctx context.Context, m handover.Message, f *os.File) error {
@@ -400,6 +407,7 @@
 			return err
 		}
 		r.recall(s.Cordons)
+		r.met = true
 		select {
 		case r.state <- s:
 		default:
