--- a/decide/state.go
+++ b/decide/state.go
@@ -213,6 +213,7 @@
 	cordons               map[uint32]bool     // left out by hand
 	owed                  []*worker           // to be used before others: put back by hand and owed a first job, or cold
 	trusted               int                 // ready workers without a strike
+	manyKinds             bool                // the workers known are of more than one kind
 	out                   []Action
 }
 
@@ -313,7 +314,7 @@
 // kindSlowness is the log run time of a worker's kind against the mean. One of several that is not known may be slow.
 func (d *Dispatcher) kindSlowness(w *worker) float64 {
 	k, doubt := d.kind(w.Kind), 0.0
-	if len(d.kinds) > 1 {
+	if d.manyKinds {
 		doubt = slowPrior * sizePrior
 	}
 	return (k.Dev + doubt) / (k.N + sizePrior)
@@ -415,18 +416,20 @@
 // ready tells whether a worker may be used, as far as the list and people say.
 func (w *worker) ready() bool { return w.State == Ready && !w.cordoned }
 
-// recount counts the workers that are trusted.
+// recount counts the workers that are trusted, and sees whether all are of one kind.
 func (d *Dispatcher) recount() {
 	ready := 0
 	d.trusted = 0
+	kinds := map[int]bool{}
 	for _, w := range d.workers {
+		kinds[w.Kind] = true
 		if w.ready() {
 			if ready++; w.strikes == 0 {
 				d.trusted++
 			}
 		}
 	}
-	d.mostReady = max(d.mostReady, ready)
+	d.mostReady, d.manyKinds = max(d.mostReady, ready), len(kinds) > 1
 }
 
 // drop forgets a worker; what still refers to it sees that it is gone.
