--- a/internal/net/pipelines/pipelines_test.go
+++ b/internal/net/pipelines/pipelines_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +44,8 @@
 	host   *replicas.Alone
 	ran    atomic.Int64
 	before func() // a promise is applied
+
+	owner sync.Mutex // held by the one who acts for the table: an intent said again is no second run, and has the same answer
 }
 
 func (j *jobs) do(c promise.Command) promise.Answer {
@@ -62,6 +65,8 @@
 		j.before = nil
 		before()
 	}
+	j.owner.Lock()
+	defer j.owner.Unlock()
 	a := j.do(promise.Command{Op: promise.OpPromise, ID: q.Id, Seen: seen, Job: &promise.Job{
 		Class: q.Job.Class, Order: q.Job.Order, Payload: q.Job.Payload, Within: time.Duration(q.Job.WithinMs) * time.Millisecond, Keep: time.Hour,
 	}})
