--- a/decide/decide.go
+++ b/decide/decide.go
@@ -547,8 +547,8 @@
 
 // closed tells whether a request may not be sent to any worker.
 func (d *Dispatcher) closed(r *request) bool {
-	return r.done || r.streaming || r.sent() >= d.s.Limits.Attempts || d.now >= r.due || d.now < r.retryAt || // rule 1
-		r.out > 0 && !d.s.Limits.SecondCopies || r.sent() > 0 && !d.affordable() // rule 5
+	return r.done || r.streaming || len(r.attempts) >= d.s.Limits.Attempts || d.now >= r.due || // rule 1
+		r.out > 0 && !d.s.Limits.SecondCopies || len(r.attempts) > 0 && !d.affordable() // rule 5
 }
 
 // forbidden is the gate of the rules on sending: every attempt passes it.
@@ -617,7 +617,7 @@
 	d.connect(r, a, fresh)
 	lease := d.spend(r, w)
 	d.do(Send{Request: r.ID, Worker: w.ID, MostIdle: d.idleLimit(r.c.Effect), Fresh: fresh, Lease: lease})
-	if r.sent() > 0 {
+	if len(r.attempts) > 0 {
 		d.extras = append(d.extras, d.now)
 	}
 	r.attempts = append(r.attempts, a)
@@ -924,8 +924,7 @@
 			a.broke = d.now
 			d.strike(w)
 		}
-	case Moot: // never sent: it does not count, nor is the next due at once, which would find no connection either
-		r.unsent, r.retryAt = r.unsent+1, d.now+d.backoff(d.step(), min(r.unsent+1, maxStrikes/2))
+	case Moot: // never sent: it does not count
 		if i := slices.Index(d.extras, a.sent); i >= 0 && e.Attempt > 0 {
 			d.extras = slices.Delete(d.extras, i, i+1)
 		}
@@ -946,14 +945,14 @@
 // spent tells whether a request has no permitted attempt left: it is given up at once, not held. One
 // that failed at two workers fails wherever it goes, and is not to use up the budget of others.
 func (d *Dispatcher) spent(r *request) bool {
-	return r.sent() >= d.s.Limits.Attempts || r.errs > 1 || r.any(func(a *attempt) bool {
+	return len(r.attempts) >= d.s.Limits.Attempts || r.errs > 1 || r.any(func(a *attempt) bool {
 		return !a.neverRan && (r.c.Effect == Unsafe || r.c.Effect == Keyed && d.now-a.sent >= r.c.Window)
 	})
 }
 
 // again holds a request whose attempts have all ended, if it may go out once more.
 func (d *Dispatcher) again(r *request) {
-	if d.spent(r) || r.sent() > 0 && !d.affordable() {
+	if d.spent(r) || !d.affordable() {
 		d.answer(r)
 		return
 	}
@@ -1044,7 +1043,8 @@
 			r.held, r.late = false, true
 			if w := d.lastResort(r); w != nil && d.send(r, w) {
 				continue
-			} else if r.c.LateWorth > 0 {
+			}
+			if r.c.LateWorth > 0 {
 				d.hold(r, false)
 			} else {
 				d.answer(r)
--- a/decide/state.go
+++ b/decide/state.go
@@ -110,9 +110,7 @@
 	errs                int  // attempts that ended in an error
 	over                bool // beyond its tenant's share
 	held                bool
-	unsent              int           // attempts that were never sent
-	retryAt             time.Duration // after such: not tried again before
-	queue               int           // where it is held
+	queue               int // where it is held
 }
 
 // condition is a state that the people on call are told of.
@@ -217,9 +215,6 @@
 	out                   []Action
 }
 
-// sent is how many of a request's attempts went out, or may have.
-func (r *request) sent() int { return len(r.attempts) - r.unsent }
-
 // any tells whether an attempt of the request is as f says.
 func (r *request) any(f func(*attempt) bool) bool { return slices.ContainsFunc(r.attempts, f) }
 
