--- a/decide/decide.go
+++ b/decide/decide.go
@@ -590,7 +590,7 @@
 	place, n := d.turns()
 	half, window := d.s.Rules.Cold/2, d.s.Rules.FallWindow // by half the time to warm up each has had a turn:
 	two := d.plan(w) * d.warmth(w) * window.Seconds() / 2
-	used := min(1, float64(len(since(d.taken, d.now-2*window))-1)) // part of the turns: where requests are few, most lapse
+	used := min(1, float64(d.takenSince(d.now-2*window)-1)) // part of the turns: where requests are few, most lapse
 	unit := min(d.longest(), max(d.pace().Seconds(), used*d.usualUpTo(two), d.plan(w)*d.part()*half.Seconds()*d.s.Rules.warmth(half/2)))
 	if w.coldNext == 0 {
 		turn := float64((hash(uint64(w.ID), uint64(w.Started))+uint64(place))%uint64(n)) + 0.5
--- a/decide/state.go
+++ b/decide/state.go
@@ -306,6 +306,12 @@
 	return (w.dev + prior*k.Dev/(k.N+prior)) / max(w.n+prior, 1e-9)
 }
 
+// takenSince is how many requests came from a time on, of those that are remembered. It is asked for each pick at a cold worker.
+func (d *Dispatcher) takenSince(from time.Duration) int {
+	i, _ := slices.BinarySearch(d.taken, from)
+	return len(d.taken) - i
+}
+
 // kindSlowness is the log run time of a worker's kind against the mean. One of several that is not known may be slow.
 func (d *Dispatcher) kindSlowness(w *worker) float64 {
 	k, doubt := d.kind(w.Kind), 0.0
