Held requests with a key were looked at anew at each step of the timer and each event

Cause, by a profile of the model with a list that shrinks to 12 of 200 workers: drain and pick were 63 % of the module's time. Now looks go in rounds: all that is held once an event may have made room, else as seldom as the last round was dear, 256 workers a step. Of requests that share class and key the later are passed over once an earlier one that asks no more found nothing. A worker that has room for nobody is told once a batch. Long jobs, which go anywhere, count as without a key. Blocks of the same workers share one hash ring.

--- a/decide/api.go
+++ b/decide/api.go
@@ -412,7 +412,7 @@
 	d := &Dispatcher{
 		rng: s.random(), admitted: 1, mostIdle: s.Limits.ConnIdle * 3 / 5,
 		workers: map[uint32]*worker{}, kinds: map[int]*kindStat{}, cordons: map[uint32]bool{},
-		requests: map[uint32]*request{}, keys: map[uint64]demand{}, peers: map[int]*peer{}, sums: map[uint32]*loadSum{}, bad: tally{N: errMemory},
+		requests: map[uint32]*request{}, keys: map[uint64]demand{}, peers: map[int]*peer{}, unplaced: map[likeness]unplaced{}, sums: map[uint32]*loadSum{}, bad: tally{N: errMemory},
 	}
 	if err := d.Retune(s); err != nil {
 		return nil, err
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	extraShare    = 0.5     // further attempts for a request, where no rule says how many,
 	extraSpare    = 5.0     // and so many on top, in the time that a client waits
 	sortPace      = 16      // workers for which one job may have the fleet sorted; four times as many an aim
+	looksPerStep  = 256     // workers looked at for held requests in each step between sweeps, while nothing happens
 	lateMemory    = 8.0     // starts at a worker that its share of late ones is judged on
 	admitCut      = 0.95    // of the share let out, for a request that was not started soon
 	admitStep     = 0.04    // regained by one that was
@@ -88,7 +89,7 @@
 
 // turn begins a batch. One later than its timer follows a stall of this dispatcher itself, and finds all that came since.
 func (d *Dispatcher) turn(now time.Duration) {
-	d.now, d.late = max(d.now, now), 0
+	d.now, d.late, d.batch = max(d.now, now), 0, d.batch+1
 	if late := d.now - d.wakeAt; d.armed && late > d.step() {
 		d.late, d.stall = late, min(max(late, d.stall), d.s.Rules.FallWindow)
 	}
@@ -167,7 +168,7 @@
 	}
 	d.ordered, d.learned = d.now+d.s.Classes[d.s.First].Aim*time.Duration(1+len(d.fleet)/(4*sortPace)), 0
 	changed := d.stale
-	if d.stale = false; changed {
+	if d.stale, d.freed = false, d.freed || changed; changed {
 		d.fleet = slices.AppendSeq(d.fleet[:0], maps.Values(d.workers))
 		d.fleet = slices.DeleteFunc(d.fleet, func(w *worker) bool {
 			return !w.ready() || w.unlisted && (w.strikes > 0 || w.lived == 0) && !d.outage()
@@ -283,7 +284,7 @@
 	if r.held || r.done {
 		return
 	}
-	r.held, r.queue = true, 2*r.Class
+	r.held, r.queue, r.looked = true, 2*r.Class, 0
 	if d.now >= r.limit || r.over {
 		r.queue++
 	}
@@ -297,12 +298,7 @@
 // drain places held requests, the most worth per run time first.
 func (d *Dispatcher) drain() {
 	d.reorder()
-	if d.freed || d.now >= d.drainAt {
-		d.freed, d.drainAt = false, d.now+d.step()*time.Duration(1+len(d.fleet)/(4*sortPace))
-		for _, c := range d.classes {
-			c.stuck = false
-		}
-	}
+	d.lookAgain(looksPerStep)
 	for _, q := range d.order {
 		if d.classes[q/2].stuck {
 			continue // the last of its requests found no valid worker, and nothing has changed
@@ -314,7 +310,7 @@
 			}
 			first := len(r.attempts) == 0 && d.admitted < 1
 			waits := first && d.tokens < 1 && r.c.Worth <= muchWorth*d.worth() // else the others pay
-			if w := d.pick(r); w != nil && !waits && d.send(r, w) {
+			if w := d.look(r, waits); w != nil && d.send(r, w) {
 				if r.held = false; first {
 					d.tokens = max(-mostTokens, d.tokens-1)
 				}
@@ -326,7 +322,7 @@
 			}
 			d.queues[q][n] = r
 			n++
-			if r.Key > 0 || len(r.Order) > 0 {
+			if d.byKey(r) || len(r.Order) > 0 {
 				continue // the next has another key or order and so other workers
 			}
 			r.c.stuck = len(r.attempts) == 0
@@ -356,8 +352,7 @@
 	if w := d.firstJob(r); w != nil || len(r.Order) > 0 {
 		return w
 	}
-	// To a job that runs for longer than the usual a fetch is little, and an even load more.
-	keyed := r.Key > 0 && r.c.typical().Seconds() <= longRun*cmp.Or(d.usual(0), math.Inf(1))
+	keyed := d.byKey(r)
 	for i, b := range r.c.blocks {
 		if b.ByKey && !keyed {
 			continue
@@ -378,6 +373,12 @@
 	return d.walk(r.c.deflt, r)
 }
 
+// byKey tells whether a request goes to the keepers of its key. To a job that runs for longer than the usual a fetch
+// is little, and an even load more.
+func (d *Dispatcher) byKey(r *request) bool {
+	return r.Key > 0 && r.c.typical().Seconds() <= longRun*cmp.Or(d.usual(0), math.Inf(1))
+}
+
 // crosses tells whether a request may go on from the keepers of its own zone to those of all: where it finds the zone
 // lost, or crossing has no price. Else a move there costs more than it brings on.
 func (d *Dispatcher) crosses(r *request, from, to *block) bool {
@@ -444,7 +445,7 @@
 // valid applies a block's invalidate rule after its precondition.
 func (d *Dispatcher) valid(r *request, w *worker, inv Invalidate) bool {
 	refused := (d.now < w.refusals[r.Class].Until || r.c.Effect == Unsafe && d.now < w.wary) && !d.outage()
-	if !w.ready() || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
+	if inv.Rule != CapacityUsed && d.full(w) || !w.ready() || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
 		return false
 	}
 	// Unreachable, but for one trial at a time, of a job that can be repeated and has not been
--- /dev/null
+++ b/decide/held_test.go
@@ -0,0 +1,112 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// heldKinds are requests that find no room, each of another kind.
+var heldKinds = map[string]func(r *Request, n int){
+	"without keys":      func(*Request, int) {},
+	"with many keys":    func(r *Request, n int) { r.Key = uint64(n) + 1 },
+	"with one key":      func(r *Request, _ int) { r.Key = 1 },
+	"with an order":     func(r *Request, n int) { r.Order = []uint32{uint32(n%50) + 1} },
+	"over their share":  func(r *Request, _ int) { r.Tenant = 0 },
+	"of unequal demand": func(r *Request, n int) { r.Key, r.Slots = 1, 1+float64(n)/1000 },
+}
+
+// heldFleet is a dispatcher of many whose workers are all full, with so many requests held beside them.
+func heldFleet(tb testing.TB, workers, held int, kind string) (*Dispatcher, time.Duration) {
+	s := site(1, true, false, false)
+	s.Dispatchers, s.Limits.Open, s.Progress = 330, 100000, 0
+	for i := range s.Classes {
+		s.Classes[i].Aim, s.Classes[i].Deadline = 3*time.Second, 30*time.Second
+	}
+	if kind == "over their share" {
+		s.Tenants = []Tenant{{QuotaPerSecond: 1}, {QuotaPerSecond: 1000}, {QuotaPerSecond: 1000}}
+	}
+	d, err := New(s)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	now := time.Hour
+	d.Handle(now, []Event{ListFull{Workers: readyWorkers(workers)}})
+	var events []Event
+	for n := range workers + held {
+		r := Request{ID: uint32(n) + 1, Budget: 30 * time.Second, Slots: 1, Tenant: 2}
+		if n >= workers {
+			heldKinds[kind](&r, n)
+		}
+		events = append(events, r)
+	}
+	d.Handle(now, events)
+	for id := range d.requests {
+		d.Handle(now, []Event{JobStarted{Request: id}})
+	}
+	if got := d.held(); got < held/2 {
+		tb.Fatalf("%d requests held of %d", got, held)
+	}
+	return d, now
+}
+
+// TestHeldRequestsCostNothingWithoutNews: each step of the timer looked through all workers for each held request with a
+// key, and a dispatcher with many fell behind until answers were lost.
+func TestHeldRequestsCostNothingWithoutNews(t *testing.T) {
+	const steps, held, most = 60, 160, 500 // workers looked at in a batch: 50 us at 0.1 us each
+	for kind := range heldKinds {
+		for _, workers := range []int{50, 200, 800} {
+			d, now := heldFleet(t, workers, held, kind)
+			before := d.examined
+			for range steps {
+				now += d.step()
+				d.Handle(now, []Event{Wake{}})
+			}
+			if mean := (d.examined - before) / steps; mean > most {
+				t.Errorf("%d requests %s, %d workers: %d looks at a worker in a batch without news, at most %d", held, kind, workers, mean, most)
+			} else {
+				t.Logf("%s, %d: %d", kind, workers, mean)
+			}
+		}
+	}
+}
+
+// BenchmarkHeld has the timer fire without news while requests are held and all workers are full.
+func BenchmarkHeld(b *testing.B) {
+	for _, size := range [][2]int{{50, 160}, {200, 160}, {800, 160}, {5000, 1000}} {
+		for kind := range heldKinds {
+			b.Run(fmt.Sprintf("%d workers, %d held %s", size[0], size[1], kind), func(b *testing.B) {
+				d, now := heldFleet(b, size[0], size[1], kind)
+				for n := 0; b.Loop(); n++ {
+					if n%100 == 0 {
+						b.StopTimer()
+						d, now = heldFleet(b, size[0], size[1], kind)
+						b.StartTimer()
+					}
+					now += d.step()
+					d.Handle(now, []Event{Wake{}})
+				}
+			})
+		}
+	}
+}
+
+// TestHeldRequestsGoOutWhenRoomComes: a request that found no valid worker was forgotten until the next round of looks.
+func TestHeldRequestsGoOutWhenRoomComes(t *testing.T) {
+	for kind := range heldKinds {
+		d, now := heldFleet(t, 50, 20, kind)
+		for range 20 { // rounds without news
+			now += d.step()
+			d.Handle(now, []Event{Wake{}})
+		}
+		held := d.held()
+		for id, r := range d.requests {
+			if r.out == 1 {
+				d.Handle(now, []Event{AttemptEnded{Request: id, Over: true}})
+			}
+		}
+		if left := d.held(); left > held/2 {
+			t.Errorf("%d of %d requests %s are held while the workers are idle", left, held, kind)
+		}
+	}
+}
--- /dev/null
+++ b/decide/look.go
@@ -0,0 +1,82 @@
+package decide
+
+import (
+	"math"
+	"time"
+)
+
+// A held request for which no worker was valid is looked at again only in the next round: once something has
+// happened that may have made a worker valid, or time alone may have.
+
+// lookCost is what a look at a request costs beside the workers that are looked at for it, in such.
+const lookCost = 8
+
+// likeness is what requests that have not been sent yet share if the same workers may be valid for them.
+type likeness struct {
+	queue int
+	key   uint64
+	held  bool
+}
+
+func (r *request) likeness() likeness { return likeness{r.queue, r.Key, r.Held} }
+
+// unplaced is a request that found no valid worker in this round.
+type unplaced struct {
+	slots, memory      float64
+	work, arrived, due time.Duration
+}
+
+// covers tells whether a request like it that asks for as much, and came no sooner, finds none either.
+func (u unplaced) covers(r *request) bool {
+	work := u.work == r.Work || u.work > 0 && u.work < r.Work // 0 is not known
+	return work && r.Slots >= u.slots && r.Memory >= u.memory && r.arrived >= u.arrived && r.due >= u.due
+}
+
+// lookAgain begins a round of looks at all held requests if one is due: once something has happened that may have made
+// a worker valid, else as long after the last as that looked at so many workers a step of the timer.
+func (d *Dispatcher) lookAgain(perStep int) {
+	pause := d.step() * time.Duration(1+(d.examined-d.roundLooks)/perStep)
+	if !d.freed && d.rounds > 0 && d.now < d.roundAt+pause {
+		return
+	}
+	d.freed, d.roundAt, d.roundLooks = false, d.now, d.examined
+	d.rounds++
+	clear(d.unplaced)
+	for _, c := range d.classes {
+		c.stuck = false
+	}
+}
+
+// look picks a worker for a held request, unless none can have become valid since the last look. One that has to wait
+// for its turn to be let out is not looked at.
+func (d *Dispatcher) look(r *request, waits bool) *worker {
+	if waits || r.looked == d.rounds {
+		return nil
+	}
+	unsent := len(r.attempts)+len(r.Order) == 0
+	if earlier, ok := d.unplaced[r.likeness()]; ok && unsent && earlier.covers(r) {
+		return nil
+	}
+	d.examined += lookCost
+	w := d.pick(r)
+	if w != nil {
+		return w
+	}
+	r.looked = d.rounds
+	if unsent && !r.over {
+		d.unplaced[r.likeness()] = unplaced{r.Slots, r.Memory, r.Work, r.arrived, r.due}
+	}
+	return nil
+}
+
+// full tells whether a worker has room for no request, by what it holds or because it rests after a failure.
+func (d *Dispatcher) full(w *worker) bool {
+	d.examined++
+	if w.fullIn != d.batch {
+		used, _, size := d.load(w)
+		noRoom := used > 0 && used >= max(size, math.Floor(*d.ceiling(w)))
+		noRoom = noRoom && (!d.s.Leasing.On || d.warmth(w) >= 1) // a lease is asked for ahead of room
+		w.fullIn, w.full = d.batch, w.strikes == 0 && noRoom || w.strikes > 0 && d.now < w.retryAt
+	}
+	return w.full
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -62,6 +62,8 @@
 	cordoned bool     // left out by hand
 	owed     bool     // put back by hand and not used since
 	rank     float64  // place in the blocks
+	full     bool     // no request finds room here,
+	fullIn   int      // as of this batch
 	held     []Span   // by gangs,
 	of       float64  // of so many slots
 	// Connections as foreseen here: attempts out, connections open, when one was last freed.
@@ -113,6 +115,7 @@
 	over                bool // beyond its tenant's share
 	held                bool
 	queue               int // where it is held
+	looked              int // the round of looks in which no worker was valid for it
 }
 
 // condition is a state that the people on call are told of.
@@ -199,21 +202,26 @@
 	silent                time.Duration    // kept connections may carry nothing until then
 	mostIdle              time.Duration    // a kept connection broke after twice that, at idleAt
 	idleAt                time.Duration
-	ages                  [8]tally            // sends that failed, by how long their connection was idle
-	wakeAt                time.Duration       // when the timer was asked for
-	late, stall           time.Duration       // by how much this batch came too late, and the longest such
-	budget                AttemptBudget       // the rule's or, without one, our own
-	taken, extras         []time.Duration     // requests and further attempts inside the budget's window
-	sums                  map[uint32]*loadSum // of what the peers tell, by worker
-	lists, learned        int                 // worker lists taken; jobs learned from since the last sort
-	most, mostReady       int                 // workers listed at a time, so far, and of those ready
-	freed                 bool                // something happened that may have made a worker valid
-	drainAt               time.Duration       // else held requests are looked at again from then on
-	moved                 bool                // this dispatcher's load at a worker since the last message
-	cordons               map[uint32]bool     // left out by hand
-	owed                  []*worker           // to be used before others: put back by hand and owed a first job, or cold
-	trusted               int                 // ready workers without a strike
-	manyKinds             bool                // the workers known are of more than one kind
+	ages                  [8]tally              // sends that failed, by how long their connection was idle
+	wakeAt                time.Duration         // when the timer was asked for
+	late, stall           time.Duration         // by how much this batch came too late, and the longest such
+	budget                AttemptBudget         // the rule's or, without one, our own
+	taken, extras         []time.Duration       // requests and further attempts inside the budget's window
+	sums                  map[uint32]*loadSum   // of what the peers tell, by worker
+	lists, learned        int                   // worker lists taken; jobs learned from since the last sort
+	most, mostReady       int                   // workers listed at a time, so far, and of those ready
+	freed                 bool                  // something happened that may have made a worker valid
+	rounds                int                   // of looks at held requests, since the beginning
+	roundAt               time.Duration         // when the last of them began,
+	roundLooks            int                   // and how many workers had been looked at by then
+	unplaced              map[likeness]unplaced // in this round
+	batch                 int                   // number of the batch at hand
+	examined              int                   // how often a worker was looked at for a request
+	moved                 bool                  // this dispatcher's load at a worker since the last message
+	cordons               map[uint32]bool       // left out by hand
+	owed                  []*worker             // to be used before others: put back by hand and owed a first job, or cold
+	trusted               int                   // ready workers without a strike
+	manyKinds             bool                  // the workers known are of more than one kind
 	out                   []Action
 }
 
@@ -447,12 +455,13 @@
 // fill puts the workers into the blocks in the order given, those of platform blocks by ID
 // and those of blocks by key, if the fleet has changed, on a hash ring.
 func (d *Dispatcher) fill(best []*worker, changed bool) {
+	var rings []placedRing
 	for _, c := range d.defined() {
 		for _, b := range append(c.blocks, c.deflt) {
 			from := best
 			if b.ByKey {
 				if changed && len(d.keys) > 0 { // where none are sent it would be work for nothing
-					b.place(c, d.fleet)
+					rings = b.placeOnce(c, d.fleet, rings)
 				}
 				continue
 			}
@@ -469,6 +478,29 @@
 	}
 }
 
+// placedRing is a block whose workers are on the hash ring as of this list, and its class's kind of worker.
+type placedRing struct {
+	block *block
+	kind  int
+}
+
+// placeOnce places the block, or takes over the ring of one that has the same workers.
+func (b *block) placeOnce(c *class, fleet []*worker, rings []placedRing) []placedRing {
+	for _, p := range rings {
+		if p.kind == c.Kind && slices.EqualFunc(p.block.Workers, b.Workers, Label.equal) {
+			b.ring, b.members = p.block.ring, p.block.members
+			return rings
+		}
+	}
+	b.ring, b.members = nil, nil // the old ones may be another block's too
+	b.place(c, fleet)
+	return append(rings, placedRing{b, c.Kind})
+}
+
+func (l Label) equal(o Label) bool {
+	return l.Zone == o.Zone && l.Kind == o.Kind && slices.Equal(l.IDs, o.IDs) && (l.IDs == nil) == (o.IDs == nil)
+}
+
 // place puts the block's workers on the hash ring, each at several points: so what one cannot
 // take is spread over many others, and little moves when the fleet changes.
 func (b *block) place(c *class, fleet []*worker) {
