The dispatch loop took messages for as long as any came, before timers and decisions

Callers: no report; under a flood that the readers hand over as fast as the loop takes it, nobody would have been answered in time. Cause: batch drained its inbox until it was empty. Found by reading, on the search for lost answers. TestTimersFireWhileMessagesKeepComing has each message bring the next: before, the timer that was due fired after 81,920 of 81,920, now after the first.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -237,16 +237,12 @@
 	}
 }
 
-// batch takes what else has come and is due, and has the module decide on all of it at
-// one time: an outcome that came with a timer must be seen with it.
+// batch takes what else has come by now and is due, and has the module decide on all of it at
+// one time: an outcome that came with a timer must be seen with it. What comes meanwhile is for the next.
 func (l *Loop) batch() {
-	for more := true; more; {
-		select {
-		case m := <-l.in:
-			m(l)
-		default:
-			more = false
-		}
+	for range len(l.in) {
+		m := <-l.in
+		m(l)
 	}
 	l.timers.Fire(time.Now())
 	for len(l.events) > 0 { // what ends at once, such as a send that is not made, is news too
