A dispatcher that is short of processor time logs that its decisions come late, and how late

The timer of the module, when it fires 250 ms late or more, logs one warning, again after 10 s in time (TestLateLoopIsLoggedOnce). No decision changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,6 +181,7 @@
 	leases  map[uint64]Lease
 	leaseID uint64
 	strays  func(News) bool // nil: nobody asks for them
+	late    lateness
 	Books   Books
 }
 
@@ -205,6 +206,7 @@
 	l := &Loop{
 		fleet: fleet, table: table, other: other, log: logger, in: make(chan message, inbox),
 		ids: map[string]*held{}, requests: map[uint32]*held{}, workers: map[uint32]string{}, numbers: map[string]uint32{},
+		late: lateness{log: logger},
 	}
 	s, all := l.fit(s, n)
 	mod, err := decide.New(s)
--- /dev/null
+++ b/internal/dispatch/late_test.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A dispatcher short of processor time answered late, and its log said nothing of it.
+func TestLateLoopIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	n := lateness{log: slog.New(slog.NewTextHandler(&out, nil))}
+	due := time.Now()
+	for range 5 {
+		due = due.Add(time.Second)
+		n.fired(due, due.Add(lateNotice-time.Millisecond))
+	}
+	require.Empty(t, out.String())
+	for range 5 {
+		due = due.Add(time.Second)
+		n.fired(due, due.Add(300*time.Millisecond))
+	}
+	require.Equal(t, 1, strings.Count(out.String(), "late=300ms"))
+	due = due.Add(lateQuiet + time.Second)
+	n.fired(due, due.Add(300*time.Millisecond))
+	require.Equal(t, 2, strings.Count(out.String(), "late=300ms"))
+}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -27,7 +27,11 @@
 		case decide.FailRequest:
 			l.fail(a)
 		case decide.WakeMe:
-			l.timers.At(now.Add(a.After), func() { l.tell(decide.Wake{Token: a.Token}) })
+			due := now.Add(a.After)
+			l.timers.At(due, func() {
+				l.late.fired(due, time.Now())
+				l.tell(decide.Wake{Token: a.Token})
+			})
 		case decide.Probe:
 			l.Books.Probes.Add(1)
 			l.fleet.Probe(l.workers[a.Worker])
