Looks at new requests put off the next round of looks at held ones without end

TestRoundsComeWhileOthersAreLookedAt has 100 new keys a step for 128 steps: no round without the bound, now one every 64 steps at the latest.

--- a/decide/held_test.go
+++ b/decide/held_test.go
@@ -110,3 +110,21 @@
 		}
 	}
 }
+
+// TestRoundsComeWhileOthersAreLookedAt: looks at new requests put off the next round of looks at held ones without end.
+func TestRoundsComeWhileOthersAreLookedAt(t *testing.T) {
+	d, now := heldFleet(t, 200, 20, "with many keys")
+	rounds := d.rounds
+	for n := range 2 * mostPause {
+		now += d.step()
+		events := []Event{Wake{}}
+		for i := range 100 {
+			id := 10000 + 100*n + i
+			events = append(events, Request{ID: uint32(id), Budget: 30 * time.Second, Slots: 1, Key: uint64(id)})
+		}
+		d.Handle(now, events)
+	}
+	if d.rounds < rounds+2 {
+		t.Errorf("%d rounds in %d steps", d.rounds-rounds, 2*mostPause)
+	}
+}
--- a/decide/look.go
+++ b/decide/look.go
@@ -11,6 +11,9 @@
 // lookCost is what a look at a request costs beside the workers that are looked at for it, in such.
 const lookCost = 8
 
+// mostPause is the longest time between two rounds of looks, in steps of the timer.
+const mostPause = 64
+
 // likeness is what requests that have not been sent yet share if the same workers may be valid for them.
 type likeness struct {
 	queue int
@@ -35,7 +38,7 @@
 // lookAgain begins a round of looks at all held requests if one is due: once something has happened that may have made
 // a worker valid, else as long after the last as that looked at so many workers a step of the timer.
 func (d *Dispatcher) lookAgain(perStep int) {
-	pause := d.step() * time.Duration(1+(d.examined-d.roundLooks)/perStep)
+	pause := d.step() * time.Duration(min(mostPause, 1+(d.examined-d.roundLooks)/perStep))
 	if !d.freed && d.rounds > 0 && d.now < d.roundAt+pause {
 		return
 	}
