Known failures: killed watchers that answers keep alive, a test that fails; watchers not replaced

On the search for its cause, by reading: whoever misses a watcher's word asks a peer for the list, and the answer names as its source the watcher that it came from, which counts as a sign of life of that one, dead or not. Where the membership is late to notice (it takes longer on a machine without time), 60 dispatchers refresh it for each other. Tried and not taken: signs of life by the age of the answer (then TestOlderListOfTheService fails, as roles rotate among watchers that read an older list), and 2 s more for one who tries (then TestWatchersThatCannot, 4 watchers of 2).

--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -25,6 +25,7 @@
 	down     bool
 	cut      func(a, b string) bool // messages are lost
 	unserved func(string) bool      // cut off from the list service
+	unseen   bool                   // the membership does not notice who dies or is stopped
 	mail     []letter
 	calls    int
 }
@@ -136,7 +137,7 @@
 			if (int(turn)+i)%30 == 0 {
 				var all []Peer
 				for _, p := range f.nodes {
-					if p != d && p.alive && !p.stopped && !f.cut(p.name, d.name) {
+					if p != d && (p.alive && !p.stopped || f.unseen) && !f.cut(p.name, d.name) {
 						all = append(all, Peer{Name: p.name, Zone: p.zone, Watch: p.shows})
 					}
 				}
@@ -195,6 +196,26 @@
 	require.LessOrEqual(t, f.calls, 24)
 }
 
+// Watchers that were killed were waited for as long as the membership had not noticed: those who missed their word asked
+// each other, and each answer, which named the dead as its source, counted as a sign of life of theirs.
+func TestDeadWatchersAreReplacedBeforeTheMembershipNotices(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, size := range []int{8, 60} {
+			f := newFleet(seed, size, 2)
+			f.run(3 * time.Second)
+			f.unseen = true
+			for _, d := range f.nodes {
+				d.alive = !d.watch || d.zone != "z0"
+			}
+			f.run(silentAfter + askEvery)
+			require.Equal(t, 2, f.watchers("z0"), "seed %d, %d dispatchers", seed, size)
+			f.publish(9)
+			f.run(500 * time.Millisecond)
+			f.agree(t)
+		}
+	}
+}
+
 // Whoever cannot reach the service is replaced, also by those it does not know to be worse; one that slept is told.
 func TestWatchersThatCannot(t *testing.T) {
 	f := newFleet(2, 30, 2)
