List decide/look.go under policy; estimators go to a file of their own

Change: look.go is listed. Plain estimators (tallies, means, a worker's load and report, what an end says of a connection) move from decide.go and state.go to decide/estimate.go, data types of held requests to state.go.

--- a/decide/api.go
+++ b/decide/api.go
@@ -1,5 +1,5 @@
 // Package decide makes the decisions of a dispatcher that pushes jobs to
-// workers by Allocation Priority Policies. The policy itself is in decide.go;
+// workers by Allocation Priority Policies. The policy itself is in decide.go and look.go;
 // this file holds only the seam: the types that cross it, New and Handle.
 package decide
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,5 +1,5 @@
-// The policy: every decision of the module is in this file. Its settings,
-// events and actions are in decide/api.go; what it remembers is in decide/state.go.
+// The policy: the decisions of the module are in this file and look.go. Its settings, events and actions are in api.go;
+// what it remembers is in state.go, and what it learns from events in estimate.go.
 
 package decide
 
@@ -496,21 +496,6 @@
 	}
 }
 
-// fared takes whether an attempt was started promptly, for its zone. One dispatcher meets a
-// worker too seldom to learn of it; what strikes a zone (loss, cut, shifted traffic) it can tell.
-func (d *Dispatcher) fared(a *attempt, badly bool) {
-	if a.fared {
-		return
-	}
-	a.fared = true
-	for _, z := range d.zones {
-		if z != a.w.zone {
-			z.bad.Share *= 1 - 1/(4*zoneMemory) // what was bad is tried again
-		}
-	}
-	a.w.zone.bad.add(badly, zoneMemory)
-}
-
 // shun draws the zones whose workers are invalid for one pick: the more often the more of the
 // attempts there fare worse than in the best zone, by more than four prices of crossing.
 func (d *Dispatcher) shun() {
@@ -529,13 +514,7 @@
 
 // load is a worker's slots and memory in use, as far as known here, and its size for this dispatcher.
 func (d *Dispatcher) load(w *worker) (used, mem, size float64) {
-	used, mem = w.own+w.ghost, w.mem
-	if w.peers != nil {
-		if used += float64(w.peers[0]) / 8; w.foreign > 0 {
-			used += d.foreign(w)
-		}
-		mem += float64(w.peers[1]) / 8
-	}
+	used, mem = d.inUse(w)
 	size = cmp.Or(w.slots, d.kind(w.Kind).Slots) // one not heard of yet is as large as its kind
 	if size == 0 || d.s.TellsStart {
 		return used, mem, math.Floor(*d.ceiling(w))
@@ -677,22 +656,6 @@
 		func(t tally) bool { return t.Share > young+(1-young)*most })
 }
 
-// judgeConn takes what the end of an attempt says of the connection that it went out on.
-func (d *Dispatcher) judgeConn(r *request, a *attempt, o Outcome) {
-	w := a.w
-	w.open--
-	silent := !a.started && a.note == a.sent
-	bad := silent && (o == Reset || o == TimedOut || o == Cancelled && d.now-a.sent > r.c.Aim) // not just moved
-	if bad || o == ConnectFailed || o == Cancelled {
-		w.conns = max(w.open, w.conns-1)
-	} else {
-		w.freed = d.now
-	}
-	if (!silent || bad || o == OK) && o != ConnectFailed && o != Moot {
-		d.ages[d.ageOf(a.idle)].add(bad, ageMemory)
-	}
-}
-
 // answer is the gate of final answers: a refusal where it is harmless, else a failure, only once.
 func (d *Dispatcher) answer(r *request) {
 	if r.done || r.streaming {
@@ -737,21 +700,6 @@
 	return g
 }
 
-func (d *Dispatcher) noted(id uint32, n int, e Event) {
-	r, a := d.attempt(id, n)
-	if a == nil {
-		return
-	}
-	d.begun(r, a)
-	switch e.(type) {
-	case StreamStarted:
-		r.streaming = true
-	case JobProgress:
-		a.note = d.now
-		d.alive(a.w)
-	}
-}
-
 // begun takes word that an attempt runs: the best sign of whether it queued.
 func (d *Dispatcher) begun(r *request, a *attempt) {
 	if a.started {
@@ -969,8 +917,7 @@
 	run := max((d.now - from).Seconds(), 1e-4)
 	c, w := r.c, a.w
 	d.learned++
-	c.jobs = min(c.jobs+1, 4*speedMemory)
-	c.run += (run - c.run) / c.jobs
+	c.took(run)
 	if !d.s.TellsStart { // the end must say what the start would have
 		if d.crowded(false); run > c.Aim.Seconds()+c.Stretch*c.typical().Seconds() {
 			*d.ceiling(w) = max(firstCeiling, *d.ceiling(w)-ceilingStep)
@@ -978,25 +925,7 @@
 			*d.ceiling(w) += endStep
 		}
 	}
-	c.logRun += (math.Log(run) - c.logRun) / c.jobs
-	dev, k := math.Log(run)-c.logRun, d.kind(w.Kind)
-	w.dev, w.n = w.dev*(1-1/speedMemory)+dev, w.n*(1-1/speedMemory)+1
-	k.Dev, k.N = k.Dev*(1-1/speedMemory)+dev, k.N*(1-1/speedMemory)+1
-}
-
-// report takes a worker's own figures: its size while it has room, where it tells what it holds besides.
-func (d *Dispatcher) report(w *worker, p *Report) {
-	if p != nil && p.Active >= 0 && d.unseen() {
-		w.foreign, w.seen, w.news = 0, d.now, true
-		used, _, _ := d.load(w)
-		w.foreign = max(0, p.Active-used)
-	}
-	// With little memory free, what it holds may be waiting for memory beside a free slot.
-	if p == nil || p.Active < 0 || p.FreeSlots <= 0 || p.FreeMemory >= 0 && p.FreeMemory < 1 {
-		return
-	}
-	w.slots = math.Round(p.FreeSlots + p.Active)
-	d.kind(w.Kind).Slots = max(d.kind(w.Kind).Slots, w.slots)
+	d.deviates(c, w, run)
 }
 
 // sweep looks at everything that time alone changes.
--- a/decide/look.go
+++ b/decide/look.go
@@ -14,21 +14,6 @@
 // mostPause is the longest time between two rounds of looks, in steps of the timer.
 const mostPause = 64
 
-// likeness is what requests that have not been sent yet share if the same workers may be valid for them.
-type likeness struct {
-	queue int
-	key   uint64
-	held  bool
-}
-
-func (r *request) likeness() likeness { return likeness{r.queue, r.Key, r.Held} }
-
-// unplaced is a request that found no valid worker in this round.
-type unplaced struct {
-	slots, memory      float64
-	work, arrived, due time.Duration
-}
-
 // covers tells whether a request like it that asks for as much, and came no sooner, finds none either.
 func (u unplaced) covers(r *request) bool {
 	work := u.work == r.Work || u.work > 0 && u.work < r.Work // 0 is not known
--- a/decide/state.go
+++ b/decide/state.go
@@ -92,17 +92,6 @@
 	idle            time.Duration // for how long its connection was not in use
 }
 
-// tally is the share of bad events among the last few.
-type tally struct{ N, Share float64 }
-
-func (t *tally) add(bad bool, memory float64) {
-	t.N = min(t.N+1, memory)
-	t.Share -= t.Share / t.N
-	if bad {
-		t.Share += 1 / t.N
-	}
-}
-
 type request struct {
 	Request
 	c                   *class
@@ -118,28 +107,26 @@
 	looked              int // the round of looks in which no worker was valid for it
 }
 
-// condition is a state that the people on call are told of.
-type condition struct {
-	on bool
-	at time.Duration // of the last line
+// likeness is what requests that have not been sent yet share if the same workers may be valid for them.
+type likeness struct {
+	queue int
+	key   uint64
+	held  bool
 }
 
-// demand is how often a key or a tenant was asked for lately, fading.
-type demand struct {
-	N    float64
-	Last time.Duration
-}
+func (r *request) likeness() likeness { return likeness{r.queue, r.Key, r.Held} }
 
-func (k demand) at(now, memory time.Duration) float64 {
-	return k.N * math.Exp(-(now-k.Last).Seconds()/max(memory.Seconds(), 1))
+// unplaced is a request that found no valid worker in this round.
+type unplaced struct {
+	slots, memory      float64
+	work, arrived, due time.Duration
 }
 
-func (k *demand) bump(now, memory time.Duration) { k.N, k.Last = 1+k.at(now, memory), now }
-
-// certain is the part of a count that is beyond what chance alone brings.
-func certain(n float64) float64 { return max(0, n-math.Sqrt(max(0, n))) }
-
-type kindStat struct{ Dev, N, Slots, Ceiling float64 }
+// condition is a state that the people on call are told of.
+type condition struct {
+	on bool
+	at time.Duration // of the last line
+}
 
 // zoneStat is the share of attempts in a zone that fared badly, fading.
 type zoneStat struct {
@@ -228,16 +215,6 @@
 // any tells whether an attempt of the request is as f says.
 func (r *request) any(f func(*attempt) bool) bool { return slices.ContainsFunc(r.attempts, f) }
 
-// ageOf is the place of an idle time among the tallies: under a 64th of what connections live,
-// then by doublings.
-func (d *Dispatcher) ageOf(idle time.Duration) int {
-	n := 0
-	for t := d.s.Limits.ConnIdle / 64; idle > t && n < len(d.ages)-1; t *= 2 {
-		n++
-	}
-	return n
-}
-
 // zone is what is known of a zone.
 func (d *Dispatcher) zone(id int) *zoneStat {
 	i := slices.IndexFunc(d.zones, func(z *zoneStat) bool { return z.id == id })
@@ -248,17 +225,6 @@
 	return d.zones[i]
 }
 
-// typical is the geometric mean of the class's run time, its aim until known.
-func (c *class) typical() time.Duration {
-	if c.jobs == 0 {
-		return c.Aim
-	}
-	if c.usual == 0 || c.usualOf != c.logRun { // asked for each request and worker
-		c.usual, c.usualOf = time.Duration(math.Exp(c.logRun)*float64(time.Second)), c.logRun
-	}
-	return c.usual
-}
-
 // note logs a change of a condition for the people on call, each seldom enough to read.
 func (d *Dispatcher) note(c *condition, on bool, begins, ends string, args ...any) {
 	if on == c.on || c.at > 0 && d.now-c.at < d.s.Rules.FallWindow {
@@ -298,42 +264,12 @@
 	return d.kinds[k]
 }
 
-// mean is the class's mean run in seconds, while unknown its aim.
-func (c *class) mean() float64 { return max(c.run, c.typical().Seconds(), 1e-3) }
-
-// wary is the class's mean run in seconds as far as a rule depends on it: one that was short may not outweigh the aim.
-func (c *class) wary() float64 {
-	return max(c.mean(), (speedPrior*c.Aim.Seconds()+c.jobs*c.mean())/(speedPrior+c.jobs))
-}
-
 // pace is the time scale of this deployment's jobs: the shortest class's typical run.
 func (d *Dispatcher) pace() time.Duration {
 	shorter := func(a, b *class) int { return cmp.Compare(a.typical(), b.typical()) }
 	return slices.MinFunc(d.current, shorter).typical()
 }
 
-// slowness is a worker's log run time against the mean, its kind's where little is known.
-func (d *Dispatcher) slowness(w *worker) float64 {
-	k := d.kind(w.Kind)
-	prior := min(speedPrior, speedSeen*float64(len(d.fleet))/float64(d.s.Dispatchers))
-	return (w.dev + prior*k.Dev/(k.N+prior)) / max(w.n+prior, 1e-9)
-}
-
-// takenSince is how many requests came from a time on, of those that are remembered. It is asked for each pick at a cold worker.
-func (d *Dispatcher) takenSince(from time.Duration) int {
-	i, _ := slices.BinarySearch(d.taken, from)
-	return len(d.taken) - i
-}
-
-// kindSlowness is the log run time of a worker's kind against the mean. One of several that is not known may be slow.
-func (d *Dispatcher) kindSlowness(w *worker) float64 {
-	k, doubt := d.kind(w.Kind), 0.0
-	if d.manyKinds {
-		doubt = slowPrior * sizePrior
-	}
-	return (k.Dev + doubt) / (k.N + sizePrior)
-}
-
 // longestDeadline is of all classes.
 func (d *Dispatcher) longestDeadline() (most time.Duration) {
 	for _, c := range d.current {
@@ -342,15 +278,6 @@
 	return most
 }
 
-// longest is the mean run of the class that runs longest, in seconds.
-func (d *Dispatcher) longest() float64 {
-	most := 0.0
-	for _, c := range d.current {
-		most = max(most, c.mean())
-	}
-	return most
-}
-
 // upsert takes lines of the worker list: of a new process nothing is known.
 func (d *Dispatcher) upsert(lines []Worker, whole bool) {
 	d.lists++
@@ -520,36 +447,6 @@
 	}
 }
 
-// sawStart takes how long after its sending an attempt was started.
-func (d *Dispatcher) sawStart(a *attempt, delay time.Duration) {
-	d.learned++
-	d.starts.add(delay.Seconds())
-	d.sawSetup(a, delay)
-}
-
-// usualStart is how long after its sending an attempt is started lately, wherever it went.
-func (d *Dispatcher) usualStart() time.Duration {
-	return time.Duration(d.starts.mean * float64(time.Second))
-}
-
-// average is a mean that follows the last few values.
-type average struct{ mean, n float64 }
-
-// averageMemory is how many of them.
-const averageMemory = 16.0
-
-func (a *average) add(value float64) {
-	a.n = min(a.n+1, averageMemory)
-	a.mean += (value - a.mean) / a.n
-}
-
-func (d *Dispatcher) sawSetup(a *attempt, delay time.Duration) {
-	if a.fresh {
-		copy(d.setups[1:], d.setups[:])
-		d.setups[0] = min(max(delay-a.w.lead, 0), d.s.Limits.ConnectTimeout)
-	}
-}
-
 // warmth is the least share of its capacity that a worker can have by now.
 func (d *Dispatcher) warmth(w *worker) float64 {
 	if w.Started == 0 || d.now-w.Started >= d.s.Rules.Cold {
@@ -583,48 +480,6 @@
 	return max(1, w.slots, d.kind(w.Kind).Slots, d.agreed()*d.usual(sizePrior)/float64(max(1, d.mostReady)))
 }
 
-// agreed is how many requests a second the tenants have agreed, at all dispatchers together.
-func (d *Dispatcher) agreed() (rate float64) {
-	for _, t := range d.s.Tenants {
-		if !t.Left {
-			rate += t.QuotaPerSecond
-		}
-	}
-	return rate
-}
-
-// usual is the run of a job of whatever class, in seconds: the mean of what is typical of each, as if so many more jobs
-// of no length had been seen. 0 while not known.
-func (d *Dispatcher) usual(more float64) float64 {
-	run, jobs := 0.0, 0.0
-	for _, c := range d.current {
-		run, jobs = run+c.jobs*c.typical().Seconds(), jobs+c.jobs
-	}
-	return run / max(jobs+more, 1)
-}
-
-// usualUpTo is the mean run in seconds of the jobs seen of those classes whose mean is no longer than a limit; 0 while
-// not known.
-func (d *Dispatcher) usualUpTo(limit float64) float64 {
-	run, jobs := 0.0, 0.0
-	for _, c := range d.current {
-		if c.mean() <= limit {
-			run, jobs = run+c.jobs*c.mean(), jobs+c.jobs
-		}
-	}
-	return run / max(jobs, 1)
-}
-
-// setup is what a new connection adds to the start of a job: the least of the last few, since
-// queues add to some only. Guards against taking slow connecting for queueing everywhere.
-func (d *Dispatcher) setup() time.Duration { return slices.Min(d.setups[:]) }
-
-// foreign is what a worker held for dispatchers that tell nothing here, by its last report; it
-// fades as their jobs end. The larger the fleet of dispatchers, the more of the load it is.
-func (d *Dispatcher) foreign(w *worker) float64 {
-	return w.foreign * math.Exp(-(d.now-w.seen).Seconds()/d.longest())
-}
-
 // Fleet tells how many workers are listed, and how many of those are avoided now: not ready, not
 // trusted, or barred for every class.
 func (d *Dispatcher) Fleet() (listed, avoided int) {
@@ -676,3 +531,19 @@
 	}
 	return mean / max(n, 1)
 }
+
+// noted takes word from a worker that an attempt runs or goes on.
+func (d *Dispatcher) noted(id uint32, n int, e Event) {
+	r, a := d.attempt(id, n)
+	if a == nil {
+		return
+	}
+	d.begun(r, a)
+	switch e.(type) {
+	case StreamStarted:
+		r.streaming = true
+	case JobProgress:
+		a.note = d.now
+		d.alive(a.w)
+	}
+}
