Keep to a request's own order after its aim

Callers: a member of a gang, or a rerun narrowed to some encoders, could run at any other one. Nobody reported it.

Cause: lastResort, the attempt at a random healthy worker once a request has waited for its aim, did not look at the order that the request brings.

Evidence: by reading, while TestGangsCoordinatorKilled was traced (a member held for 204 ms, the aim is 200 ms). TestOrderHoldsPastTheAim failed before: "seed 0: it may go to 3 alone, it went to 1 at 1h0m0.1s".

Change: the last attempt goes only to workers that the order names, where there is one. The test passes on its 20 seeds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -439,7 +439,10 @@
 	if d.s.ReportsFree && !d.s.TellsStart || r.c.followup == Fail || len(r.attempts) > 0 || d.held() > 1 || d.waiting > 0 {
 		return nil
 	}
-	return d.random(r.c.deflt, func(w *worker) bool { return w.strikes == 0 && !d.forbidden(r, w) })
+	return d.random(r.c.deflt, func(w *worker) bool {
+		named := len(r.Order) == 0 || slices.Contains(r.Order, w.ID)
+		return named && w.strikes == 0 && !d.forbidden(r, w)
+	})
 }
 
 // valid applies a block's invalidate rule after its precondition.
--- a/decide/order_test.go
+++ b/decide/order_test.go
@@ -62,3 +62,23 @@
 		}
 	}
 }
+
+// TestOrderHoldsPastTheAim guards against a request that brings its own order and, once it has waited for its aim, is sent
+// to any worker.
+func TestOrderHoldsPastTheAim(t *testing.T) {
+	for seed := range uint64(20) {
+		w := fleet(t, site(seed, true, false, false), 4)
+		w.d.Handle(w.now, []Event{ListDelta{Workers: []Worker{{ID: 3, State: Draining}}}})
+		j := w.arrive(0, time.Second)
+		j.Order = []uint32{3}
+		w.handle(j.Request)
+		for range 100 {
+			w.now += 10 * ms
+			for _, a := range w.handle(Wake{}) {
+				if a, ok := a.(Send); ok {
+					t.Fatalf("seed %d: it may go to 3 alone, it went to %d at %v", seed, a.Worker, w.now)
+				}
+			}
+		}
+	}
+}
