Send a gang's member at once where its slots are held, whatever the ceiling

Callers: a gang that must not run twice ended as not_started, "its encoder began too late", both members perhaps run.

Cause: valid() and full() measured a member by the ceiling that its dispatcher has learned for the worker, one job at first. With another gang's member from the same dispatcher running there, it was held until its aim was over.

TestHeldSlotsAreNotRefusedByTheCeiling failed before ("member 1 of a gang is not sent at once").

Change: room learned here does not bind a request that slots are held for; health, drains, cold workers and repeats do.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -448,7 +448,7 @@
 // valid applies a block's invalidate rule after its precondition.
 func (d *Dispatcher) valid(r *request, w *worker, inv Invalidate) bool {
 	refused := (d.now < w.refusals[r.Class].Until || r.c.Effect == Unsafe && d.now < w.wary) && !d.outage()
-	if inv.Rule != CapacityUsed && d.full(w) || !w.ready() || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
+	if inv.Rule != CapacityUsed && !r.Held && d.full(w) || !w.ready() || refused || w.zone.shunned || d.openOnly && w.conns <= w.open {
 		return false
 	}
 	// Unreachable, but for one trial at a time, of a job that can be repeated and has not been
@@ -463,8 +463,8 @@
 	}) {
 		return false
 	}
-	if w.strikes > 0 {
-		return true // a trial, whatever ghosts are held against the worker
+	if w.strikes > 0 || r.Held {
+		return true // a trial, whatever ghosts are held against the worker, or its slots are kept for it
 	}
 	used, mem, size := d.load(w)
 	switch inv.Rule {
--- a/decide/hold_test.go
+++ b/decide/hold_test.go
@@ -50,3 +50,21 @@
 		t.Error("the hold was taken back, and nothing is sent")
 	}
 }
+
+// TestHeldSlotsAreNotRefusedByTheCeiling guards against a gang's member that waits, though its slots are held, because its
+// dispatcher has sent that worker a job before and knows of no second slot there.
+func TestHeldSlotsAreNotRefusedByTheCeiling(t *testing.T) {
+	w := fleet(t, site(1, true, false, false), 1)
+	for n := range 3 {
+		j := w.arrive(0, 10*time.Second)
+		j.Held, j.Order = true, []uint32{1}
+		sent := false
+		for _, a := range w.d.Handle(w.now, []Event{j.Request}) {
+			_, send := a.(Send)
+			sent = sent || send
+		}
+		if !sent {
+			t.Errorf("member %d of a gang is not sent at once", n)
+		}
+	}
+}
