Do not count attempts that were never sent; wait for longer before each next one

Callers: while the pool of connections was full, or a request's only encoder had not confirmed a give-up, a request was refused within a millisecond or two, with most of its time left.

Cause: an attempt that ends as never sent counted as one of the three, and the next pick came in the same batch.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -316,13 +316,13 @@
 				}
 				continue
 			}
-			if r.c.followup == Fail && r.out == 0 {
+			if r.c.followup == Fail && r.out == 0 && d.now >= r.retryAt {
 				d.answer(r)
 				continue
 			}
 			d.queues[q][n] = r
 			n++
-			if d.byKey(r) || len(r.Order) > 0 {
+			if d.byKey(r) || len(r.Order) > 0 || d.now < r.retryAt {
 				continue // the next has another key or order and so other workers
 			}
 			r.c.stuck = len(r.attempts) == 0
@@ -530,8 +530,8 @@
 
 // closed tells whether a request may not be sent to any worker.
 func (d *Dispatcher) closed(r *request) bool {
-	return r.done || r.streaming || len(r.attempts) >= d.s.Limits.Attempts || d.now >= r.due || // rule 1
-		r.out > 0 && !d.s.Limits.SecondCopies || len(r.attempts) > 0 && !d.affordable() // rule 5
+	return r.done || r.streaming || r.sent() >= d.s.Limits.Attempts || d.now >= r.due || // rule 1
+		r.out > 0 && !d.s.Limits.SecondCopies || r.sent() > 0 && !d.affordable() // rule 5
 }
 
 // forbidden is the gate of the rules on sending: every attempt passes it.
@@ -600,7 +600,7 @@
 	d.connect(r, a, fresh)
 	lease := d.spend(r, w)
 	d.do(Send{Request: r.ID, Worker: w.ID, MostIdle: d.idleLimit(r.c.Effect), Fresh: fresh, Lease: lease})
-	if len(r.attempts) > 0 {
+	if r.sent() > 0 {
 		d.extras = append(d.extras, d.now)
 	}
 	r.attempts = append(r.attempts, a)
@@ -839,7 +839,7 @@
 	d.report(w, e.Report) // which still counts this attempt
 	r.out--
 	w.own, w.mem = w.own-r.Slots, w.mem-r.Memory
-	d.freed, d.moved = true, true
+	d.freed, d.moved = d.freed || e.Outcome != Moot || r.done, true
 	if a.started {
 		w.running -= r.Slots
 	}
@@ -876,10 +876,12 @@
 			a.broke = d.now
 			d.strike(w)
 		}
-	case Moot: // never sent: it does not count
-		if i := slices.Index(d.extras, a.sent); i >= 0 && e.Attempt > 0 {
+	case Moot: // never sent: it does not count, and the next waits for longer than the last
+		if i := slices.Index(d.extras, a.sent); i >= 0 && r.sent() > 1 {
 			d.extras = slices.Delete(d.extras, i, i+1)
 		}
+		r.unsent++
+		r.retryAt = d.now + d.step()*time.Duration(min(mostPause, 1<<min(r.unsent-1, maxStrikes)))
 	}
 	switch {
 	case r.done:
@@ -897,14 +899,14 @@
 // spent tells whether a request has no permitted attempt left: it is given up at once, not held. One
 // that failed at two workers fails wherever it goes, and is not to use up the budget of others.
 func (d *Dispatcher) spent(r *request) bool {
-	return len(r.attempts) >= d.s.Limits.Attempts || r.errs > 1 || r.any(func(a *attempt) bool {
+	return r.sent() >= d.s.Limits.Attempts || r.errs > 1 || r.any(func(a *attempt) bool {
 		return !a.neverRan && (r.c.Effect == Unsafe || r.c.Effect == Keyed && d.now-a.sent >= r.c.Window)
 	})
 }
 
 // again holds a request whose attempts have all ended, if it may go out once more.
 func (d *Dispatcher) again(r *request) {
-	if d.spent(r) || !d.affordable() {
+	if d.spent(r) || r.sent() > 0 && !d.affordable() {
 		d.answer(r)
 		return
 	}
--- a/decide/look.go
+++ b/decide/look.go
@@ -36,9 +36,9 @@
 }
 
 // look picks a worker for a held request, unless none can have become valid since the last look. One that has to wait
-// for its turn to be let out is not looked at.
+// for its turn to be let out, or after an attempt that was never sent, is not looked at.
 func (d *Dispatcher) look(r *request, waits bool) *worker {
-	if waits || r.looked == d.rounds {
+	if waits || r.looked == d.rounds || d.now < r.retryAt {
 		return nil
 	}
 	unsent := len(r.attempts)+len(r.Order) == 0
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -54,7 +54,7 @@
 	Request
 	Arrived, Due, Limit time.Duration
 	Late, Over          bool
-	Errs                int
+	Errs, Unsent        int
 	Attempts            []AttemptMemory
 }
 
@@ -102,7 +102,7 @@
 			continue
 		}
 		l := RequestMemory{
-			Request: r.Request, Arrived: r.arrived, Due: r.due, Limit: r.limit, Late: r.late, Over: r.over, Errs: r.errs,
+			Request: r.Request, Arrived: r.arrived, Due: r.due, Limit: r.limit, Late: r.late, Over: r.over, Errs: r.errs, Unsent: r.unsent,
 		}
 		for _, a := range r.attempts {
 			l.Attempts = append(l.Attempts, AttemptMemory{
@@ -212,7 +212,7 @@
 	}
 	r := &request{
 		Request: l.Request, c: d.classes[l.Class], arrived: l.Arrived, due: l.Due, limit: l.Limit,
-		late: l.Late, over: l.Over, errs: l.Errs,
+		late: l.Late, over: l.Over, errs: l.Errs, unsent: min(max(l.Unsent, 0), len(l.Attempts)),
 	}
 	for _, t := range l.Attempts {
 		w := d.workers[t.Worker.ID]
--- a/decide/state.go
+++ b/decide/state.go
@@ -103,8 +103,10 @@
 	errs                int  // attempts that ended in an error
 	over                bool // beyond its tenant's share
 	held                bool
-	queue               int // where it is held
-	looked              int // the round of looks in which no worker was valid for it
+	queue               int           // where it is held
+	looked              int           // the round of looks in which no worker was valid for it
+	unsent              int           // attempts that were never sent,
+	retryAt             time.Duration // and when the next may be made
 }
 
 // likeness is what requests that have not been sent yet share if the same workers may be valid for them.
@@ -212,6 +214,9 @@
 	out                   []Action
 }
 
+// sent is how many of a request's attempts went out, or may have.
+func (r *request) sent() int { return len(r.attempts) - r.unsent }
+
 // any tells whether an attempt of the request is as f says.
 func (r *request) any(f func(*attempt) bool) bool { return slices.ContainsFunc(r.attempts, f) }
 
