Replace dead watchers of the list though answers still name them as the source

Callers: while nobody watches for a zone its dispatchers send by an old list.

Cause: whoever misses its watchers' beats asks others for the list; each answer names the watcher that it came from and counted as that one's beat. So dead watchers kept their role until the membership noticed their death.

Change: only what comes down a watcher's own tree counts as its beat. With that alone TestOlderListOfTheService fails, as watchers that read an older list do not beat, are passed over after 2 s, and a change of roles begins the 10 s anew: they beat now.

TestPeersTellEachOther and TestMembersCutOff 80 of 80 each, ten at once (9.7 s at most).

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -367,7 +367,7 @@
 	if !t.Answer {
 		s.do(Ack{from, t.Source, t.Mark})
 	}
-	if _, lives := s.peers[t.Source]; lives {
+	if _, lives := s.peers[t.Source]; lives && !t.Answer { // an answer names a source that may have died since
 		s.heardOf[t.Source] = now
 	}
 	news := !s.has || s.mark.Before(t.Mark)
@@ -579,7 +579,7 @@
 		s.retry = time.Time{}
 		s.do(Keep{true})
 	}
-	if s.watch == Well && now.Sub(s.beat) >= beatEvery {
+	if (s.watch == Well || s.wants && !s.older.IsZero()) && now.Sub(s.beat) >= beatEvery {
 		s.beat = now
 		s.pass(now, Told{Source: s.c.Name, Mark: s.mark, Heard: s.heard, Age: max(0, now.Sub(s.fresh)), Beat: true})
 	}
