Do not call off a promised job for being past its class's aim

A promised job has until its own deadline.

Evidence: by reading. TestPatientJobsAreNotCalledOffWhileTheyQueue failed before: four of four called off half a second early.

--- a/decide/api.go
+++ b/decide/api.go
@@ -259,6 +259,8 @@
 		Order []uint32
 		// Held: it is what slots are held for, by Holds.
 		Held bool
+		// Patient: whoever sent it waits for its end until the deadline, so it is not called off for being late.
+		Patient bool
 	}
 	// StreamStarted: the attempt's answer has begun and belongs to the client.
 	StreamStarted struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -968,7 +968,7 @@
 		}
 		d.watch(r)
 		waits := jam && !r.any(func(a *attempt) bool { return !a.over && (a.started || !a.queued) })
-		if !r.held && waits && d.now >= r.limit+r.lasts() && r.c.LateWorth == 0 {
+		if !r.held && waits && !r.Patient && d.now >= r.limit+r.lasts() && r.c.LateWorth == 0 {
 			// Queued and too late to be worth anything: guards against queues that only make late
 			// answers. What cannot be called off would run all the same, and again for the next try.
 			d.answer(r)
--- a/decide/further_test.go
+++ b/decide/further_test.go
@@ -294,3 +294,28 @@
 		t.Error("no answer")
 	}
 }
+
+// TestPatientJobsAreNotCalledOffWhileTheyQueue guards against a promised job that must not run twice and is given up, perhaps
+// run, only because it queues at its worker past its class's aim.
+func TestPatientJobsAreNotCalledOffWhileTheyQueue(t *testing.T) {
+	for _, patient := range []bool{false, true} {
+		w := fleet(t, site(1, true, false, false), 1)
+		w.d.workers[1].ceiling = 8
+		var jobs []*job
+		for range 4 {
+			j := w.arrive(2, time.Second)
+			j.Patient = patient
+			w.handle(j.Request)
+			jobs = append(jobs, j)
+		}
+		for range 50 { // past the aim of 150 ms and what still ends in time, short of the deadline
+			w.now += 10 * ms
+			w.handle(Wake{})
+		}
+		for i, j := range jobs {
+			if len(j.tries) != 1 || j.answered == patient {
+				t.Errorf("patient %v: job %d has %d attempts, called off %v", patient, i, len(j.tries), j.answered)
+			}
+		}
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,7 @@
 	Repeat   bool
 	Order    []string  // the only instances that it may go to, the first before the next; nil: as its class says
 	Held     bool      // it is what slots are held for
+	Patient  bool      // its client waits for its end until the deadline, however late
 	Deadline time.Time // when the service client stops waiting
 	Payload  any       `json:"-"` // what the instances' side needs to send it
 	Client   Client    `json:"-"`
@@ -43,7 +44,7 @@
 func (c *Command) fields() Command {
 	return Command{
 		ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Work: c.Work, Slots: c.Slots, Memory: c.Memory, Repeat: c.Repeat,
-		Order: c.Order, Held: c.Held, Deadline: c.Deadline, Payload: c.Payload, Client: c.Client, Gate: c.Gate,
+		Order: c.Order, Held: c.Held, Patient: c.Patient, Deadline: c.Deadline, Payload: c.Payload, Client: c.Client, Gate: c.Gate,
 	}
 }
 
--- a/internal/net/promises/server.go
+++ b/internal/net/promises/server.go
@@ -319,7 +319,7 @@
 	}
 	h.cmd = &dispatch.Command{
 		ID: promise.WireID(a.ID, a.Index, a.Hand), Class: a.Job.Class, Tenant: a.Job.Tenant, Key: keyNumber(a.Job.Key), Work: a.Job.Work, Slots: a.Job.Slots, Order: a.Job.Order,
-		Repeat: a.Repeat, Deadline: time.Now().Add(left), Client: h, Gate: h,
+		Repeat: a.Repeat, Patient: true, Deadline: time.Now().Add(left), Client: h, Gate: h,
 		Payload: &http1.Request{
 			Method: "POST", Target: cmp.Or(a.Job.Target, "/api"), Body: a.Job.Payload, Header: http1.Header{{Name: "Idempotency-Key", Value: a.ID}},
 		},
