Take only a request's own further attempt out of the budget when it was never sent

Callers: none seen. Cause: whether a never-sent attempt had counted was derived from how many others the request had by then, and a first attempt could take out another request's of the same moment. Change: an attempt says whether it counted. After a take-over it says no, which allows fewer. TestUnsentFirstAttemptsLeaveTheBudgetOfOthers failed before (0 counted, one was sent) and passes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -600,7 +600,7 @@
 	d.connect(r, a, fresh)
 	lease := d.spend(r, w)
 	d.do(Send{Request: r.ID, Worker: w.ID, MostIdle: d.idleLimit(r.c.Effect), Fresh: fresh, Lease: lease})
-	if r.sent() > 0 {
+	if a.extra = r.sent() > 0; a.extra {
 		d.extras = append(d.extras, d.now)
 	}
 	r.attempts = append(r.attempts, a)
@@ -877,7 +877,7 @@
 			d.strike(w)
 		}
 	case Moot: // never sent: it does not count, and the next waits for longer than the last
-		if i := slices.Index(d.extras, a.sent); i >= 0 && r.sent() > 1 {
+		if i := slices.Index(d.extras, a.sent); i >= 0 && a.extra {
 			d.extras = slices.Delete(d.extras, i, i+1)
 		}
 		r.unsent++
--- a/decide/further_test.go
+++ b/decide/further_test.go
@@ -319,3 +319,19 @@
 		}
 	}
 }
+
+// TestUnsentFirstAttemptsLeaveTheBudgetOfOthers guards against a first attempt that was never sent and takes another request's
+// further attempt out of the budget, so that one more than allowed could go out.
+func TestUnsentFirstAttemptsLeaveTheBudgetOfOthers(t *testing.T) {
+	w := fleet(t, site(1, true, false, false), 2)
+	j := w.arrive(0, time.Second)
+	w.handle(j.Request)
+	r := w.d.requests[j.ID]
+	r.attempts = append(r.attempts, &attempt{w: r.attempts[0].w, sent: w.now, note: w.now})
+	r.out++
+	w.d.extras = []time.Duration{w.now} // another request's, of the same moment
+	w.d.Handle(w.now, []Event{AttemptEnded{Request: j.ID, Outcome: Moot}})
+	if len(w.d.extras) != 1 {
+		t.Errorf("%d further attempts are counted, one was sent", len(w.d.extras))
+	}
+}
