Answer a promised job's call-back only once a majority has what it tells

Cause: the 204 went out as soon as the loop had been told. An encoder calls until it is answered, so what it had told was lost with a process killed before the commit, or while no majority answered.

Others cost a nil check.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,6 +182,7 @@
 	leases  map[uint64]Lease
 	leaseID uint64
 	strays  func(News) bool // nil: nobody asks for them
+	keeper  func(News) bool // nil: nobody keeps what instances tell
 	late    lateness
 	Books   Books
 }
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -30,6 +30,13 @@
 // come before Run, and f must not block.
 func (l *Loop) StraysTo(f func(News) bool) { l.strays = f }
 
+// KeptBy has calls of instances kept by f before they are answered; f may block for a moment. It must come before Run.
+func (l *Loop) KeptBy(f func(News) bool) { l.keeper = f }
+
+// Keep is called before an instance's call is answered, by whom it was made to; false: it must not be answered, so that the
+// instance calls again.
+func (l *Loop) Keep(n News) bool { return l.keeper == nil || l.keeper(n) }
+
 // let sends an attempt, or has it wait at its gate.
 func (l *Loop) let(a *Attempt) {
 	g := a.Command.Gate
--- a/internal/full/promises.go
+++ b/internal/full/promises.go
@@ -22,6 +22,7 @@
 	return func(core program.Core) (program.Part, error) {
 		s := promises.New(o, host, core.Loop, core.Log)
 		core.Loop.StraysTo(s.Stray)
+		core.Loop.KeptBy(s.Keep)
 		register(func(r grpc.ServiceRegistrar) { promisev1.RegisterPromisesServer(r, s) })
 		return &promising{Server: s}, nil
 	}
--- a/internal/net/clients/callback_test.go
+++ b/internal/net/clients/callback_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"caperrelay/internal/dispatch"
 )
 
 const usualCallback = `{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"done","result":"..."}`
@@ -42,6 +47,20 @@
 	require.Error(t, c.read([]byte(`{"id":1}`)))
 }
 
+// Guards against an instance that is answered, and so does not call again, though nobody keeps what it has told.
+func TestCallThatIsNotKeptHasNoAnswer(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		c, _, dial := serve(t, 2, 0)
+		c.keep = func(dispatch.News) bool { return kept }
+		nc := dial()
+		fmt.Fprintf(nc, "POST /_jobs/news HTTP/1.1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(usualCallback), usualCallback)
+		text, err := io.ReadAll(nc)
+		require.NoError(t, err)
+		require.Equal(t, kept, strings.HasPrefix(string(text), "HTTP/1.1 204 "), "%q", text)
+		require.Equal(t, "9b1f03aa5c7e2d41", (<-c.told).ID)
+	}
+}
+
 func BenchmarkCallback(b *testing.B) {
 	for name, read := range map[string]func([]byte, *callback) error{
 		"quick": func(t []byte, c *callback) error { return c.read(t) },
--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -169,6 +169,9 @@
 			n.State = dispatch.Errored
 		}
 		c.server.core.News(n)
+		if !c.server.core.Keep(n) {
+			return false
+		}
 	}
 	return c.reply(204, nil, "", q.Close)
 }
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -62,6 +62,8 @@
 	Take(*dispatch.Command)
 	Lapse(*dispatch.Command)
 	News(dispatch.News)
+	// Keep is called before the answer to a call-back; false: it must have none, so that the instance calls again.
+	Keep(dispatch.News) bool
 }
 
 // Server serves the listener.
--- a/internal/net/clients/server_test.go
+++ b/internal/net/clients/server_test.go
@@ -29,11 +29,13 @@
 	taken  chan *dispatch.Command
 	lapsed chan *dispatch.Command
 	told   chan dispatch.News
+	keep   func(dispatch.News) bool // nil: all is kept
 }
 
 func (c *core) Take(cmd *dispatch.Command)  { c.taken <- cmd }
 func (c *core) Lapse(cmd *dispatch.Command) { c.lapsed <- cmd }
 func (c *core) News(n dispatch.News)        { c.told <- n }
+func (c *core) Keep(n dispatch.News) bool   { return c.keep == nil || c.keep(n) }
 
 // next returns the next command taken. Bounded: a fault must fail the test, not hang it.
 func (c *core) next(t *testing.T) *dispatch.Command {
--- a/internal/net/promises/server.go
+++ b/internal/net/promises/server.go
@@ -25,10 +25,7 @@
 const (
 	lookEvery   = 20 * time.Millisecond
 	proposeFor  = 2 * time.Second // until nothing is known of a proposal
-	bookPause   = 100 * time.Millisecond
-	bookFor     = 10 * time.Minute
-	mostBooks   = 4096 // ends that wait to be booked; one more is dropped, and its job then may have run
-	mostWaiting = 1024 // calls that wait for an end
+	mostWaiting = 1024            // calls that wait for an end
 )
 
 // Core is the dispatcher's loop.
@@ -61,15 +58,18 @@
 	mu    sync.Mutex
 	inbox []func()
 	moved chan struct{} // closed at each look
-	books int
+	books map[bookKey]*booking
 	index map[uint32]uint64 // of groups, as far as they are known to be
 
+	answered chan struct{} // a place for each call-back whose answer waits for its booking
+
 	// Of the loop alone.
 	owners []*promise.Owner
 	hands  map[inHand]*hand
 	ctx    context.Context
 
 	Promised, Intents, Booked, Ends, Left, DroppedBooks atomic.Int64
+	Unkept                                              atomic.Int64 // calls that must come again
 	acting                                              atomic.Int64
 	yielded                                             atomic.Bool
 }
@@ -97,6 +97,7 @@
 	s := &Server{
 		o: o, host: host, core: core, log: logger, waiting: make(chan struct{}, mostWaiting), poke: make(chan struct{}, 1),
 		moved: make(chan struct{}), index: map[uint32]uint64{}, hands: map[inHand]*hand{},
+		books: map[bookKey]*booking{}, answered: make(chan struct{}, mostUnanswered),
 	}
 	s.classes.Store(&map[string]decide.Class{})
 	for range host.Groups() {
@@ -245,70 +246,16 @@
 	return promise.ReadAnswer(result)
 }
 
-// book has it committed what an instance told, whoever acts by then.
-func (s *Server) book(g uint32, c promise.Command) {
-	s.mu.Lock()
-	full := s.books >= mostBooks
-	if !full {
-		s.books++
-	}
-	s.mu.Unlock()
-	if full {
-		s.DroppedBooks.Add(1)
-		return
-	}
-	go func() {
-		defer func() {
-			s.mu.Lock()
-			s.books--
-			s.mu.Unlock()
-		}()
-		ctx, cancel := context.WithTimeout(context.Background(), bookFor) // also once this dispatcher acts no more
-		defer cancel()
-		for {
-			if a, err := s.propose(ctx, g, c); err == nil {
-				if a.OK {
-					s.Booked.Add(1)
-				}
-				s.wake()
-				return
-			}
-			if s.yielded.Load() { // the record is the newer process's, which the loop passes it on to
-				s.core.News(news(c))
-				return
-			}
-			select {
-			case <-ctx.Done():
-				s.DroppedBooks.Add(1)
-				return
-			case <-time.After(bookPause):
-			}
-		}
-	}()
-}
-
-// news is what an instance told, of which a command was made.
-func news(c promise.Command) dispatch.News {
-	n := dispatch.News{ID: promise.WireID(c.ID, c.Index, c.Hand), From: c.Instance, State: dispatch.Done, Result: c.Result}
-	switch c.Kind {
-	case promise.Failed:
-		n.State = dispatch.Lost
-	case promise.Refused:
-		n.State = dispatch.Returned
-	}
-	return n
-}
-
-// Yield says that a newer process takes over, or that it has gone.
-func (s *Server) Yield(yes bool) { s.yielded.Store(yes) }
-
 // Quiet tells whether nothing waits to be booked.
 func (s *Server) Quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.books == 0
+	return len(s.books) == 0
 }
 
+// Yield says that a newer process takes over, or that it has gone.
+func (s *Server) Yield(yes bool) { s.yielded.Store(yes) }
+
 // begin hands a job in.
 func (s *Server) begin(g uint32, a promise.Start) {
 	class, ok := (*s.classes.Load())[a.Job.Class]
@@ -394,32 +341,6 @@
 	})
 }
 
-// Stray takes a call of an instance that matches nothing in hand here: whoever it reaches books it.
-func (s *Server) Stray(n dispatch.News) bool {
-	id, index, k, ok := promise.ReadWireID(n.ID)
-	if !ok {
-		return false
-	}
-	c := promise.Command{Op: promise.OpWord, ID: id, Index: index, Hand: k, Instance: n.From}
-	switch n.State {
-	case dispatch.Done:
-		c.Kind, c.Result = promise.Done, n.Result
-	case dispatch.Errored:
-		c.Kind, c.Reason = promise.Failed, fmt.Sprintf("it failed at %s", n.From)
-	case dispatch.Lost:
-		c.Kind, c.Reason = promise.Failed, fmt.Sprintf("it was lost at %s", n.From)
-	case dispatch.Returned:
-		c.Kind = promise.Refused
-	default:
-		return true
-	}
-	if len(c.Result) > promise.MaxResult+1024 {
-		c.Result = make([]byte, promise.MaxResult+1) // so that it is said that it was too long
-	}
-	s.book(s.group(id), c)
-	return true
-}
-
 func (s *Server) group(id string) uint32 { return replica.GroupOf(id, s.host.Groups()) }
 
 var (
@@ -438,8 +359,8 @@
 		})
 	}
 	s.mu.Lock()
-	books := s.books
+	books := len(s.books)
 	s.mu.Unlock()
-	return fmt.Sprintf("proxy.promise.kept=%d\nproxy.promise.open=%d\nproxy.promise.bytes=%d\nproxy.promise.groups_acted_for=%d\nproxy.promise.receipts=%d\nproxy.promise.intents=%d\nproxy.promise.booked=%d\nproxy.promise.left=%d\nproxy.promise.unbooked=%d\nproxy.promise.books_dropped=%d\n",
-		jobs, open, bytes, s.acting.Load(), s.Promised.Load(), s.Intents.Load(), s.Booked.Load(), s.Left.Load(), books, s.DroppedBooks.Load())
+	return fmt.Sprintf("proxy.promise.kept=%d\nproxy.promise.open=%d\nproxy.promise.bytes=%d\nproxy.promise.groups_acted_for=%d\nproxy.promise.receipts=%d\nproxy.promise.intents=%d\nproxy.promise.booked=%d\nproxy.promise.left=%d\nproxy.promise.unbooked=%d\nproxy.promise.books_dropped=%d\nproxy.promise.calls_unkept=%d\n",
+		jobs, open, bytes, s.acting.Load(), s.Promised.Load(), s.Intents.Load(), s.Booked.Load(), s.Left.Load(), books, s.DroppedBooks.Load(), s.Unkept.Load())
 }
--- a/internal/promise/model.go
+++ b/internal/promise/model.go
@@ -32,7 +32,7 @@
 	left    int // how often nothing may become known of a proposal
 	crashes int
 	runs    []attempt
-	rung    map[attempt]bool // whose call-back has been made
+	rung    map[attempt]bool // whose call-back has been answered and counts
 	told    *End
 	faulty  bool // a sender does not look at the lease
 	broken  string
@@ -66,9 +66,10 @@
 type attempt struct{ d, hand, n int }
 
 type flight struct {
-	d   int
-	seq uint64 // 0: a call-back's
-	cmd string
+	d      int
+	seq    uint64   // 0: a call-back's
+	answer *attempt // whose call-back is answered once it is committed
+	cmd    string
 }
 
 func (w *world) clock(d int) Clock {
@@ -162,7 +163,7 @@
 	flights := make([]string, len(w.flights)) // any may be the next: their order does not count
 	for i, f := range w.flights {
 		_, heard := w.d[f.d].owner.out[f.seq]
-		flights[i] = fmt.Sprint(f.d, heard, f.cmd)
+		flights[i] = fmt.Sprint(f.d, heard, f.answer != nil, f.cmd)
 	}
 	slices.Sort(flights)
 	for _, f := range flights {
@@ -187,11 +188,17 @@
 		if w.told != nil && (e.End.Kind != w.told.Kind || e.End.Reason != w.told.Reason || e.End.At != w.told.At) {
 			w.breaks("end not once")
 		}
+		if w.told == nil && e.End.Kind == Failed && slices.Contains(slices.Collect(maps.Values(w.rung)), true) {
+			w.breaks("answered, and lost")
+		}
 		end := *e.End
 		if w.told = &end; e.End.Kind == Refused && len(w.runs) > 0 {
 			w.breaks("refused, and it ran")
 		}
 	}
+	if f.answer != nil {
+		w.rung[*f.answer] = a.OK || a.Why == Ended
+	}
 	return a
 }
 
@@ -232,9 +239,9 @@
 	for _, a := range d.owner.Actions() {
 		switch a := a.(type) {
 		case Propose:
-			w.flights = append(w.flights, flight{i, a.Seq, string(a.Command.Bytes())})
+			w.flights = append(w.flights, flight{d: i, seq: a.Seq, cmd: string(a.Command.Bytes())})
 		case Book:
-			w.flights = append(w.flights, flight{i, 0, string(a.Command.Bytes())})
+			w.flights = append(w.flights, flight{d: i, cmd: string(a.Command.Bytes())})
 		case Start:
 			d.hand, d.n, d.state = a.Hand, 0, none
 		case Go:
@@ -336,11 +343,14 @@
 		}
 	}
 	for _, a := range w.runs { // call-backs reach any dispatcher, also such as has nothing to do with it
-		if !w.rung[a] {
+		if !w.rung[a] && !slices.ContainsFunc(w.flights, func(f flight) bool { return f.answer != nil && *f.answer == a }) {
 			try(func(w *world) {
-				w.rung[a] = true
 				word := Command{Op: OpWord, ID: theJob, Index: 1, Hand: a.hand, Instance: fmt.Sprint("s-", a.d), Kind: Done}
-				w.flights = append(w.flights, flight{1 - a.d, 0, string(word.Bytes())})
+				call := flight{d: 1 - a.d, answer: &a, cmd: string(word.Bytes())}
+				if most.answerFirst {
+					w.rung[a], call.answer = true, nil
+				}
+				w.flights = append(w.flights, call)
 			})
 		}
 	}
@@ -377,7 +387,10 @@
 	w.carry(i)
 }
 
-type bounds struct{ depth, ticks, grants, attempts, unknown, crashes, states int }
+type bounds struct {
+	depth, ticks, grants, attempts, unknown, crashes, states int
+	answerFirst                                              bool // calls are answered before their word is committed
+}
 
 // explore goes through all that may happen, to a depth, and tells the first broken rule.
 func explore(repeats bool, f Faults, o OwnerFaults, most bounds) (states, depth int, broken string) {
@@ -442,6 +455,7 @@
 		{"lease ignored", Faults{}, OwnerFaults{NoLease: true}, bounds{ticks: 3}, "sent after its lease"},
 		{"generation not compared", Faults{AnyGen: true}, OwnerFaults{}, bounds{ticks: 4}, "ran after its end"},
 		{"end not once", Faults{EndTwice: true}, OwnerFaults{}, bounds{ticks: 3}, "end not once"},
+		{"call answered before it is kept", Faults{}, OwnerFaults{}, bounds{ticks: 6, crashes: 1, answerFirst: true}, "answered, and lost"},
 	} {
 		m.most.depth, m.most.grants, m.most.attempts, m.most.states = 14, 2, 1, 1<<30
 		states, depth, broken := explore(false, m.f, m.o, m.most)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -52,8 +52,8 @@
 	Lines int
 	// Lists is the one list service of all daemons; nil: each has one of its own, which bears everything.
 	Lists *listservice.Service
-	// Net leads all that daemons call through relays, from "n0", "n1" ... to "lists" and to encoders by their ids;
-	// nil: they call directly.
+	// Net leads all that daemons call through relays, from "n0", "n1" ... to "lists" and to encoders by their ids,
+	// and call-backs of encoders that all daemons share, from "encoders"; nil: they call directly.
 	Net *link.Net
 	// Members has daemons tell each other of the list.
 	Members bool
@@ -201,14 +201,14 @@
 		if len(r.faces) > 0 {
 			return r.faces[0], nil
 		}
-		o = httpface.Options{Dispatcher: "any", TellStarts: true, Shared: func(via string) string {
-			for n, d := range r.daemons {
-				if via == fmt.Sprintf("n%d", n) {
-					return d.Listen
-				}
+		doors := map[string]string{}
+		for n, d := range r.daemons {
+			via, err := fmt.Sprintf("n%d", n), error(nil)
+			if doors[via], err = r.through("encoders", via, d.Listen); err != nil {
+				return nil, err
 			}
-			return ""
-		}}
+		}
+		o = httpface.Options{Dispatcher: "any", TellStarts: true, Shared: func(via string) string { return doors[via] }}
 	}
 	face, err := httpface.New(r.Host, o)
 	if err == nil {
