Begin promised jobs again that were never sent; give them up no more as perhaps run

Callers: a promised job that must not run twice ended as "may have run" when its time was over though no encoder was asked, and a pipeline needed a person ("publish: late; it must not run twice").

Cause: an intent, once committed, says that its attempt may have run, and nobody told the group what its process knew.

Evidence: failed before, each with "may have run" and no run: TestNeverWrittenIsBegunAgain (killed, stopped, cut off, replaced), TestIntentCommittedAfterItsOwner, TestIntentThatComesTooLateIsTakenBack, TestWordThatAnAttemptNeverRanIsRepeated, TestTurnedAwayIsBegunAgainAfterAKill.

Change: promise.Sendings follows each attempt (asked, begun, unsent); begun is noted before the first byte, also in a file beside the record that outlives the process. What is unsent is told to the group until its intent is gone. A hand-in goes to one instance once. In the model the note is a step of its own; three mutants (byte before note, begun after left, another owner's intent) are caught. The mutant that sends before the intent is now found by "refused, and it ran", as two sends take two steps more.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -153,6 +153,10 @@
 	return a.vain.Load() || !a.Until.IsZero() && !now.Before(a.Until) || a.may != nil && !a.may() || a.Command.gone()
 }
 
+// Begin must be called before an attempt's first byte goes out, and before the last look at whether it has Expired; false: it
+// must not be sent.
+func (a *Attempt) Begin() bool { return a.Command.Gate == nil || a.Command.Gate.Begin(a) }
+
 // NameTable tells of the instances, after Subscribe, by Loop.Listed and Loop.ListLost.
 type NameTable interface{ Subscribe() }
 
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -13,6 +13,8 @@
 type Gate interface {
 	// Ask has the attempt wait until [Loop.Pass] or [Loop.Deny] is called with it.
 	Ask(*Attempt)
+	// Begin is asked directly before an attempt's first byte; false: it must not be sent. It is called by any goroutine.
+	Begin(*Attempt) bool
 	// Never says that an attempt that was asked for has ended without having run.
 	Never(*Attempt)
 }
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -11,8 +11,9 @@
 
 type gate struct{ asked, never []*Attempt }
 
-func (g *gate) Ask(a *Attempt)   { g.asked = append(g.asked, a) }
-func (g *gate) Never(a *Attempt) { g.never = append(g.never, a) }
+func (g *gate) Ask(a *Attempt)      { g.asked = append(g.asked, a) }
+func (g *gate) Begin(*Attempt) bool { return true }
+func (g *gate) Never(a *Attempt)    { g.never = append(g.never, a) }
 
 // gatedBegin is begin with a command that has a gate.
 func gatedBegin(t *testing.T) (*Loop, *fleet, *client, *gate) {
--- a/internal/full/promises.go
+++ b/internal/full/promises.go
@@ -18,7 +18,7 @@
 
 // promisesPart has jobs handed in for good. They are kept at host, and come in at the control listener by register.
 func promisesPart(f *siteconf.File, host replicas.Host, register func(func(grpc.ServiceRegistrar))) program.NewPart {
-	o := promises.Options{Within: time.Duration(f.Promises.Within), Keep: time.Duration(f.Promises.Keep)}
+	o := promises.Options{Within: time.Duration(f.Promises.Within), Keep: time.Duration(f.Promises.Keep), Dir: f.Promises.Dir}
 	return func(core program.Core) (program.Part, error) {
 		s := promises.New(o, host, core.Loop, core.Log)
 		core.Loop.StraysTo(s.Stray)
--- a/internal/net/promises/booking.go
+++ b/internal/net/promises/booking.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/replicas"
 	"caperrelay/internal/promise"
 	"caperrelay/internal/replica"
 )
@@ -30,7 +31,7 @@
 // booking is a fact on its way into the record.
 type booking struct{ kept chan struct{} } // closed once a majority has it, or the record knows better
 
-// book has it committed what an instance told, whoever acts by then; nil: too
+// book has it committed what an instance told, or what this process knows of an attempt, whoever acts by then; nil: too
 // much is under way.
 func (s *Server) book(g uint32, c promise.Command) *booking {
 	key := bookKey{c.ID, c.Index, c.Hand, c.Instance, c.Kind}
@@ -181,3 +182,54 @@
 	}
 	return n
 }
+
+// proposing follows the sending of an attempt whose intent is about to be proposed, where its job must not run twice.
+func (s *Server) proposing(g uint32, c promise.Command) {
+	switch c.Op {
+	case promise.OpIntent:
+		s.Intents.Add(1)
+		if h := s.hands[inHand{c.ID, c.Hand}]; h != nil && !s.repeats(h.cmd.Class) {
+			h.sends.set(c.N, s.sends.ask(h.cmd.ID, c.Instance, c.Gen, c.Until))
+		}
+	case promise.OpEnd:
+		if c.Reason == promise.MayHaveRun {
+			s.log.Warn("promised job given up: it may have run", "job", c.ID, "receipt", c.Index, "intents", s.intents(g, c.ID))
+		}
+	}
+}
+
+// intents is what the copy here has of the attempts that may have been sent, for the log.
+func (s *Server) intents(g uint32, id string) (all []promise.Intent) {
+	s.host.View(g, replica.Promises, func(m replica.Machine) {
+		if e := m.(*promise.Machine).Entry(id); e != nil {
+			all = append(all, e.Intents...)
+		}
+	})
+	return all
+}
+
+// tellUnsent tells groups of attempts that never ran though their intents are committed, so that their jobs are begun
+// again: those that this process withdrew, or that the one before had not begun. last: it is not called again.
+func (s *Server) tellUnsent(last bool) {
+	now := replicas.Now()
+	if now < s.told+tellEvery && !last {
+		return
+	}
+	s.told = now
+	for _, sending := range s.sends.untold(now, last) {
+		c, ok := sending.NeverSent()
+		g := s.group(c.ID)
+		intended, settled := false, !ok
+		if ok { // without a copy here it cannot be known whose intent there is
+			s.host.View(g, replica.Promises, func(m replica.Machine) { intended, settled = m.(*promise.Machine).Intended(&sending) })
+		}
+		switch {
+		case settled:
+			s.sends.drop(sending)
+		case intended:
+			s.Unsent.Add(1)
+			s.log.Info("promised job's attempt was never sent: its group is told", "job", sending.Job, "instance", sending.Instance)
+			s.book(g, c)
+		}
+	}
+}
--- a/internal/net/promises/server.go
+++ b/internal/net/promises/server.go
@@ -24,8 +24,9 @@
 
 const (
 	lookEvery   = 20 * time.Millisecond
-	proposeFor  = 2 * time.Second // until nothing is known of a proposal
-	mostWaiting = 1024            // calls that wait for an end
+	proposeFor  = 2 * time.Second       // until nothing is known of a proposal
+	tellEvery   = 50 * time.Millisecond // between looks for attempts that never ran
+	mostWaiting = 1024                  // calls that wait for an end
 )
 
 // Core is the dispatcher's loop.
@@ -42,6 +43,8 @@
 type Options struct {
 	// Within and Keep count for jobs that bring none.
 	Within, Keep time.Duration
+	// Dir is where it is kept which attempts were begun, so that the next process knows; empty: nowhere.
+	Dir string
 }
 
 // Server is safe for use by several goroutines.
@@ -61,15 +64,17 @@
 	books map[bookKey]*booking
 	index map[uint32]uint64 // of groups, as far as they are known to be
 
+	sends    *sendLog
 	answered chan struct{} // a place for each call-back whose answer waits for its booking
 
 	// Of the loop alone.
 	owners []*promise.Owner
 	hands  map[inHand]*hand
 	ctx    context.Context
+	told   time.Duration // when it was last looked for attempts that never ran
 
 	Promised, Intents, Booked, Ends, Left, DroppedBooks atomic.Int64
-	Unkept                                              atomic.Int64 // calls that must come again
+	Unsent, Unkept                                      atomic.Int64 // attempts told as never sent; calls that must come again
 	acting                                              atomic.Int64
 	yielded                                             atomic.Bool
 }
@@ -89,7 +94,8 @@
 	n      int
 	until  time.Duration // Unix: when the job may be begun no more
 	cmd    *dispatch.Command
-	asks   map[int]*dispatch.Attempt // of the loop alone
+	asks   map[int]*dispatch.Attempt // that wait for their intents; of the loop alone
+	sends  attempts
 }
 
 // New returns a server; it must be run.
@@ -97,7 +103,7 @@
 	s := &Server{
 		o: o, host: host, core: core, log: logger, waiting: make(chan struct{}, mostWaiting), poke: make(chan struct{}, 1),
 		moved: make(chan struct{}), index: map[uint32]uint64{}, hands: map[inHand]*hand{},
-		books: map[bookKey]*booking{}, answered: make(chan struct{}, mostUnanswered),
+		books: map[bookKey]*booking{}, sends: newSendLog(o.Dir, logger), answered: make(chan struct{}, mostUnanswered),
 	}
 	s.classes.Store(&map[string]decide.Class{})
 	for range host.Groups() {
@@ -155,6 +161,8 @@
 				o.Lead(clock(), 0, 0, false)
 				s.carry(uint32(g), o)
 			}
+			s.tellUnsent(true)
+			s.sends.close()
 			return
 		case <-s.host.Changed():
 		case <-s.poke:
@@ -167,6 +175,8 @@
 		for _, f := range do {
 			f()
 		}
+		s.sends.open()
+		s.tellUnsent(false)
 		acting := int64(0)
 		for g, o := range s.owners {
 			if uint32(g) == replica.Root && len(s.owners) > 1 {
@@ -193,9 +203,7 @@
 	for _, a := range o.Actions() {
 		switch a := a.(type) {
 		case promise.Propose:
-			if a.Op == promise.OpIntent {
-				s.Intents.Add(1)
-			}
+			s.proposing(g, a.Command)
 			ctx := s.ctx
 			go func() {
 				answer, err := s.propose(ctx, g, a.Command)
@@ -229,9 +237,12 @@
 	}
 }
 
+// drop takes a hand-in out of the loop's hands: nothing of it that was not begun is sent any more.
 func (s *Server) drop(id string, n int) *hand {
 	h := s.hands[inHand{id, n}]
-	delete(s.hands, inHand{id, n})
+	if delete(s.hands, inHand{id, n}); h != nil {
+		s.sends.leave(h.cmd.ID, &h.sends, replicas.Now())
+	}
 	return h
 }
 
@@ -311,6 +322,9 @@
 	}
 	h.on(func(c promise.Clock, o *promise.Owner) {
 		h.server.drop(h.id, h.n)
+		if v == promise.Broken && h.server.sends.allUnsent(&h.sends) { // given up before its first byte
+			v = promise.TurnedAway
+		}
 		o.Answered(c, h.id, h.index, h.n, v, a.Instance, a.Result, a.RetryAfter, h.until-c.Unix)
 	})
 }
@@ -333,10 +347,19 @@
 	})
 }
 
+// Begin notes that an attempt's first byte is next, if it still may be sent.
+func (h *hand) Begin(a *dispatch.Attempt) bool {
+	sending := h.sends.get(a.N)
+	return sending == nil || h.server.sends.begin(sending)
+}
+
 // Never says that an attempt has not run.
 func (h *hand) Never(a *dispatch.Attempt) {
 	h.on(func(c promise.Clock, o *promise.Owner) {
 		delete(h.asks, a.N)
+		if sending := h.sends.get(a.N); sending != nil {
+			h.server.sends.neverRan(sending, c.Mono)
+		}
 		o.Over(c, h.id, h.n, a.N)
 	})
 }
@@ -361,6 +384,6 @@
 	s.mu.Lock()
 	books := len(s.books)
 	s.mu.Unlock()
-	return fmt.Sprintf("proxy.promise.kept=%d\nproxy.promise.open=%d\nproxy.promise.bytes=%d\nproxy.promise.groups_acted_for=%d\nproxy.promise.receipts=%d\nproxy.promise.intents=%d\nproxy.promise.booked=%d\nproxy.promise.left=%d\nproxy.promise.unbooked=%d\nproxy.promise.books_dropped=%d\nproxy.promise.calls_unkept=%d\n",
-		jobs, open, bytes, s.acting.Load(), s.Promised.Load(), s.Intents.Load(), s.Booked.Load(), s.Left.Load(), books, s.DroppedBooks.Load(), s.Unkept.Load())
+	return fmt.Sprintf("proxy.promise.kept=%d\nproxy.promise.open=%d\nproxy.promise.bytes=%d\nproxy.promise.groups_acted_for=%d\nproxy.promise.receipts=%d\nproxy.promise.intents=%d\nproxy.promise.booked=%d\nproxy.promise.left=%d\nproxy.promise.unbooked=%d\nproxy.promise.books_dropped=%d\nproxy.promise.never_sent=%d\nproxy.promise.calls_unkept=%d\n",
+		jobs, open, bytes, s.acting.Load(), s.Promised.Load(), s.Intents.Load(), s.Booked.Load(), s.Left.Load(), books, s.DroppedBooks.Load(), s.Unsent.Load(), s.Unkept.Load())
 }
--- a/internal/net/promises/server_test.go
+++ b/internal/net/promises/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -25,6 +26,20 @@
 	*replicas.Alone
 	term    atomic.Uint64 // 0: no lease
 	changed chan struct{}
+	agree   atomic.Pointer[func(c promise.Command, commit func() ([]byte, error)) ([]byte, error)] // what becomes of proposals; nil: they are committed
+}
+
+func (c *copies) Propose(ctx context.Context, group uint32, machine byte, cmd []byte) ([]byte, error) {
+	commit := func() ([]byte, error) { return c.Alone.Propose(ctx, group, machine, cmd) }
+	f := c.agree.Load()
+	if f == nil {
+		return commit()
+	}
+	var command promise.Command
+	if err := json.Unmarshal(cmd, &command); err != nil {
+		return nil, err
+	}
+	return (*f)(command, commit)
 }
 
 func (c *copies) Lead(uint32) (uint64, time.Duration, bool) {
--- a/internal/net/upstream/conn.go
+++ b/internal/net/upstream/conn.go
@@ -80,6 +80,7 @@
 	gated          bool                 // new work: only for an encoder that is ready
 	patient        bool                 // its connection may take until the deadline to come up
 	expired        func(time.Time) bool // nil: never; it is too late to send it
+	begin          func() bool          // nil: always; told that it is about to be sent, it may say no
 	sent           func()               // called once it is written whole, if at all; may be nil
 	done           func(end)            // called once, from the connection's goroutine
 
@@ -272,7 +273,7 @@
 	}
 	// The list may have told of a drain or a move since this was decided, and while the connection
 	// came up. From the first byte on it counts as sent.
-	if x.expired != nil && x.expired(time.Now()) || x.late() || x.gated && !c.pool.takes(c) {
+	if x.begin != nil && !x.begin() || x.expired != nil && x.expired(time.Now()) || x.late() || x.gated && !c.pool.takes(c) {
 		return end{stage: unsent}
 	}
 	x.mu.Lock()
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -214,7 +214,7 @@
 // Send starts an attempt.
 func (p *Pool) Send(a *dispatch.Attempt) {
 	q := a.Command.Payload.(*http1.Request)
-	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, passed: passedOn(q.Header), deadline: a.Deadline, mostIdle: a.MostIdle, fresh: a.Fresh, gated: true, expired: a.Expired}
+	x := &exchange{method: q.Method, target: q.Target, body: q.Body, id: a.Command.ID, passed: passedOn(q.Header), deadline: a.Deadline, mostIdle: a.MostIdle, fresh: a.Fresh, gated: true, begin: a.Begin, expired: a.Expired}
 	x.sent = func() { p.reports.Written(a) }
 	x.done = func(e end) {
 		p.mu.Lock()
--- a/internal/promise/machine.go
+++ b/internal/promise/machine.go
@@ -241,7 +241,7 @@
 }
 
 // Faults switches a rule off, for the tests that must notice.
-type Faults struct{ AnyGen, EndTwice bool }
+type Faults struct{ AnyGen, EndTwice, AnyIntent bool }
 
 // New returns an empty table.
 func New() *Machine { return &Machine{jobs: map[string]*Entry{}, gone: map[string]uint64{}} }
--- a/internal/promise/owner.go
+++ b/internal/promise/owner.go
@@ -130,6 +130,7 @@
 	class  string
 	ran    bool        // it may have, in an earlier hand
 	asks   map[int]ask // attempts that wait for their intents
+	went   []string    // instances that an attempt was asked for at
 	ending *Command    // it is to have this end
 	sent   uint64      // the proposal of that, 0: none is out
 	retry  time.Duration
@@ -353,6 +354,13 @@
 		o.act(Deny{id, n, attempt})
 		return
 	}
+	if !o.repeats(h.class) && slices.Contains(h.went, instance) { // word of its attempts there could not be told apart
+		o.act(Deny{id, n, attempt})
+		o.act(Leave{id, n})
+		o.handAgain(c, id, n, 0)
+		return
+	}
+	h.went = append(h.went, instance)
 	a := ask{Command: Command{Op: OpIntent, ID: id, Index: h.index, Hand: n, N: attempt, Instance: instance, Until: until}}
 	if o.faulty.SendFirst {
 		o.act(Go{id, n, attempt, o.until - Margin})
@@ -436,14 +444,19 @@
 	case left <= 0:
 		o.finish(id, h, Refused, "turned away until its time was over")
 	default:
-		wait := o.later[id]
-		wait.pause = min(max(againFirst, 2*wait.pause), againMost)
-		wait.at, wait.hand = c.Mono+max(after, wait.pause), n
-		delete(o.hands, id)
-		o.later[id] = wait
+		o.handAgain(c, id, n, after)
 	}
 }
 
+// handAgain has a job handed in anew after a pause, at least so long.
+func (o *Owner) handAgain(c Clock, id string, n int, after time.Duration) {
+	wait := o.later[id]
+	wait.pause = min(max(againFirst, 2*wait.pause), againMost)
+	wait.at, wait.hand = c.Mono+max(after, wait.pause), n
+	delete(o.hands, id)
+	o.later[id] = wait
+}
+
 // String tells of an owner for people on call.
 func (o *Owner) String() string {
 	return fmt.Sprintf("term %d, %d in hand, %d wait", o.term, len(o.hands), len(o.later))
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -42,6 +42,7 @@
 	ends     []io.Closer
 	made     uint64
 	timeline []Change
+	watch    func(Way, []byte)
 	closed   bool
 	wg       sync.WaitGroup
 }
@@ -61,6 +62,13 @@
 	n.changed = make(chan struct{})
 }
 
+// Watch has f see each piece of a stream before it passes, or waits where its way is cut by then.
+func (n *Net) Watch(f func(w Way, piece []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watch = f
+}
+
 // Cut cuts both directions between two groups of parties, or heals them.
 func (n *Net) Cut(yes bool, a, b []string) {
 	for _, x := range a {
@@ -293,6 +301,12 @@
 			timer.Stop()
 			return
 		}
+		n.mu.Lock()
+		watch := n.watch
+		n.mu.Unlock()
+		if watch != nil {
+			watch(w, buf[:size])
+		}
 		if !n.pass(w, p) {
 			return
 		}
