Wait for the job's end before a stage that must not run twice counts as late

Callers saw: needs_person, "publish: late; it must not run twice", `within` after the stage began, for publishes that were done in the last moment, that were never sent (no worker was free) and that may have run alike.

Cause: Turn.over was Began+Within. The job is promised after Began and for Within, its refusal comes at that time's end at the earliest and MayHaveRun a second later, so the timer always came first; the job's own end was turned down and forgotten.

Why it works: for such a stage the timer is a minute later (overdue, as for stages without a time of their own), by when the promise has its one end as a rule. Open: where one group's copies are of two versions, a stage that passes its time just then may end differently at them.

--- a/internal/rerun/objects.go
+++ b/internal/rerun/objects.go
@@ -244,9 +244,13 @@
 	return Result{OK: true}
 }
 
-// over is when a turn that has started is late: it is waited for no longer.
+// over is when a turn that has started is late: it is waited for no longer. What must not run twice has its job's end waited
+// for: that tells whether it ran, and comes once the job's time is over.
 func (t *Turn) over() time.Duration {
-	if t.Within > 0 {
+	switch {
+	case t.Within > 0 && t.Once:
+		return min(t.Began+t.Within, t.Until) + overdue
+	case t.Within > 0:
 		return min(t.Began+t.Within, t.Until+overdue)
 	}
 	return t.Until + overdue
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -717,3 +717,45 @@
 	require.Less(t, r.Answer.At-r.Began, time.Minute)
 	require.Len(t, w.started["r/r0/encode"], 2)
 }
+
+// Guards against giving up a stage that must not run twice, as late, before its promised job has its end: that comes with
+// the end of the job's time, or a second and what the record takes after it. Of which nothing is heard a minute later, is late.
+func TestWhatMustNotRunTwiceHasItsJobsEnd(t *testing.T) {
+	again := "[[pipeline.rerun]]\non=\"publish\"\nwhen='cause.kind == \"never_ran\"'\nrerun=\"self\"\nmost=2\nbudget=\"fleet\"\nelse=\"person\""
+	for _, c := range []struct {
+		name  string
+		takes time.Duration
+		ends  Command
+		want  Kind
+		cause policy.Cause
+	}{
+		{"done as its time ends", 30*time.Second + 100*time.Millisecond, Command{OK: true, Text: "published"}, Done, ""},
+		{"never sent in its time", 30*time.Second + 200*time.Millisecond, Command{Cause: policy.NeverRan, Text: "its time was over before it could be done"}, Done, ""},
+		{"may have run", 31*time.Second + 500*time.Millisecond, Command{Cause: policy.MayHaveRun, Text: "may have run"}, Person, policy.MayHaveRun},
+		{"nothing is heard of it", time.Hour, Command{OK: true}, Person, policy.Late},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 11, 3, 100)
+			w.policy(words("1", "100%", "60m", strings.Replace(film("fleet", 1, again), "work=\"1s\"", "work=\"1s\"\nwithin=\"30s\"", 1)))
+			first := func(g Go) bool { return stageOf(g.Key) == "publish" && g.Gen == 1 }
+			w.takes = func(w *world, g Go) time.Duration {
+				if first(g) {
+					return c.takes
+				}
+				return time.Second
+			}
+			w.outcome = func(w *world, g Go) Command {
+				if first(g) {
+					return c.ends
+				}
+				return Command{OK: true}
+			}
+			w.submit("r0", "film", "t", map[string]string{"asset": "x"})
+			w.finish(1000)
+			a := w.run("r0").Answer
+			require.Equal(t, c.want, a.Kind, "%+v", a)
+			require.Equal(t, c.cause, a.Cause)
+			require.Less(t, a.At-w.run("r0").Began, 2*time.Minute)
+		})
+	}
+}
