Count a stage's time from its start; end it as never run if nobody could promise it

After a take-over a stage ran on when it counted as late, with a rerun beside it or a person asked; one whose job could not be promised in its time counted as if it might have run.

Cause: turn counted the time from its own beginning, and once, before it tried to promise the job.

Why it works: each try reckons what is left of Began+Within. Once that is over the id is promised to nobody, which the group refuses only if it was promised before; then that promise's end counts.

--- a/internal/net/pipelines/pipelines.go
+++ b/internal/net/pipelines/pipelines.go
@@ -281,6 +281,15 @@
 	return parts[min(2, len(parts)-1)]
 }
 
+// left is the time that a turn has yet, whoever takes it up.
+func left(t rerun.Go) time.Duration {
+	left := time.Until(time.Unix(0, int64(t.Until)))
+	if t.Within > 0 {
+		left = min(left, t.Within, time.Until(time.Unix(0, int64(t.Began+t.Within))))
+	}
+	return left
+}
+
 // turn has a generation made, or takes up the making of it, and tells the group how that ended.
 func (s *Server) turn(ctx context.Context, g uint32, t rerun.Go) {
 	id := jobID(t.Key, t.Gen)
@@ -297,31 +306,25 @@
 		}
 	}
 	body, _ := json.Marshal(told) // plain data: it cannot fail
-	left := time.Until(time.Unix(0, int64(t.Until)))
+	if t.Began == 0 {             // it has just been started
+		t.Began = time.Duration(time.Now().UnixNano())
+	}
 	if narrows(t) { // a process that has just begun knows of no workers, which must not count as none left
 		select {
 		case <-s.known:
-		case <-time.After(left):
+		case <-time.After(left(t)):
 		case <-ctx.Done():
 			return
 		}
-		left = time.Until(time.Unix(0, int64(t.Until)))
-	}
-	if t.Within > 0 {
-		left = min(left, t.Within)
 	}
 	order, narrowed := s.narrow(t)
 	end := rerun.Command{Op: rerun.OpEnd, Key: t.Key, Gen: t.Gen}
 	never, why := policy.NeverRan, "" // where its job is refused
-	switch {
-	case left < time.Millisecond:
-		order, why = nowhere, "its time was over before it could be begun"
-	case narrowed && len(order) == 0:
-		left, order, never, why = 0, nowhere, policy.Refused, fmt.Sprintf("no worker of class %s is left by %s", t.Class, t.Where)
+	if narrowed && len(order) == 0 && left(t) >= time.Millisecond {
+		order, never, why = nowhere, policy.Refused, fmt.Sprintf("no worker of class %s is left by %s", t.Class, t.Where)
 	}
 	job := &promisev1.PromiseRequest{Id: id, Job: &promisev1.Job{
-		Class: t.Class, Tenant: t.Tenant, Payload: body, WorkUs: uint64(t.Work.Microseconds()), Target: target,
-		WithinMs: uint64(max(1, left.Milliseconds())), KeepMs: uint64(keepEnd.Milliseconds()), Order: order,
+		Class: t.Class, Tenant: t.Tenant, Payload: body, WorkUs: uint64(t.Work.Microseconds()), Target: target, WithinMs: 1, KeepMs: uint64(keepEnd.Milliseconds()), Order: order,
 	}}
 	for ; ctx.Err() == nil; wait(ctx, pause) {
 		// What was known of the job's group before the turn is known to be under way: another dispatcher may have it end,
@@ -337,6 +340,11 @@
 		if !r.OK {
 			return
 		}
+		if left := left(t); why == "" && left >= time.Millisecond {
+			job.Job.WithinMs = uint64(left.Milliseconds())
+		} else if job.Job.WithinMs, job.Job.Order = 1, nowhere; why == "" { // perhaps it was promised before, unheard: that counts
+			why = "its time was over before it could be begun"
+		}
 		_, err = s.jobs.PromiseSeen(ctx, job, seen)
 		code := status.Code(err)
 		if err == nil || code == codes.AlreadyExists { // promised by whoever acted before, whose list was another
--- a/internal/net/pipelines/pipelines_test.go
+++ b/internal/net/pipelines/pipelines_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -44,6 +45,8 @@
 	host   *replicas.Alone
 	ran    atomic.Int64
 	before func() // a promise is applied
+	down   func() bool
+	asked  []*promisev1.PromiseRequest
 
 	owner sync.Mutex // held by the one who acts for the table: an intent said again is no second run, and has the same answer
 }
@@ -67,6 +70,10 @@
 	}
 	j.owner.Lock()
 	defer j.owner.Unlock()
+	j.asked = append(j.asked, q)
+	if j.down != nil && j.down() {
+		return nil, status.Error(codes.Unavailable, "no majority answers: nothing is promised")
+	}
 	a := j.do(promise.Command{Op: promise.OpPromise, ID: q.Id, Seen: seen, Job: &promise.Job{
 		Class: q.Job.Class, Order: q.Job.Order, Payload: q.Job.Payload, Within: time.Duration(q.Job.WithinMs) * time.Millisecond, Keep: time.Hour,
 	}})
@@ -167,6 +174,52 @@
 	}
 }
 
+// begun is a host on which a run's only stage, which must not run twice, was started so long ago, and a server that takes it up.
+func begun(t *testing.T, ago time.Duration) (*jobs, *Server, rerun.Go) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux {
+		return replica.Mux{replica.Promises: promise.New(), replica.Reruns: rerun.New(rerun.Config{Groups: 1})}
+	})
+	j := &jobs{t: t, host: host}
+	o := Options{Name: "d1", Site: policy.Site{Classes: map[string]policy.Class{"publish": {Once: true}}}}
+	s := New(o, host, slog.New(slog.DiscardHandler))
+	s.Use(j)
+	for _, c := range []rerun.Command{
+		{Op: rerun.OpPolicy, Text: strings.Replace(oneStage, `work = "1s"`, "work = \"1s\"\nwithin = \"30s\"", 1), Site: &o.Site},
+		{Op: rerun.OpSubmit, ID: "lec", Pipeline: "one"}, {Op: rerun.OpStart, Key: "r/lec/publish", Gen: 1, By: "gone"},
+	} {
+		text, err := host.ProposeAt(time.Duration(time.Now().Add(-ago).UnixNano()), 0, replica.Reruns, c.Bytes())
+		require.NoError(t, err)
+		r, err := rerun.ReadResult(text)
+		require.NoError(t, err)
+		require.True(t, r.OK, r.Why)
+	}
+	var turn rerun.Go
+	host.View(0, replica.Reruns, func(m replica.Machine) { turn = m.(*rerun.Machine).Running("")[0] })
+	return j, s, turn
+}
+
+// Guards against a stage that another dispatcher has started, and died, being given its whole time anew: it would run on
+// when it is long late.
+func TestTurnThatIsTakenUpHasTheTimeThatIsLeft(t *testing.T) {
+	j, s, turn := begun(t, 20*time.Second)
+	s.turn(t.Context(), 0, turn)
+	require.Len(t, j.asked, 1)
+	require.LessOrEqual(t, j.asked[0].Job.WithinMs, uint64(10_000))
+	require.EqualValues(t, 1, j.ran.Load())
+}
+
+// Guards against a stage whose job nobody could promise in its time being late, as if it may have run.
+func TestTurnThatCouldNotBePromisedNeverRan(t *testing.T) {
+	j, s, turn := begun(t, 30*time.Second-30*time.Millisecond)
+	j.down = func() bool { return len(j.asked) == 1 } // until its time is over
+	s.turn(t.Context(), 0, turn)
+	require.Zero(t, j.ran.Load())
+	r, err := s.propose(t.Context(), 0, rerun.Command{Op: rerun.OpLook, ID: "lec"})
+	require.NoError(t, err)
+	require.NotNil(t, r.Answer)
+	require.Equal(t, policy.NeverRan, r.Answer.Cause, "%+v", r.Answer)
+}
+
 // A rerun goes back to no place where it failed before, nor to sites that often fail, while others are left; the place
 // where it failed last it never goes back to. Who has not been told of any worker does not know that none is left.
 func TestNarrow(t *testing.T) {
