Gangs: have the next leader hear the dispatchers before it settles a start that failed

Callers saw: nothing reported. A gang with a member that must not run twice ended as not_started, may_have_run, and was not planned anew, though no member was sent: the home's leader had died after it had committed the start.

Cause: what is not heard a second after the start may have run; the next leader mostly comes later, and settled the start in the step in which it asked for the first time.

Evidence: TestNextLeaderHearsDispatchersBeforeItSettles failed before (may_have_run [0 1], where both dispatchers know that they sent nothing) and passes; so do all of internal/gang and its orders.

Why it works: dispatchers keep what they know of a member and answer in milliseconds; a coordinator settles after 300 ms of its own asking. Who coordinated since the start began has asked for 650 ms by then, so its starts end as they did.

--- a/internal/gang/clock_test.go
+++ b/internal/gang/clock_test.go
@@ -128,3 +128,49 @@
 		require.Empty(t, s.Did())
 	}
 }
+
+// Guards against a leader that takes a home over late ending a gang whose members must not run twice as not started, they may
+// have run, before it has heard of its dispatchers, which know that none was sent.
+func TestNextLeaderHearsDispatchersBeforeItSettles(t *testing.T) {
+	for _, off := range []bool{false, true} { // whether the leader before it had called the gang off
+		m, encoders, start := heldGang(t)
+		for i := range m.Gangs["g"].Spec.Members {
+			m.Gangs["g"].Spec.Members[i].Once = true
+		}
+		starters := map[string]*Starter{"n1": NewStarter(), "n2": NewStarter()}
+		for i, name := range []string{"n1", "n2"} {
+			starters[name].Word(start-500*ms, Word{Kind: Arm, Gang: "g", Round: 1, At: start, Skew: 250 * ms, Parts: []Part{{Member: i}}})
+		}
+		require.True(t, m.apply(start-200*ms, Command{Op: "go", Gang: "g", Round: 1, Armed: []string{"n1", "n2"}, At: start - 200*ms}).OK)
+		if off { // its word to go reached nobody
+			require.True(t, m.apply(start+400*ms, Command{Op: "off", Gang: "g", Round: 1, At: start + 400*ms}).OK)
+		}
+		next := NewCoordinator("n3/1")
+		now := start + SettleAt + 100*ms
+		for _, name := range []string{"n0", "n1", "n2"} {
+			measure(next, now, name, name+"/1", 0, 2*ms)
+		}
+		var later []func()
+		for range 100 { // what is proposed is committed at once, what is told is answered 10 ms later
+			next.Step(now, 0, m, encoders)
+			due := later
+			later = nil
+			for _, a := range next.Did() {
+				switch a := a.(type) {
+				case Propose:
+					next.Answered(now, a.Key, m.apply(now, a.Command), true)
+				case Tell:
+					sent, said := now, starters[a.To].Word(now, a.Word)
+					later = append(later, func() { next.Said(now, sent, a.To, a.Word, said, 0) })
+				}
+			}
+			for _, do := range due {
+				do()
+			}
+			now += 10 * ms
+		}
+		e := m.Gangs["g"]
+		require.Empty(t, e.MayRun, "off %v: %s %s: %s", off, e.State, e.Verdict, e.Why)
+		require.Equal(t, Waiting, e.State, "it is planned anew")
+	}
+}
--- a/internal/gang/coordinator.go
+++ b/internal/gang/coordinator.go
@@ -47,7 +47,8 @@
 	searchEvery = 25 * time.Millisecond // for an earlier start of some gang
 	leastGain   = 150 * time.Millisecond
 	backEvery   = 100 * time.Millisecond
-	lostFor     = 5 * time.Second // after its hold's end, that a member without word counts as dead
+	hearFor     = 300 * time.Millisecond // that dispatchers are asked by whoever coordinates now before what they do not say may have run
+	lostFor     = 5 * time.Second        // after its hold's end, that a member without word counts as dead
 )
 
 // Coordinator acts for the gangs of the homes that this daemon leads. All that matters is in the homes' logs: another
@@ -67,6 +68,7 @@
 	free     map[string]map[int]bool  // and groups in which its room is free
 	known    map[string]map[int]Fate  // and what the home has been told of them
 	began    map[string]time.Duration
+	offs     map[string]time.Duration // by gang and round: since when its members are called off from here
 	homes    map[string]uint32        // of the gangs that are known here
 	seen     map[string]time.Duration // undecided holds, by gang and round: since when
 	view     View
@@ -88,7 +90,7 @@
 	return &Coordinator{
 		clock: clock, whose: map[string]string{}, goes: map[string]string{},
 		flying: map[string]Propose{}, asked: map[string]time.Duration{}, told: map[string]time.Duration{}, clocks: map[string]*Clock{}, heard: map[string]heard{},
-		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, free: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, homes: map[string]uint32{}, seen: map[string]time.Duration{},
+		armed: map[string]map[int]bool{}, ran: map[string]map[int]bool{}, free: map[string]map[int]bool{}, known: map[string]map[int]Fate{}, began: map[string]time.Duration{}, offs: map[string]time.Duration{}, homes: map[string]uint32{}, seen: map[string]time.Duration{},
 	}
 }
 
@@ -291,7 +293,11 @@
 			}
 		case Off:
 			c.tell(now, e, No, tellEvery)
-			if c.takeBack(now, e); t >= e.Plan.Start+SettleAt {
+			id := fmt.Sprint(e.Spec.ID, "/", e.Plan.Round)
+			if _, known := c.offs[id]; !known {
+				c.offs[id] = now
+			}
+			if c.takeBack(now, e); t >= e.Plan.Start+SettleAt && now-c.offs[id] >= hearFor {
 				c.propose(now, group, Command{Op: "settle", Gang: e.Spec.ID, Round: e.Plan.Round, At: t})
 			}
 		case Running:
@@ -312,6 +318,7 @@
 	for _, m := range []map[string]map[int]bool{c.armed, c.ran, c.free} {
 		maps.DeleteFunc(m, func(id string, _ map[int]bool) bool { return strings.HasPrefix(id, gang+"/") })
 	}
+	maps.DeleteFunc(c.offs, func(id string, _ time.Duration) bool { return strings.HasPrefix(id, gang+"/") })
 	maps.DeleteFunc(c.goes, func(id, _ string) bool { return strings.HasPrefix(id, gang+"/") })
 	maps.DeleteFunc(c.known, func(id string, _ map[int]Fate) bool { return strings.HasPrefix(id, gang+"/") })
 	for _, m := range []map[string]time.Duration{c.told, c.asked} {
