Gangs: do not drop a member's end when the loop of starts is behind

A member that was done counted as dead 5 s after its slots' time and its gang as dead_after_start; under stop_all the others were called off.

Cause: begin and end of a member are told once, through a queue of 1,024 shared with the wakes for each coordinator's word; what did not fit was dropped.

Evidence: TestMembersEndIsKeptWhileStartsAreBehind failed before (fate "" where it is done) and passes; so does the package with -race, beside other load.

Why it works: the starter takes them under its lock, which nobody holds while he waits; the loop needs only to be woken, and one wake that is pending will do.

--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -92,10 +92,10 @@
 	conns []*grpc.ClientConn
 
 	// Members start in time whatever the groups' disks do: they have a loop of their own.
-	starts sync.Mutex // of s and sent; nothing is waited for under it
-	s      *gang.Starter
-	sent   map[string]*dispatch.Command
-	news   chan func() // for that loop, with the lock held
+	starts  sync.Mutex // of s and sent; nothing is waited for under it
+	s       *gang.Starter
+	sent    map[string]*dispatch.Command
+	stirred chan struct{} // that loop has something to look at
 
 	// The coordinating loop's own.
 	c       *gang.Coordinator
@@ -125,7 +125,7 @@
 	s := &Server{
 		o: o, host: host, core: core, log: logger, clock: clock, began: time.Duration(time.Now().UnixNano()) + o.Ahead - replicas.Now(), in: make(chan func(), 1024), room: make(chan struct{}, mostAsked),
 		peers: map[string]gangv1.PeersClient{}, c: gang.NewCoordinator(clock), s: gang.NewStarter(), out: map[string]bool{},
-		sent: map[string]*dispatch.Command{}, news: make(chan func(), 1024), homes: map[string]uint32{}, set: map[string]uint64{},
+		sent: map[string]*dispatch.Command{}, stirred: make(chan struct{}, 1), homes: map[string]uint32{}, set: map[string]uint64{},
 		held: map[string][]gang.Taken{}, spans: map[string]string{},
 	}
 	s.once.Store(&o.Once)
@@ -232,15 +232,13 @@
 		}
 		s.starts.Unlock()
 		timer.Reset(wait)
-		do := func() {}
 		select {
 		case <-ctx.Done():
 			return
-		case do = <-s.news:
+		case <-s.stirred:
 		case <-timer.C:
 		}
 		s.starts.Lock()
-		do()
 		s.s.Tick(s.now())
 		acts := s.s.Did()
 		s.starts.Unlock()
@@ -248,12 +246,14 @@
 	}
 }
 
-// tellStarts has the loop of starts do something.
+// tellStarts has the starter take what is told once, however far its loop is behind.
 func (s *Server) tellStarts(do func()) {
+	s.starts.Lock()
+	do()
+	s.starts.Unlock()
 	select {
-	case s.news <- do:
-	default:
-		s.errors.Add(1)
+	case s.stirred <- struct{}{}:
+	default: // it will look anyway
 	}
 }
 
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -149,3 +149,25 @@
 	require.Equal(t, gang.NotStarted, g.GetVerdict(), g)
 	require.Equal(t, "no room in its window", g.GetWhy())
 }
+
+// Guards against a member's end, which the loop tells once, being dropped where the loop of starts is behind: the gang would
+// be dead after its start.
+func TestMembersEndIsKeptWhileStartsAreBehind(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	s, err := New(Options{Name: "n1", TellsStart: true}, host, &encoders{}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	start, key := s.now()+time.Hour, gang.Key("g", 1, 0)
+	part := []gang.Part{{Encoder: "s-0", Spec: gang.Member{Class: "live", Slots: 1, Work: time.Second}}}
+	for _, kind := range []gang.Kind{gang.Arm, gang.Go} {
+		s.s.Word(start-time.Second, gang.Word{Kind: kind, Gang: "g", Round: 1, At: start, Skew: 250 * time.Millisecond, Parts: part})
+	}
+	s.s.Tick(start) // it is sent
+	for range 4096 {
+		s.tellStarts(func() {}) // nobody takes them
+	}
+	c := &client{s, key}
+	c.Started("s-0", true)
+	c.Answer(dispatch.Answer{Verdict: dispatch.Served})
+	said := s.s.Word(start+time.Second/10, gang.Word{Kind: gang.Run, Gang: "g", Round: 1, Parts: part})
+	require.Equal(t, gang.Done, said.Parts[0].Fate)
+}
