Gangs: do not drop the result of a proposal when the coordinating loop is behind

Callers saw: nothing reported. Gangs of a home stayed as they were, their room held, until another dispatcher led it; or no gang was planned there any more.

Cause: results and views that did not fit the loop's queue were dropped, and the coordinator neither proposes nor looks again while it takes the first for under way.

Evidence: TestResultsWaitForALoopThatIsBehind failed before (told nothing in 5 s with the queue full) and passes.

Words are told again and wait for as long as their call does.

--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -182,13 +182,19 @@
 // from the next process on.
 func (s *Server) now() time.Duration { return s.began + replicas.Now() }
 
-// post has the loop do something; it is not waited for.
-func (s *Server) post(do func()) {
+// post has the loop do something. A loop that is far behind is waited for: it asks for a result once, and takes what has none
+// for under way. It must not be called from there.
+func (s *Server) post(ctx context.Context, do func()) {
 	select {
 	case s.in <- do:
-	default: // a loop that is so far behind has it asked again
+		return
+	default:
 		s.errors.Add(1)
 	}
+	select {
+	case s.in <- do:
+	case <-ctx.Done():
+	}
 }
 
 func (s *Server) run(ctx context.Context) {
@@ -401,7 +407,7 @@
 	go func() {
 		r, err := s.ask(ctx, g, c)
 		<-s.room
-		s.post(func() { done(r, err == nil) })
+		s.post(context.Background(), func() { done(r, err == nil) }) // at most as many wait as there is room for, and one look
 	}()
 }
 
@@ -456,7 +462,7 @@
 			}
 			v.Standing = append(v.Standing, r.Standing...)
 		}
-		s.post(func() { s.c.Viewed(s.now(), v) })
+		s.post(context.Background(), func() { s.c.Viewed(s.now(), v) })
 	}()
 }
 
@@ -490,7 +496,7 @@
 		if err != nil || json.Unmarshal(r.GetSaid(), &said) != nil {
 			return
 		}
-		s.post(func() {
+		s.post(ctx, func() { // it is told again
 			if w.Kind == "" {
 				s.held[to] = said.Held
 			}
@@ -508,7 +514,7 @@
 	said := s.word(w)
 	if w.Kind == "" { // asked for the clock alone
 		answer := make(chan []gang.Taken, 1)
-		s.post(func() { answer <- s.taken(s.now()) })
+		s.post(ctx, func() { answer <- s.taken(s.now()) })
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -171,3 +172,27 @@
 	said := s.s.Word(start+time.Second/10, gang.Word{Kind: gang.Run, Gang: "g", Round: 1, Parts: part})
 	require.Equal(t, gang.Done, said.Parts[0].Fate)
 }
+
+// Guards against the result of a proposal being dropped by a loop that is far behind: the coordinator counts it as under way
+// for ever, and proposes it no more.
+func TestResultsWaitForALoopThatIsBehind(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	s, err := New(Options{Name: "n1"}, host, &encoders{}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	for range cap(s.in) {
+		s.in <- func() {}
+	}
+	asked, told := s.errors.Load(), false
+	s.propose(t.Context(), 0, gang.Command{Op: "look"}, func(gang.Result, bool) { told = true })
+	for s.errors.Load() == asked { // until it finds the loop behind
+		runtime.Gosched()
+	}
+	for !told {
+		select {
+		case do := <-s.in:
+			do()
+		case <-time.After(5 * time.Second):
+			t.Fatal("it is told nothing")
+		}
+	}
+}
