Gangs: take plans that have members alike at one encoder in one hold: they never started

Callers saw: a gang of members of one length at one site, or any, ended not_started, "no room in its window", though there was.

Cause: the planner merges holds that are alike; the home turned a plan with fewer holds than members down as no plan, each time.

Evidence: TestMembersAtOneEncoder failed before (not_started after 12 s of virtual time, no plan taken) and passes; so do all of internal/gang and its orders.

Why it works: the home checks that the holds at each encoder add up to its members' slots. That is what the count of holds stood for, and stricter where holds are many and small.

--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -132,6 +132,23 @@
 	Holds    []Hold        `json:"holds"`
 }
 
+// holds tells whether each member has its slots. Those that are alike at one encoder have one hold.
+func (p *Plan) holds(members []Member) bool {
+	missing := map[string]int{}
+	for i, m := range members {
+		missing[Encoder{ID: p.Encoders[i]}.Account()] += m.Slots
+	}
+	for _, h := range p.Holds {
+		missing[h.Resource] -= h.Slots
+	}
+	for _, n := range missing {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // groups are those that keep an account for the plan, in their order.
 func (p *Plan) groups() (all []uint32) {
 	if p != nil {
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -508,3 +508,15 @@
 	})
 	t.Log("plans made:", waits)
 }
+
+// Guards against a gang never starting because two of its members, alike in work, have one hold at an encoder that has room
+// for both.
+func TestMembersAtOneEncoder(t *testing.T) {
+	w := newWorld(t, 3, 1, 4, 2)
+	one := Member{Slots: 1, Work: 500 * ms, Class: "live"}
+	w.submit("g0", 10*time.Second, one, one, one)
+	w.run(12 * time.Second)
+	e := w.groups[0].Gangs["g0"]
+	require.Equal(t, Completed, e.Verdict, "%s, %d plans: %s", e.State, e.Plans, e.Why)
+	require.Equal(t, []string{"s-0", "s-0", "s-0"}, e.Plan.Encoders)
+}
--- a/internal/gang/home.go
+++ b/internal/gang/home.go
@@ -192,7 +192,7 @@
 	switch move := e.State == Held; {
 	case p == nil || p.Round != e.Round+1 || e.State != Waiting && !move:
 		return "another round"
-	case len(p.Encoders) != n || len(p.Starters) != n || len(p.Holds) < n || len(p.Holds) > 2*n || len(p.groups()) == 0:
+	case len(p.Encoders) != n || len(p.Starters) != n || len(p.Holds) > 2*n || !p.holds(e.Spec.Members):
 		return "not a plan"
 	case move && (p.Start > e.Plan.Start || p.Clock != e.Plan.Clock):
 		return "a move keeps the start, or comes sooner"
