Gangs: go on with members that run when their dispatcher begins anew or is taken over

Callers saw: nothing reported. A gang whose members all ran ended dead_after_start within a second of a restart of a dispatcher that had sent one, its work cut short; under stop_all the others' too. A take-over by a newer process did the same.

Cause: told that all run, a process that did not know a member had its encoder drop it. A newer process waited for a client's connection for members that it was handed, and lapsed them with the older's end. An encoder's word of them reached nobody.

Why it works: "all run" is committed only when each member has begun, so who hears it may take it as running and wait for its end. Starts that are not complete are called off as before.

--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -82,7 +82,7 @@
 		}
 		given := Handed{Module: l.mod.Memory(), Numbers: l.workers, Names: l.names, Classes: l.settings.Classes}
 		for _, r := range given.Module.Requests {
-			if h := l.requests[r.ID]; h != nil && !h.answered && h.Gate == nil {
+			if h := l.requests[r.ID]; h != nil && !h.answered && h.Gate == nil && !h.Held { // else its client is no connection
 				given.Commands = append(given.Commands, h.handed(r))
 			}
 		}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -26,9 +26,15 @@
 	passed              // it may run
 )
 
-// StraysTo has calls of instances that match no attempt in hand go to f first; false: it has no use for them. It must
-// come before Run, and f must not block.
-func (l *Loop) StraysTo(f func(News) bool) { l.strays = f }
+// StraysTo has calls of instances that match no attempt in hand go to f, and to whom it was called with before, first; false:
+// it has no use for them. It must come before Run, and f must not block.
+func (l *Loop) StraysTo(f func(News) bool) {
+	if before := l.strays; before != nil {
+		l.strays = func(n News) bool { return before(n) || f(n) }
+		return
+	}
+	l.strays = f
+}
 
 // let sends an attempt, or has it wait at its gate.
 func (l *Loop) let(a *Attempt) {
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -91,3 +91,25 @@
 	require.Empty(t, f.sent)
 	require.Zero(t, l.Holding())
 }
+
+// Guards against a member of a gang being cut short by a take-over: the newer process waited for a client's connection for it,
+// which it has none, and called it off with the older process's end. What its encoder tells goes to whoever asks for it.
+func TestHeldCommandsStayWithTheirEncoder(t *testing.T) {
+	f, c := &fleet{}, &client{}
+	l := loop(t, f)
+	var strays []string
+	l.StraysTo(func(n News) bool { return n.ID == "p~1" })
+	l.StraysTo(func(n News) bool { strays = append(strays, n.ID); return true })
+	l.Listed(List{Members: []Member{{ID: "s-1", State: decide.Ready}}}, true)
+	l.Take(&Command{ID: "gang-g-1-0", Class: "safe", Deadline: time.Now().Add(time.Hour), Client: c, Held: true})
+	l.News(News{ID: "p~1", From: "s-1", State: Done})
+	l.News(News{ID: "gang-h-1-0", From: "s-1", State: Done})
+	l.batch()
+	require.Equal(t, []string{"gang-h-1-0"}, strays)
+	require.Len(t, f.sent, 1)
+	l.Yield(func(h Handed) bool { require.Empty(t, h.Commands); return true })
+	l.batch()
+	require.Empty(t, f.givenUp)
+	require.Equal(t, []bool{true}, c.passed)
+	require.Zero(t, l.Holding())
+}
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -520,3 +520,32 @@
 	require.Equal(t, Completed, e.Verdict, "%s, %d plans: %s", e.State, e.Plans, e.Why)
 	require.Equal(t, []string{"s-0", "s-0", "s-0"}, e.Plan.Encoders)
 }
+
+// Guards against members being cut short, and their gang being dead after its start, because the dispatcher that sent one
+// began anew while that ran: the process after it had the encoder drop what it did not know.
+func TestGangOutlivesADispatcherOfItsMembers(t *testing.T) {
+	w := newWorld(t, 3, 1, 4, 2)
+	one := Member{Slots: 1, Work: 4 * time.Second, Class: "live"}
+	w.submit("g0", 10*time.Second, one, one)
+	e := w.groups[0].Gangs["g0"]
+	for range 100 {
+		if w.run(50 * ms); e.State == Running {
+			break
+		}
+	}
+	require.Equal(t, Running, e.State)
+	w.run(500 * ms)
+	d := w.daemons[slices.IndexFunc(w.daemons, func(d *daemon) bool { return d.name == e.Plan.Starters[0] })]
+	w.boot(d)
+	w.run(4 * time.Second)
+	for i, name := range e.Plan.Starters { // their encoder tells whoever has that address now
+		if name == d.name {
+			d.Over(d.time(w.now), Key("g0", e.Plan.Round, i), Done, "")
+		}
+	}
+	w.run(time.Second)
+	for _, r := range w.runs {
+		require.Equal(t, 4*time.Second, r.until-r.at, "it was cut short")
+	}
+	require.Equal(t, Completed, e.Verdict, "%s: dead %v", e.State, e.Dead)
+}
--- a/internal/gang/start.go
+++ b/internal/gang/start.go
@@ -1,6 +1,7 @@
 package gang
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -145,7 +146,7 @@
 		}
 		p := s.parts[key]
 		if p == nil {
-			if p = s.arm(now, w, t); p == nil {
+			if p = cmp.Or(s.arm(now, w, t), s.adopt(now, w, t)); p == nil {
 				if w.Kind != Arm { // a process before this one may have sent it
 					s.out = append(s.out, Act{Key: key, Do: TakeBack, Encoder: t.Encoder})
 				}
@@ -189,6 +190,14 @@
 	return &part{Part: t, gang: w.Gang, round: w.Round, at: w.At, err: w.Err, skew: w.Skew, changed: now}
 }
 
+// adopt is a member that runs, and was sent by a process before this one; nil: it is not known to run, or there are too many.
+func (s *Starter) adopt(now time.Duration, w Word, t Part) *part {
+	if w.Kind != Run || len(s.parts) >= mostParts {
+		return nil
+	}
+	return &part{Part: t, gang: w.Gang, round: w.Round, at: now, sentAt: now, sent: true, running: true, fate: Began, changed: now}
+}
+
 // unknown is what is to be thought of a member that is not in hand: one that was to go may have been sent by a process
 // before this one.
 func (s *Starter) unknown(w Word) Fate {
--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -596,6 +596,25 @@
 	})
 }
 
+// Stray takes a call of an encoder that matches nothing in the loop's hand: a process before this one may have sent the member.
+func (s *Server) Stray(n dispatch.News) bool {
+	s.starts.Lock()
+	_, ours := s.s.Of(n.ID)
+	s.starts.Unlock()
+	fate, why := gang.MayRun, "failed"
+	switch n.State {
+	case dispatch.Done:
+		fate, why = gang.Done, ""
+	case dispatch.Errored, dispatch.Lost, dispatch.Returned:
+	default:
+		return ours
+	}
+	if ours {
+		s.tellStarts(func() { s.s.Over(s.now(), n.ID, fate, why) })
+	}
+	return ours
+}
+
 // Submit takes a gang.
 func (s *Server) Submit(ctx context.Context, q *gangv1.SubmitRequest) (*gangv1.Gang, error) {
 	us := func(n uint64) time.Duration { return time.Duration(min(n, 1<<53)) * time.Microsecond }
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -196,3 +196,22 @@
 		}
 	}
 }
+
+// Guards against an encoder's word of a member being lost that a process before this one has sent.
+func TestWordOfAMemberThatAnotherProcessSent(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	s, err := New(Options{Name: "n1"}, host, &encoders{}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	run := gang.Word{Kind: gang.Run, Gang: "g", Round: 1, Parts: []gang.Part{{Encoder: "s-0"}}}
+	require.Equal(t, gang.Began, s.word(run).Parts[0].Fate)
+	require.Empty(t, s.s.Did(), "its encoder goes on with it")
+	require.False(t, s.Stray(dispatch.News{ID: gang.Key("g", 2, 0), From: "s-0", State: dispatch.Done}))
+	require.True(t, s.Stray(dispatch.News{ID: gang.Key("g", 1, 0), From: "s-0", State: dispatch.Running}))
+	require.Equal(t, gang.Began, s.word(run).Parts[0].Fate)
+	require.True(t, s.Stray(dispatch.News{ID: gang.Key("g", 1, 0), From: "s-0", State: dispatch.Done}))
+	require.Equal(t, gang.Done, s.word(run).Parts[0].Fate)
+	run.Kind = gang.Go // what is not known to run is taken back as before
+	run.Gang = "h"
+	require.Equal(t, gang.MayRun, s.word(run).Parts[0].Fate)
+	require.Len(t, s.s.Did(), 1)
+}
