Take up stages that have been started, and pass letters on, however much is in hand

With over 2,048 stages under way at one dispatcher, as after take-overs, some were late though their jobs ran, or had never been promised.

Cause: one bound for all that a dispatcher does for groups; a started stage that found no place had nobody who promised or awaited its job, and letters and ticks waited behind.

Evidence: TestStartedTurnsAreTakenUpHoweverMuchIsInHand failed before (its job was not promised) and passes, three times with the package's other tests.

Why it works: only the start of a new stage asks for room. Stages that have been started are at most 256 a group.

--- a/internal/net/pipelines/pipelines.go
+++ b/internal/net/pipelines/pipelines.go
@@ -42,7 +42,7 @@
 	mostAwait  = time.Minute
 	callWithin = 10 * time.Second
 	mostCalls  = 1024 // that wait
-	mostBusy   = 2048 // things under way for the groups
+	mostBusy   = 2048 // things under way for the groups, until no new stage is started
 	mostOrder  = 256  // workers that a rerun is narrowed to
 	keepEnd    = 10 * time.Minute
 	mostOut    = 1 << 16   // reruns at one site
@@ -198,6 +198,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case rerun.Go:
+			if s.full() {
+				continue
+			}
 			s.once(turnName(a), func() {
 				r, err := s.propose(ctx, g, rerun.Command{Op: rerun.OpStart, Key: a.Key, Gen: a.Gen, By: s.o.Name})
 				if err == nil && r.OK {
@@ -223,11 +226,18 @@
 
 func turnName(t rerun.Go) string { return fmt.Sprintf("turn/%s@%d", t.Key, t.Gen) }
 
+// full tells whether no new stage is to be started here. What has been, and all else, goes on: the groups bound it.
+func (s *Server) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.busy) >= mostBusy
+}
+
 // once does something in a goroutine of its own, unless it is being done.
 func (s *Server) once(name string, do func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy[name] || len(s.busy) >= mostBusy {
+	if s.busy[name] {
 		return
 	}
 	s.busy[name] = true
--- a/internal/net/pipelines/pipelines_test.go
+++ b/internal/net/pipelines/pipelines_test.go
@@ -220,6 +220,28 @@
 	require.Equal(t, policy.NeverRan, r.Answer.Cause, "%+v", r.Answer)
 }
 
+// Guards against stages that were started having nobody who promises or awaits their jobs, because whoever acts has much in
+// hand: they were late. Only new ones wait.
+func TestStartedTurnsAreTakenUpHoweverMuchIsInHand(t *testing.T) {
+	j, s, _ := begun(t, 0)
+	s.o.Version = "1"
+	for i := range mostBusy {
+		s.busy[fmt.Sprint("turn/", i)] = true
+	}
+	r, err := s.propose(t.Context(), 0, rerun.Command{Op: rerun.OpSubmit, ID: "new", Pipeline: "one"})
+	require.NoError(t, err)
+	require.True(t, r.OK, r.Why)
+	s.act(t.Context(), 0)
+	s.wg.Wait()
+	require.EqualValues(t, 1, j.ran.Load())
+	require.Zero(t, s.Started.Load())
+	clear(s.busy)
+	s.act(t.Context(), 0)
+	s.wg.Wait()
+	require.EqualValues(t, 2, j.ran.Load())
+	require.EqualValues(t, 1, s.Started.Load())
+}
+
 // A rerun goes back to no place where it failed before, nor to sites that often fail, while others are left; the place
 // where it failed last it never goes back to. Who has not been told of any worker does not know that none is left.
 func TestNarrow(t *testing.T) {
