--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -92,10 +92,10 @@
 	conns []*grpc.ClientConn
 
 	// Members start in time whatever the groups' disks do: they have a loop of their own.
-	starts sync.Mutex // of s and sent; nothing is waited for under it
-	s      *gang.Starter
-	sent   map[string]*dispatch.Command
-	news   chan func() // for that loop, with the lock held
+	starts  sync.Mutex // of s and sent; nothing is waited for under it
+	s       *gang.Starter
+	sent    map[string]*dispatch.Command
+	stirred chan struct{} // that loop has something to look at
 
 	// The coordinating loop's own.
 	c       *gang.Coordinator
@@ -125,7 +125,7 @@
 	s := &Server{
 		o: o, host: host, core: core, log: logger, clock: clock, began: time.Duration(time.Now().UnixNano()) + o.Ahead - replicas.Now(), in: make(chan func(), 1024), room: make(chan struct{}, mostAsked),
 		peers: map[string]gangv1.PeersClient{}, c: gang.NewCoordinator(clock), s: gang.NewStarter(), out: map[string]bool{},
-		sent: map[string]*dispatch.Command{}, news: make(chan func(), 1024), homes: map[string]uint32{}, set: map[string]uint64{},
+		sent: map[string]*dispatch.Command{}, stirred: make(chan struct{}, 1), homes: map[string]uint32{}, set: map[string]uint64{},
 		held: map[string][]gang.Taken{}, spans: map[string]string{},
 	}
 	s.once.Store(&o.Once)
@@ -182,13 +182,19 @@
 // from the next process on.
 func (s *Server) now() time.Duration { return s.began + replicas.Now() }
 
-// post has the loop do something; it is not waited for.
-func (s *Server) post(do func()) {
+// post has the loop do something. A loop that is far behind is waited for: it asks for a result once, and takes what has none
+// for under way. It must not be called from there.
+func (s *Server) post(ctx context.Context, do func()) {
 	select {
 	case s.in <- do:
-	default: // a loop that is so far behind has it asked again
+		return
+	default:
 		s.errors.Add(1)
 	}
+	select {
+	case s.in <- do:
+	case <-ctx.Done():
+	}
 }
 
 func (s *Server) run(ctx context.Context) {
@@ -232,15 +238,13 @@
 		}
 		s.starts.Unlock()
 		timer.Reset(wait)
-		do := func() {}
 		select {
 		case <-ctx.Done():
 			return
-		case do = <-s.news:
+		case <-s.stirred:
 		case <-timer.C:
 		}
 		s.starts.Lock()
-		do()
 		s.s.Tick(s.now())
 		acts := s.s.Did()
 		s.starts.Unlock()
@@ -248,12 +252,14 @@
 	}
 }
 
-// tellStarts has the loop of starts do something.
+// tellStarts has the starter take what is told once, however far its loop is behind.
 func (s *Server) tellStarts(do func()) {
+	s.starts.Lock()
+	do()
+	s.starts.Unlock()
 	select {
-	case s.news <- do:
-	default:
-		s.errors.Add(1)
+	case s.stirred <- struct{}{}:
+	default: // it will look anyway
 	}
 }
 
@@ -401,7 +407,7 @@
 	go func() {
 		r, err := s.ask(ctx, g, c)
 		<-s.room
-		s.post(func() { done(r, err == nil) })
+		s.post(context.Background(), func() { done(r, err == nil) }) // at most as many wait as there is room for, and one look
 	}()
 }
 
@@ -456,7 +462,7 @@
 			}
 			v.Standing = append(v.Standing, r.Standing...)
 		}
-		s.post(func() { s.c.Viewed(s.now(), v) })
+		s.post(context.Background(), func() { s.c.Viewed(s.now(), v) })
 	}()
 }
 
@@ -490,7 +496,7 @@
 		if err != nil || json.Unmarshal(r.GetSaid(), &said) != nil {
 			return
 		}
-		s.post(func() {
+		s.post(ctx, func() { // it is told again
 			if w.Kind == "" {
 				s.held[to] = said.Held
 			}
@@ -508,7 +514,7 @@
 	said := s.word(w)
 	if w.Kind == "" { // asked for the clock alone
 		answer := make(chan []gang.Taken, 1)
-		s.post(func() { answer <- s.taken(s.now()) })
+		s.post(ctx, func() { answer <- s.taken(s.now()) })
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -590,6 +596,25 @@
 	})
 }
 
+// Stray takes a call of an encoder that matches nothing in the loop's hand: a process before this one may have sent the member.
+func (s *Server) Stray(n dispatch.News) bool {
+	s.starts.Lock()
+	_, ours := s.s.Of(n.ID)
+	s.starts.Unlock()
+	fate, why := gang.MayRun, "failed"
+	switch n.State {
+	case dispatch.Done:
+		fate, why = gang.Done, ""
+	case dispatch.Errored, dispatch.Lost, dispatch.Returned:
+	default:
+		return ours
+	}
+	if ours {
+		s.tellStarts(func() { s.s.Over(s.now(), n.ID, fate, why) })
+	}
+	return ours
+}
+
 // Submit takes a gang.
 func (s *Server) Submit(ctx context.Context, q *gangv1.SubmitRequest) (*gangv1.Gang, error) {
 	us := func(n uint64) time.Duration { return time.Duration(min(n, 1<<53)) * time.Microsecond }
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -149,3 +150,68 @@
 	require.Equal(t, gang.NotStarted, g.GetVerdict(), g)
 	require.Equal(t, "no room in its window", g.GetWhy())
 }
+
+// Guards against a member's end, which the loop tells once, being dropped where the loop of starts is behind: the gang would
+// be dead after its start.
+func TestMembersEndIsKeptWhileStartsAreBehind(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	s, err := New(Options{Name: "n1", TellsStart: true}, host, &encoders{}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	start, key := s.now()+time.Hour, gang.Key("g", 1, 0)
+	part := []gang.Part{{Encoder: "s-0", Spec: gang.Member{Class: "live", Slots: 1, Work: time.Second}}}
+	for _, kind := range []gang.Kind{gang.Arm, gang.Go} {
+		s.s.Word(start-time.Second, gang.Word{Kind: kind, Gang: "g", Round: 1, At: start, Skew: 250 * time.Millisecond, Parts: part})
+	}
+	s.s.Tick(start) // it is sent
+	for range 4096 {
+		s.tellStarts(func() {}) // nobody takes them
+	}
+	c := &client{s, key}
+	c.Started("s-0", true)
+	c.Answer(dispatch.Answer{Verdict: dispatch.Served})
+	said := s.s.Word(start+time.Second/10, gang.Word{Kind: gang.Run, Gang: "g", Round: 1, Parts: part})
+	require.Equal(t, gang.Done, said.Parts[0].Fate)
+}
+
+// Guards against the result of a proposal being dropped by a loop that is far behind: the coordinator counts it as under way
+// for ever, and proposes it no more.
+func TestResultsWaitForALoopThatIsBehind(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	s, err := New(Options{Name: "n1"}, host, &encoders{}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	for range cap(s.in) {
+		s.in <- func() {}
+	}
+	asked, told := s.errors.Load(), false
+	s.propose(t.Context(), 0, gang.Command{Op: "look"}, func(gang.Result, bool) { told = true })
+	for s.errors.Load() == asked { // until it finds the loop behind
+		runtime.Gosched()
+	}
+	for !told {
+		select {
+		case do := <-s.in:
+			do()
+		case <-time.After(5 * time.Second):
+			t.Fatal("it is told nothing")
+		}
+	}
+}
+
+// Guards against an encoder's word of a member being lost that a process before this one has sent.
+func TestWordOfAMemberThatAnotherProcessSent(t *testing.T) {
+	host := replicas.NewAlone(1, func(uint32) replica.Mux { return replica.Mux{replica.Gangs: gang.New()} })
+	s, err := New(Options{Name: "n1"}, host, &encoders{}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	run := gang.Word{Kind: gang.Run, Gang: "g", Round: 1, Parts: []gang.Part{{Encoder: "s-0"}}}
+	require.Equal(t, gang.Began, s.word(run).Parts[0].Fate)
+	require.Empty(t, s.s.Did(), "its encoder goes on with it")
+	require.False(t, s.Stray(dispatch.News{ID: gang.Key("g", 2, 0), From: "s-0", State: dispatch.Done}))
+	require.True(t, s.Stray(dispatch.News{ID: gang.Key("g", 1, 0), From: "s-0", State: dispatch.Running}))
+	require.Equal(t, gang.Began, s.word(run).Parts[0].Fate)
+	require.True(t, s.Stray(dispatch.News{ID: gang.Key("g", 1, 0), From: "s-0", State: dispatch.Done}))
+	require.Equal(t, gang.Done, s.word(run).Parts[0].Fate)
+	run.Kind = gang.Go // what is not known to run is taken back as before
+	run.Gang = "h"
+	require.Equal(t, gang.MayRun, s.word(run).Parts[0].Fate)
+	require.Len(t, s.s.Did(), 1)
+}
