Stand-in workers keep their addresses while they are dead

Cause: a stand-in worker that is dead closes its listener, and listens again at the same port when it comes back.

Change: the rig keeps each worker's address as it does the daemons', by a bound socket that does not listen. A listener that the server has not taken yet is closed too when its worker dies.

--- /dev/null
+++ b/internal/rerun/plant/place_test.go
@@ -0,0 +1,40 @@
+package plant
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/internal/load"
+	"caperrelay/internal/rig"
+)
+
+// Guards against another taking a dead worker's address, so that it cannot come back.
+func TestAddressOfADeadWorkerIsKept(t *testing.T) {
+	r, err := rig.New(rig.Options{Encoders: 1, Slots: 1, Daemons: 1, Promises: true, Dir: t.TempDir(), Classes: []load.Class{{Name: "preview"}}})
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	p := New([]Worker{{ID: "s-1", Zone: "a", Kind: "m2"}})
+	t.Cleanup(p.Close)
+	require.NoError(t, p.Join(r, "reruns.toml"))
+	require.NoError(t, p.Down("s-1", true))
+	for _, d := range p.doors {
+		if d.worker != "s-1" {
+			continue
+		}
+		_, err := net.Dial("tcp", d.at)
+		require.Error(t, err)
+		other, err := net.Listen("tcp", d.at)
+		if err == nil {
+			other.Close()
+		}
+		require.Error(t, err, "another listens where the worker was")
+	}
+	require.NoError(t, p.Down("s-1", false))
+	for _, d := range p.doors {
+		c, err := net.Dial("tcp", d.at)
+		require.NoError(t, err)
+		c.Close()
+	}
+}
--- a/internal/rerun/plant/plant.go
+++ b/internal/rerun/plant/plant.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"caperrelay/internal/net/pipelines"
+	"caperrelay/internal/net/sock"
 	"caperrelay/internal/rig"
 )
 
@@ -65,7 +66,7 @@
 func (p *Plant) Close() {
 	close(p.done)
 	for _, d := range p.doors {
-		d.server.Close()
+		d.close()
 	}
 	p.calls.CloseIdleConnections()
 	p.wg.Wait()
@@ -91,15 +92,10 @@
 			continue
 		}
 		if down {
-			d.server.Close()
-			continue
-		}
-		l, err := net.Listen("tcp", d.at)
-		if err != nil {
+			d.close()
+		} else if err := d.open(); err != nil {
 			return err
 		}
-		d.server = &http.Server{Handler: d.server.Handler, ReadHeaderTimeout: 5 * time.Second}
-		go d.server.Serve(l)
 	}
 	return nil
 }
@@ -107,18 +103,38 @@
 // place is where a server listens, over its lives.
 type place struct {
 	worker, at string
+	handler    http.Handler
+	listener   net.Listener
 	server     *http.Server
 }
 
-func (p *Plant) listen(worker string, h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// open has the server listen. The address is kept by the rig, so that nobody else has it while the server is dead.
+func (d *place) open() (err error) {
+	if d.listener, err = sock.Listen(d.at); err != nil {
+		return err
+	}
+	d.server = &http.Server{Handler: d.handler, ReadHeaderTimeout: 5 * time.Second}
+	go d.server.Serve(d.listener)
+	return nil
+}
+
+// close ends the server and its connections.
+func (d *place) close() {
+	d.server.Close()
+	d.listener.Close() // which the server may not have taken yet
+}
+
+func (p *Plant) listen(r *rig.Rig, worker string, h http.Handler) (string, error) {
+	at, err := r.Reserve()
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	p.doors = append(p.doors, &place{worker, l.Addr().String(), s})
-	go s.Serve(l)
-	return l.Addr().String(), nil
+	d := &place{worker: worker, at: at, handler: h}
+	if err := d.open(); err != nil {
+		return "", err
+	}
+	p.doors = append(p.doors, d)
+	return at, nil
 }
 
 var discovery = regexp.MustCompile(`(?m)^discovery = .*$`)
@@ -139,7 +155,7 @@
 		}
 		var members []member
 		for _, w := range p.Workers {
-			at, err := p.listen(w.ID, p.door(w, n, r))
+			at, err := p.listen(r, w.ID, p.door(w, n, r))
 			if err != nil {
 				return err
 			}
@@ -149,7 +165,7 @@
 		if err != nil {
 			return err
 		}
-		at, err := p.listen("", p.list(text))
+		at, err := p.listen(r, "", p.list(text))
 		if err != nil {
 			return err
 		}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -111,7 +111,7 @@
 	for n := range o.Daemons {
 		d := &Daemon{rig: r, n: n, file: filepath.Join(o.Dir, fmt.Sprintf("n%d.toml", n))}
 		for _, a := range []*string{&d.Listen, &d.Control} {
-			if *a, err = r.reserve(); err != nil {
+			if *a, err = r.Reserve(); err != nil {
 				r.Close()
 				return nil, err
 			}
@@ -234,8 +234,8 @@
 	all.Wait()
 }
 
-// reserve keeps an address on loopback for as long as the rig lives, for listeners that share it.
-func (r *Rig) reserve() (string, error) {
+// Reserve keeps an address on loopback for as long as the rig lives, for listeners that share it.
+func (r *Rig) Reserve() (string, error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return "", err
