prove rerun: several plays at once beside busy processes, and who needs a person in kinds

Cause: up to 12 of 120 pipelines that need a person passed, whatever the reason, and in the plain repeats any number did. A job that was given up though no worker was ever asked, or though a worker had called back with its end, looked like one that was under way when its dispatcher died; and it takes load to come, which had to be made by hand.

Each play has a line of its own and keeps to the bounds by itself, the last line has the sums. The busy processes are the proof's children, of usual priority, and end with it. needs_person is split by what the workers know: never_reached, answered, under_way, and recalled (it ran, its end is known, and what it was made of was called bad afterwards). never_reached and answered have the bound 0 in both policies, and the error names the runs. No other bound is changed; the default is one play beside nothing, as before.

--- a/Makefile
+++ b/Makefile
@@ -22,9 +22,13 @@
 prove-plugin: build
 	bin/winglb prove plugin
 
+# One play, or more: PLAYS=16 AT_ONCE=4 BUSY=8 plays 16, four at a time, beside eight busy processes.
+prove-rerun: PLAYS ?= 1
+prove-rerun: AT_ONCE ?= 1
+prove-rerun: BUSY ?= 0
 prove-rerun: build
 	go test ./internal/rerun -run 'TestMutantsAreCaught|TestAllInterleavings' -count 1 -v | sed -n '/^rerun /p; /FAIL/p'; exit $${PIPESTATUS[0]}
-	bin/winglb prove rerun
+	bin/winglb prove rerun --plays $(PLAYS) --at-once $(AT_ONCE) --busy $(BUSY)
 
 prove-coldstart: build
 	bin/winglb prove coldstart
--- a/cmd/winglb-full/main.go
+++ b/cmd/winglb-full/main.go
@@ -99,10 +99,13 @@
 }
 
 func (r *rigRole) Run() error {
-	if r.Role != "portal" {
-		return fmt.Errorf("no role %q", r.Role)
+	switch r.Role {
+	case "portal":
+		return rig.Portal(r.File, os.Stdout)
+	case "busy":
+		rig.Spin()
 	}
-	return rig.Portal(r.File, os.Stdout)
+	return fmt.Errorf("no role %q", r.Role)
 }
 
 type proof struct {
@@ -113,6 +116,10 @@
 	Only  int    `default:"-1" help:"Of deployments: replay this one alone, from 0."`
 	Tell  bool   `help:"Of deployments: with what dispatchers log."`
 	Small bool   `help:"Of deployments: instead, a table of one small deployment by ways of cancelling, days and start notes."`
+
+	Plays  int `default:"1" help:"Of rerun: how many plays; the last line has the sums over all."`
+	AtOnce int `default:"1" help:"Of rerun: how many of them at one time."`
+	Busy   int `default:"0" help:"Of rerun: processes beside them that keep a processor busy each."`
 }
 
 func (p *proof) Run() error {
@@ -125,7 +132,7 @@
 	case "import":
 		return prove.Import(o)
 	case "rerun":
-		return prove.Rerun(o)
+		return prove.Reruns{Plays: p.Plays, AtOnce: p.AtOnce, Busy: p.Busy}.Run(o)
 	case "coldstart":
 		return prove.ColdStart(o)
 	case "promise":
--- a/internal/prove/rerun.go
+++ b/internal/prove/rerun.go
@@ -71,51 +71,6 @@
 	return s.String()
 }
 
-// rerunFigures is what one of the two parts came to.
-type rerunFigures struct {
-	finished, person, dead, missing, twice int
-	p99                                    time.Duration
-	work, wasted                           int // runs of stages at workers, and those of no use that the faults did not spoil themselves
-	reruns, least, useless, floods         int // runs of generations over the first
-	budget, bound, ended                   int
-	faults                                 int
-}
-
-// Rerun has pipelines run through daemons as processes, with a site that spoils what it makes, a worker that calls every
-// input bad, another that dies, and daemons that are killed; and the same with plain repeats of what failed.
-func Rerun(o Options) error {
-	ours, err := reruns(o, false)
-	if err != nil {
-		return err
-	}
-	plain, err := reruns(o, true)
-	if err != nil {
-		return err
-	}
-	over, wasted := float64(ours.reruns)/float64(max(1, ours.least)), float64(ours.wasted)/float64(max(1, plain.wasted))
-	can := rerunRuns - ours.person // without a person nobody can finish what may have been published
-	fmt.Printf("prove rerun: processes=%d pipelines=%d faults=%d can_finish=%d finished=%d needs_person=%d dead=%d useless_reruns=%d reruns_over_least=%.2f floods=%d budget_passed=%d doubled_unsafe=%d ended_not_once=%d bound_passed=%d work_over_retry_only=%.2f finished_retry_only=%d finish_p99_over_retry_only=%.2f\n",
-		rerunDaemons, rerunRuns, ours.faults, can, ours.finished, ours.person, ours.dead, ours.useless, over, ours.floods, ours.budget, ours.twice,
-		ours.ended+ours.missing, ours.bound, wasted, plain.finished, ours.p99.Seconds()/plain.p99.Seconds())
-	var broken error
-	for _, f := range []rerunFigures{ours, plain} {
-		if f.floods+f.budget+f.twice+f.ended+f.missing+f.bound > 0 {
-			broken = errors.Join(broken, fmt.Errorf("a rule does not hold: %+v", f))
-		}
-	}
-	miss := func(missed bool, format string, args ...any) {
-		if missed {
-			broken = errors.Join(broken, fmt.Errorf(format, args...))
-		}
-	}
-	miss(ours.finished <= plain.finished, "%d finished, %d by plain repeats", ours.finished, plain.finished)
-	miss(float64(ours.finished) < rerunFinish*float64(can), "%d of the %d that can finish do, the aim is %g of them", ours.finished, can, rerunFinish)
-	miss(over > rerunOver, "%.2f times the least reruns, the aim is %g", over, rerunOver)
-	miss(wasted > rerunWaste, "%.2f of the work that plain repeats waste, the aim is %g", wasted, rerunWaste)
-	miss(ours.person > rerunPersons, "%d need a person, though only two daemons died", ours.person)
-	return broken
-}
-
 // spoiler is which outputs are, and who lies.
 type spoiler struct {
 	mu   sync.Mutex
@@ -147,7 +102,8 @@
 	return pipelines.Outcome{}
 }
 
-func reruns(o Options, plain bool) (f rerunFigures, err error) {
+// reruns plays one of the two parts.
+func reruns(o Options, plain bool) (f rerunPart, err error) {
 	dir, err := os.MkdirTemp("", "winglb-prove-")
 	if err != nil {
 		return f, err
@@ -205,7 +161,6 @@
 	}
 	var mu sync.Mutex
 	var all sync.WaitGroup
-	var took []time.Duration
 	answers := map[string]*pipelinev1.Answer{}
 	one := func(i int) {
 		id, began := fmt.Sprint("run", i), time.Now()
@@ -222,7 +177,7 @@
 			defer mu.Unlock()
 			answers[id] = a.Answer
 			if a.Answer.Kind == string(rerun.Done) {
-				took = append(took, time.Since(began))
+				f.took = append(f.took, time.Since(began))
 			}
 			return true, nil
 		})
@@ -280,13 +235,12 @@
 			f.dead++
 		}
 	}
-	slices.Sort(took)
-	if len(took) > 0 {
-		f.p99 = took[len(took)*99/100]
-	}
-	if err := rerunCount(o.Progress, &f, p.Runs(), s, explained, text); err != nil {
+	f.settle()
+	runs := p.Runs()
+	if err := rerunCount(o.Progress, &f.rerunFigures, runs, s, explained, text); err != nil {
 		return f, err
 	}
+	f.persons.count(o.Progress, runs, answers, explained)
 	why := map[string]int{}
 	for _, a := range answers {
 		if a.Kind != string(rerun.Done) {
@@ -402,12 +356,6 @@
 		why[reason]++
 	}
 	fmt.Fprintf(progress, "  reruns: %v\n", why)
-	for _, r := range runs {
-		if e := explained[r.Told.Run]; r.Stage == "publish" && e.Answer != nil && e.Answer.Kind == rerun.Person {
-			fmt.Fprintf(progress, "  %s needs a person: its publish came to %s by n%d after %v, answered: %v, given up after %v\n", r.Told.Run, r.Worker.ID, r.Daemon,
-				r.Began.Sub(time.Unix(0, int64(e.Began))).Round(time.Millisecond), !r.Ended.IsZero(), (e.Answer.At - e.Began).Round(time.Millisecond))
-		}
-	}
 	// Of use is what a finished pipeline has in the end, once.
 	used := map[string]bool{}
 	for id, e := range explained {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -22,7 +22,11 @@
 
 // The test's own program stands in for winglb-full in the rig's children.
 func TestMain(m *testing.M) {
-	if os.Getenv("WINGLB_RIG_ROLE") != "daemon" {
+	switch os.Getenv("WINGLB_RIG_ROLE") {
+	case "daemon":
+	case "busy":
+		rig.Spin()
+	default:
 		os.Exit(m.Run())
 	}
 	if err := full.Serve(os.Getenv("WINGLB_RIG_FILE"), os.Getenv); err != nil {
