--- /dev/null
+++ b/internal/rerun/explain.go
@@ -0,0 +1,85 @@
+package rerun
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Explained is one run for people.
+type Explained struct {
+	Run      string            `json:"run"`
+	Pipeline string            `json:"pipeline"`
+	Policy   string            `json:"policy"`
+	Tenant   string            `json:"tenant,omitempty"`
+	Began    time.Duration     `json:"began"`
+	Answer   *Answer           `json:"answer,omitempty"`
+	Waits    []string          `json:"waits_for,omitempty"`
+	Reruns   int               `json:"reruns"`
+	Work     time.Duration     `json:"rerun_work"`
+	Story    []Line            `json:"story"`
+	Stages   map[string]string `json:"stages"`
+}
+
+// waits is what a run waits for, and the stage that it is at.
+func (m *Machine) waits(r *Run) (stage string, all []string) {
+	for i, s := range r.Stages {
+		name := r.p.Stages[i].Name
+		switch n := s.Next; {
+		case n != nil && n.Phase == "wait":
+			all = append(all, fmt.Sprintf("%s: %v until %s is run again", name, max(0, n.At-m.s.At).Round(time.Millisecond), r.p.Stages[n.Target].Name))
+		case n != nil && n.Phase == "trial":
+			all = append(all, fmt.Sprintf("%s: the verdict of a rerun that went first, of %s", name, strings.TrimPrefix(n.Print, "f/")))
+		case n != nil:
+			all = append(all, fmt.Sprintf("%s: whether its worker is believed", name))
+		case s.Wants:
+			text := "its output"
+			if o := m.s.Outputs[r.Key(i)]; o != nil && o.Turn != nil {
+				switch o.Turn.Phase {
+				case Paying:
+					text = "a budget: " + strings.Join(o.Turn.Charge, ", ")
+				case Queued:
+					text = "its turn"
+				case Started:
+					text = fmt.Sprintf("generation %d, which %s has had run for %v", o.Turn.Gen, o.Turn.By, (m.s.At - o.Turn.Began).Round(time.Millisecond))
+				}
+			}
+			all = append(all, name+": "+text)
+		default:
+			continue
+		}
+		stage = cmp.Or(stage, name)
+	}
+	return stage, all
+}
+
+// Explain tells of one run: each rerun, by which line of which version, what it made stale, what it cost, what it
+// waits for; false: there is none.
+func (m *Machine) Explain(id string) (e Explained, ok bool) {
+	r := m.s.Runs[id]
+	if r == nil {
+		return e, false
+	}
+	e = Explained{
+		Run: id, Pipeline: r.Pipeline, Policy: r.Policy, Tenant: r.Tenant, Began: r.Began, Answer: r.Answer, Reruns: r.Reruns, Work: r.Work,
+		Story: slices.Clone(r.Story), Stages: map[string]string{},
+	}
+	if r.Answer == nil {
+		_, e.Waits = m.waits(r)
+	}
+	for i, s := range r.Stages {
+		text := "not made"
+		if s.Have > s.Over {
+			text = fmt.Sprintf("generation %d", s.Have)
+		} else if s.Have > 0 {
+			text = fmt.Sprintf("generation %d, stale", s.Have)
+		}
+		if s.At.Worker != "" {
+			text += " at " + s.At.Worker
+		}
+		e.Stages[r.p.Stages[i].Name] = text
+	}
+	return e, true
+}
