Tell that a promised job's attempt never ran also where its hand-in was left meanwhile

Callers: a promised job that must not run twice still ended as "may have run", though its process knew that nothing ran.

Cause: an attempt is noted as begun before the last looks at whether it may be sent. Where the lease was lost about then (a process that wakes, a slow write of the note), leaving the hand-in forgot what was begun, and the loop dropped the end of an abandoned attempt: that it was not sent after all, that its connection broke, or that its encoder handed it back (503 with X-Unprocessed) was told to nobody.

Why it works: the loop still tells an abandoned attempt's gate, once, of an end that proves that it did not run, and Sendings follows the attempt again. The group is told by the same rule as before: only where the copy here has the intent, of the owner that asked for it.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -89,6 +89,14 @@
 	return o
 }
 
+// neverAfter tells the gate of an attempt that was abandoned, and ends with an outcome only now, if it cannot have run.
+func (a *Attempt) neverAfter(o decide.Outcome) {
+	if a.left && o.NeverRan() {
+		a.Command.Gate.Never(a)
+	}
+	a.left = false
+}
+
 // unsent tells whether nothing of a command that has a gate can have run: its attempts wait there, or have ended so.
 func (h *held) unsent() bool {
 	return h.Gate != nil && !slices.ContainsFunc(h.attempts, func(a *Attempt) bool { return a.over && !a.never || !a.over && a.gate != waits })
@@ -108,6 +116,7 @@
 		}
 		for _, a := range h.attempts {
 			if !a.over {
+				a.left = a.gate == passed
 				a.gate = free
 				l.end(a, decide.Cancelled)
 			}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -19,6 +19,8 @@
 		case !a.over:
 			a.kept = kept
 			l.end(a, o)
+		default:
+			a.neverAfter(o)
 		}
 	})
 }
@@ -65,6 +67,8 @@
 			l.other.Became(Fate{ID: a.Command.ID, N: a.N, Unusable: true})
 		case !a.over:
 			l.unusable(a)
+		default:
+			a.neverAfter(decide.Moot)
 		}
 	})
 }
--- a/internal/net/promises/unsent_test.go
+++ b/internal/net/promises/unsent_test.go
@@ -105,9 +105,9 @@
 }
 
 // Guards against an intent that stays for good where the word that its attempt never ran could not be committed at once: no
-// majority answered, or the lease was lost before it could be proposed, or on the way.
+// majority answered, or the lease was lost before it could be proposed, or on the way, or once it was noted as begun.
 func TestWordThatAnAttemptNeverRanIsRepeated(t *testing.T) {
-	for _, name := range []string{"no majority", "lease lost on the way", "lease lost before"} {
+	for _, name := range []string{"no majority", "lease lost on the way", "lease lost before", "lease lost once begun"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, c, h := pair(t)
@@ -115,11 +115,15 @@
 			m.Gate.Ask(a)
 			of(t, c[0].passed, "its intent is committed")
 			asked, _, let := stall(h[0], true, promise.OpOver, promise.OpWord)
-			if name == "lease lost before" {
+			before := name == "lease lost before" || name == "lease lost once begun"
+			if name == "lease lost once begun" {
+				require.True(t, m.Gate.Begin(a))
+			}
+			if before {
 				leaves(t, c[0], h[0])
 			}
 			m.Gate.Never(a) // as of a connection that did not come up
-			if name != "lease lost before" {
+			if !before {
 				of(t, asked, "that it never ran is proposed")
 			}
 			if name == "lease lost on the way" {
--- a/internal/promise/sendings.go
+++ b/internal/promise/sendings.go
@@ -97,10 +97,15 @@
 	return true
 }
 
-// NeverRan notes that an attempt has ended without having run, whether it was begun or not.
+// NeverRan notes that an attempt has ended without having run, whether it was begun or not, or was forgotten as begun when
+// its hand-in was left.
 func (s *Sendings) NeverRan(sending *Sending, mono time.Duration) {
-	if sending.State != Unsent {
-		sending.State, sending.next = Unsent, mono+tellFirst
+	if sending.State == Unsent {
+		return
+	}
+	sending.State, sending.next = Unsent, mono+tellFirst
+	if s.find(sending) == nil {
+		s.byJob[sending.Job] = append(s.byJob[sending.Job], sending)
 	}
 }
 
