Refuse a promised job only once the group has it that its attempts never ran

Callers: a promised job that must not run twice ended failed, "an attempt may have run; then: no encoder can do it as it stands" or "... turned away until its time was over", though its encoder had answered 400 or 503 (X-Unprocessed), or nothing was sent. Pipelines take that text for one that may have run, and need a person.

Cause: the owner proposed the end as refused at once, beside the word that the attempt never ran; a table that has its intent yet turns refused into failed. For a 400 the loop even answers before it tells the gate.

Why it works: where a hand-in of such a job has asked for attempts, its end as refused waits until the copy here has no intent, at most until their deadlines and the second after that; then it is proposed as before. The table's rules are the same.

--- a/internal/net/promises/unsent_test.go
+++ b/internal/net/promises/unsent_test.go
@@ -137,3 +137,28 @@
 		})
 	}
 }
+
+// Guards against an end as "may have run" of a job that never did: its end as refused overtook the word of its attempt.
+func TestRefusedOnceItsAttemptIsKnownNotToHaveRun(t *testing.T) {
+	for name, v := range map[string]dispatch.Verdict{"no encoder can do it": dispatch.Unusable, "turned away until its time was over": dispatch.Refused} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, c, h := pair(t)
+			m, a := handed(t, s, c, h)
+			m.Gate.Ask(a)
+			of(t, c[0].passed, "its intent is committed")
+			asked, _, let := stall(h[0], true, promise.OpOver)
+			require.True(t, m.Gate.Begin(a))
+			if v == dispatch.Refused {
+				m.Client.(*hand).until = 0 // its time is over
+			}
+			m.Client.Answer(dispatch.Answer{Verdict: v}) // by the answer to its attempt, 400 or 503: the loop tells the gate next
+			m.Gate.Never(a)
+			of(t, asked, "that it never ran is proposed")
+			defer close(let) // and is under way for long
+			r, err := s[0].Await(t.Context(), &promisev1.AwaitRequest{Id: "j", WaitMs: 20_000})
+			require.NoError(t, err)
+			require.Equal(t, promisev1.Kind_KIND_REFUSED, r.End.Kind, r.End.Reason)
+		})
+	}
+}
--- a/internal/promise/model.go
+++ b/internal/promise/model.go
@@ -221,6 +221,9 @@
 				num(n, yes(h.asks[n].seq > 0), int(h.asks[n].retry))
 			}
 			b = fmt.Append(b, h.went)
+			if h.ending != nil { // it may wait to be proposed
+				b = append(b, h.ending.Kind...)
+			}
 		}
 	}
 	flights := make([]string, len(w.flights)) // any may be the next: their order does not count
--- a/internal/promise/owner.go
+++ b/internal/promise/owner.go
@@ -243,7 +243,7 @@
 		}
 		return
 	}
-	o.again(c)
+	o.again(c, m)
 	for _, id := range slices.Sorted(maps.Keys(o.hands)) {
 		h, e := o.hands[id], m.Entry(id)
 		if e != nil && e.Index != h.index {
@@ -282,15 +282,15 @@
 	delete(o.later, id)
 }
 
-// again proposes anew what nothing is known of.
-func (o *Owner) again(c Clock) {
+// again proposes anew what nothing is known of, and what was to wait.
+func (o *Owner) again(c Clock, m *Machine) {
 	for _, id := range slices.Sorted(maps.Keys(o.hands)) {
 		h := o.hands[id]
 		if h.ending != nil && h.ending.Op == OpLook && c.Mono >= h.retry { // its result could not be booked
 			o.forget(id)
 			continue
 		}
-		if h.ending != nil && h.sent == 0 && c.Mono >= h.retry {
+		if h.ending != nil && h.sent == 0 && c.Mono >= h.retry && !o.early(c, h, m.Entry(id)) {
 			h.sent = o.propose(*h.ending, proposal{id: id, hand: h.n})
 		}
 		for _, n := range slices.Sorted(maps.Keys(h.asks)) {
@@ -344,9 +344,19 @@
 func (o *Owner) finish(id string, h *hand, kind Kind, reason string) {
 	o.hands[id] = h
 	h.ending = &Command{Op: OpEnd, ID: id, Index: h.index, Kind: kind, Reason: reason}
+	if kind == Refused && len(h.went) > 0 && !o.repeats(h.class) { // Look sees whether it is early
+		return
+	}
 	h.sent = o.propose(*h.ending, proposal{id: id, hand: h.n})
 }
 
+// early tells whether a job that must not run twice would be refused before the table has it that its attempts never ran,
+// which makes it one that may have run. That word is awaited for as long as a call-back is.
+func (o *Owner) early(c Clock, h *hand, e *Entry) bool {
+	return h.ending.Kind == Refused && e != nil && !o.repeats(h.class) &&
+		slices.ContainsFunc(e.Intents, func(in Intent) bool { return c.Unix < in.Until+afterWord })
+}
+
 // Ask says that the dispatcher wants to send an attempt. until is the attempt's deadline in Unix time.
 func (o *Owner) Ask(c Clock, id string, n, attempt int, instance string, until time.Duration) {
 	h := o.hands[id]
