Follow a promised job's attempt no longer once the group has it that it never ran

Where encoders turn promised jobs away, each attempt stayed in the send log's memory until its job's end or its deadline, though its intent was long gone.

Evidence: TestWhatTheGroupKnowsIsFollowedNoMore failed before (followed still after 2 s) and passes. TestOverForgetsOnlyWhatCannotCome holds what must be followed on: an intent not heard to be committed, or proposed twice.

Why it works: an intent that was proposed once and heard to be committed cannot come again after its over was; to forget it only has less told. Not covered: attempts whose over was not heard, or that ended after their hand-in: these stay as before.

--- a/internal/net/promises/booking.go
+++ b/internal/net/promises/booking.go
@@ -183,19 +183,25 @@
 	return n
 }
 
-// proposing follows the sending of an attempt whose intent is about to be proposed, where its job must not run twice.
-func (s *Server) proposing(g uint32, c promise.Command) {
+// proposing follows the sending of an attempt whose intent is about to be proposed, where its job must not run twice. Where it
+// is to be proposed that one never ran it gives what is known of that; nil: nothing.
+func (s *Server) proposing(g uint32, c promise.Command) (over *promise.Sending) {
 	switch c.Op {
 	case promise.OpIntent:
 		s.Intents.Add(1)
 		if h := s.hands[inHand{c.ID, c.Hand}]; h != nil && !s.repeats(h.cmd.Class) {
 			h.sends.set(c.N, s.sends.ask(h.cmd.ID, c.Instance, c.Gen, c.Until))
 		}
+	case promise.OpOver:
+		if h := s.hands[inHand{c.ID, c.Hand}]; h != nil {
+			return h.sends.get(c.N)
+		}
 	case promise.OpEnd:
 		if c.Reason == promise.MayHaveRun {
 			s.log.Warn("promised job given up: it may have run", "job", c.ID, "receipt", c.Index, "intents", s.intents(g, c.ID))
 		}
 	}
+	return nil
 }
 
 // intents is what the copy here has of the attempts that may have been sent, for the log.
--- a/internal/net/promises/sendlog.go
+++ b/internal/net/promises/sendlog.go
@@ -295,6 +295,20 @@
 	}
 }
 
+// committed notes that a group has an attempt's intent.
+func (l *sendLog) committed(s *promise.Sending) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all.Committed(s)
+}
+
+// over notes that a group has it that an attempt never ran.
+func (l *sendLog) over(s *promise.Sending) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all.Over(s)
+}
+
 // leave has nothing more of a hand-in begun.
 func (l *sendLog) leave(job string, of *attempts, mono time.Duration) {
 	l.mu.Lock()
--- a/internal/net/promises/server.go
+++ b/internal/net/promises/server.go
@@ -203,10 +203,13 @@
 	for _, a := range o.Actions() {
 		switch a := a.(type) {
 		case promise.Propose:
-			s.proposing(g, a.Command)
+			over := s.proposing(g, a.Command)
 			ctx := s.ctx
 			go func() {
 				answer, err := s.propose(ctx, g, a.Command)
+				if over != nil && err == nil && answer.OK {
+					s.sends.over(over)
+				}
 				s.post(func() { o.Proposed(clock(), a.Seq, answer, err != nil); s.carry(g, o) })
 			}()
 		case promise.Book:
@@ -215,6 +218,9 @@
 			s.begin(g, a)
 		case promise.Go:
 			if h := s.hands[inHand{a.ID, a.Hand}]; h != nil && h.asks[a.N] != nil {
+				if sending := h.sends.get(a.N); sending != nil {
+					s.sends.committed(sending)
+				}
 				s.core.Pass(h.asks[a.N], func() bool { return replicas.Now() < a.Until })
 				delete(h.asks, a.N)
 			}
--- a/internal/net/promises/unsent_test.go
+++ b/internal/net/promises/unsent_test.go
@@ -162,3 +162,18 @@
 		})
 	}
 }
+
+// Guards against attempts that are followed until their deadlines though the group has it that they never ran: a job that is
+// turned away again and again has many.
+func TestWhatTheGroupKnowsIsFollowedNoMore(t *testing.T) {
+	s, c, h := pair(t)
+	m, a := handed(t, s, c, h)
+	m.Gate.Ask(a)
+	of(t, c[0].passed, "its intent is committed")
+	m.Gate.Never(a) // as of a connection that did not come up
+	require.Eventually(t, func() bool {
+		s[0].sends.mu.Lock()
+		defer s[0].sends.mu.Unlock()
+		return len(s[0].sends.all.All()) == 0
+	}, 2*time.Second, time.Millisecond)
+}
--- a/internal/promise/sendings.go
+++ b/internal/promise/sendings.go
@@ -30,6 +30,8 @@
 	Until    time.Duration // Unix time of the attempt's deadline
 	State    SendState
 
+	committed, doubled bool // its intent is; that was proposed more than once, and may be committed as often
+
 	next, pause time.Duration // when the group is told that it is unsent, by the clock of leases, and before the time after
 }
 
@@ -52,6 +54,7 @@
 func (s *Sendings) Ask(job, instance string, gen uint64, until time.Duration) (sending *Sending, fresh bool) {
 	asked := Sending{Job: job, Instance: instance, Gen: gen, Until: until, State: Asked}
 	if known := s.find(&asked); known != nil {
+		known.doubled = true
 		return known, false
 	}
 	return s.add(asked), true
@@ -109,6 +112,16 @@
 	}
 }
 
+// Committed notes that the group has an attempt's intent.
+func (s *Sendings) Committed(sending *Sending) { sending.committed = true }
+
+// Over forgets an attempt of which the group has it that it never ran, where its intent cannot come any more.
+func (s *Sendings) Over(sending *Sending) {
+	if sending.State == Unsent && sending.committed && !sending.doubled {
+		s.Drop(sending)
+	}
+}
+
 // Leave has nothing more of a hand-in begun. What was begun is for others to hear of.
 func (s *Sendings) Leave(job string, mono time.Duration) {
 	for _, sending := range slices.Clone(s.byJob[job]) {
--- /dev/null
+++ b/internal/promise/sendings_test.go
@@ -0,0 +1,29 @@
+package promise
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an attempt that is forgotten as known to the group while its intent may be committed yet: nobody would tell of it.
+func TestOverForgetsOnlyWhatCannotCome(t *testing.T) {
+	for name, forgets := range map[string]bool{"committed": true, "not heard to be": false, "proposed twice": false, "begun": false} {
+		s := NewSendings()
+		sending, _ := s.Ask("j~1~1", "s-1", 1, time.Hour)
+		if name == "proposed twice" {
+			s.Ask("j~1~1", "s-1", 1, time.Hour)
+		}
+		if name != "not heard to be" {
+			s.Committed(sending)
+		}
+		if name == "begun" {
+			require.True(t, s.Begin(sending))
+		} else {
+			s.NeverRan(sending, 0)
+		}
+		s.Over(sending)
+		require.Equal(t, forgets, len(s.All()) == 0, name)
+	}
+}
