Keep two attempts of one hand-in at one instance apart also where their class changes

Callers: where a reload had a class repeat at will that must not run twice before, or back, a job that ran could be taken for one that never did: it ended as refused, or ran a second time once the class must not run twice again.

Cause: word that an attempt was never sent names hand-in and instance. One hand-in goes to an instance once, but this was asked of the class as it is now: after a reload a second attempt went there, and the word of the first, told again, took its intent away.

Why it works: an owner notes at each ask whether the job must not run twice then. Where that held for either of two attempts of a hand-in at one instance, the second is not sent, and the job is handed in anew under another number.

--- a/internal/net/promises/unsent_test.go
+++ b/internal/net/promises/unsent_test.go
@@ -7,9 +7,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/promise"
 	"caperrelay/internal/replica"
+	"caperrelay/internal/wire"
 	promisev1 "caperrelay/proto/winglb/promise/v1"
 )
 
@@ -177,3 +179,22 @@
 		return len(s[0].sends.all.All()) == 0
 	}, 2*time.Second, time.Millisecond)
 }
+
+// Guards against word that an attempt was never sent which takes a later one's intent away: its class may be repeated by a
+// reload in between, and the later one, by the same hand-in at the same instance, has gone out.
+func TestReloadDoesNotMixTwoAttemptsAtOneInstance(t *testing.T) {
+	s, c, h := pair(t)
+	m, a := handed(t, s, c, h)
+	m.Gate.Ask(a)
+	of(t, c[0].passed, "its intent is committed")
+	_, _, let := stall(h[0], true, promise.OpOver)
+	defer close(let)
+	m.Gate.Never(a)
+	s[0].Retune(decide.Settings{Classes: []decide.Class{{Effect: decide.Safe, Deadline: 20 * time.Second}}}, wire.Names{Classes: []string{"once"}})
+	m.Gate.Ask(&dispatch.Attempt{Command: m, Instance: a.Instance, N: 1, Deadline: m.Deadline})
+	select {
+	case <-c[0].abandoned: // another hand-in has it
+	case <-c[0].passed:
+		require.Never(t, func() bool { return intents(s[0]) == 0 }, 2*time.Second, time.Millisecond, "it has gone out, and its intent is taken away")
+	}
+}
--- a/internal/promise/model.go
+++ b/internal/promise/model.go
@@ -116,7 +116,7 @@
 	c.hands, c.later, c.out, c.do = map[string]*hand{}, maps.Clone(o.later), maps.Clone(o.out), nil
 	for id, h := range o.hands {
 		g := *h
-		g.asks, g.went = maps.Clone(h.asks), slices.Clone(h.went)
+		g.asks, g.went = maps.Clone(h.asks), maps.Clone(h.went)
 		c.hands[id] = &g
 	}
 	return &c
--- a/internal/promise/owner.go
+++ b/internal/promise/owner.go
@@ -128,11 +128,11 @@
 	n      int
 	index  uint64 // of the receipt
 	class  string
-	ran    bool        // it may have, in an earlier hand
-	asks   map[int]ask // attempts that wait for their intents
-	went   []string    // instances that an attempt was asked for at
-	ending *Command    // it is to have this end
-	sent   uint64      // the proposal of that, 0: none is out
+	ran    bool            // it may have, in an earlier hand
+	asks   map[int]ask     // attempts that wait for their intents
+	went   map[string]bool // instances that an attempt was asked for at; true: when it must not run twice
+	ending *Command        // it is to have this end
+	sent   uint64          // the proposal of that, 0: none is out
 	retry  time.Duration
 }
 
@@ -332,7 +332,7 @@
 	default:
 		n := max(e.Hands, wait.hand, o.base) + 1
 		o.later[e.ID] = later{hand: n, pause: wait.pause}
-		o.hands[e.ID] = &hand{n: n, index: e.Index, class: e.Job.Class, ran: len(e.Intents) > 0, asks: map[int]ask{}}
+		o.hands[e.ID] = &hand{n: n, index: e.Index, class: e.Job.Class, ran: len(e.Intents) > 0, asks: map[int]ask{}, went: map[string]bool{}}
 		o.act(Start{ID: e.ID, Index: e.Index, Hand: n, Job: e.Job, Left: e.Until - c.Unix, Repeat: len(e.Intents) > 0})
 	}
 }
@@ -364,13 +364,14 @@
 		o.act(Deny{id, n, attempt})
 		return
 	}
-	if !o.repeats(h.class) && slices.Contains(h.went, instance) { // word of its attempts there could not be told apart
+	once := !o.repeats(h.class)
+	if before, went := h.went[instance]; before || went && once { // word of its attempts there could not be told apart
 		o.act(Deny{id, n, attempt})
 		o.act(Leave{id, n})
 		o.handAgain(c, id, n, 0)
 		return
 	}
-	h.went = append(h.went, instance)
+	h.went[instance] = once
 	a := ask{Command: Command{Op: OpIntent, ID: id, Index: h.index, Hand: n, N: attempt, Instance: instance, Until: until}}
 	if o.faulty.SendFirst {
 		o.act(Go{id, n, attempt, o.until - Margin})
