Tell a promised job's gate also of an attempt that was given up and then proves never sent

Callers: a promised job that must not run twice can end as "may have run" though nothing of it was sent.

Cause: where the loop gave an attempt up (by its time or the module) just as it was noted as begun, its end was told as given up; that the fleet then said it was never written was dropped, as of an attempt that is over.

Evidence: TestAbandonedAttemptThatNeverRanIsTold failed before in its cases of attempts called off and expired. The order itself was not seen in a whole process.

Why it works: only a later end of the same attempt that proves that it did not run is told, once, as for abandoned ones.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -123,7 +123,7 @@
 	report    *decide.Report
 	gate      gated
 	never     bool        // it is over, and has not run
-	left      bool        // it was abandoned once it had passed its gate, which is still told if it has not run
+	left      bool        // it was abandoned or given up once it had passed its gate, which is still told if it has not run
 	may       func() bool // nil: it waited at no gate
 	leaving   atomic.Bool // given up, and the instance has not confirmed it yet
 	vain      atomic.Bool // its command is owed nothing more
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -85,11 +85,14 @@
 	if a.gate != free && o.NeverRan() {
 		a.Command.Gate.Never(a)
 	}
+	if a.gate == passed && (o == decide.Cancelled || o == decide.TimedOut) { // the fleet may yet say that it never went out
+		a.left = true
+	}
 	a.gate, a.never = free, o.NeverRan()
 	return o
 }
 
-// neverAfter tells the gate of an attempt that was abandoned, and ends with an outcome only now, if it cannot have run.
+// neverAfter tells the gate of an attempt that was abandoned or given up, and ends with an outcome only now, if it cannot have run.
 func (a *Attempt) neverAfter(o decide.Outcome) {
 	if a.left && o.NeverRan() {
 		a.Command.Gate.Never(a)
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -93,19 +93,23 @@
 	require.Zero(t, l.Holding())
 }
 
-// Guards against an attempt that was abandoned while it was about to be sent, was not sent then or was handed back, and
+// Guards against an attempt that was abandoned or given up while it was about to be sent, was not sent then or was handed back, and
 // whose gate never hears of that.
 func TestAbandonedAttemptThatNeverRanIsTold(t *testing.T) {
+	abandon := func(l *Loop, a *Attempt) { l.Abandon(a.Command) }
+	cancel := func(l *Loop, a *Attempt) { l.cancel(decide.Cancel{Request: a.request}) }
 	for o, told := range map[decide.Outcome]bool{decide.Moot: true, decide.Full: true, decide.ConnectFailed: true, decide.Reset: false, decide.Errored: false, decide.TimedOut: false} {
-		l, f, c, g := gatedBegin(t)
-		l.Pass(g.asked[0], func() bool { return true })
-		l.batch()
-		l.Abandon(f.sent[0].Command)
-		for range 2 { // told once, however often it ends
-			l.Ended(f.sent[0], o, 0)
+		for _, end := range []func(*Loop, *Attempt){abandon, cancel, (*Loop).expire} {
+			l, f, c, g := gatedBegin(t)
+			l.Pass(g.asked[0], func() bool { return true })
 			l.batch()
+			end(l, f.sent[0])
+			for range 2 { // told once, however often it ends
+				l.Ended(f.sent[0], o, 0)
+				l.batch()
+			}
+			require.Len(t, g.never, map[bool]int{true: 1}[told], "outcome %d", o)
+			require.Empty(t, c.answers)
 		}
-		require.Len(t, g.never, map[bool]int{true: 1}[told], "outcome %d", o)
-		require.Empty(t, c.answers)
 	}
 }
