A second opinion that clears an input is no good verdict on reruns of its place

A stage that runs again for a second opinion takes its turn at the fingerprint of the input's place. Content with the input, it told that fingerprint a good verdict, though nothing had been made anew: the room was doubled, bad verdicts were forgotten, and two reruns of what the place spoils went before any had come good. It is no verdict now, as one that confirms the claim was none already. TestSecondOpinionIsNoVerdictOnAPlace failed with 2 reruns out at once, and passes.

--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -69,7 +69,7 @@
 		}
 		s.Wants, s.Have, s.At, s.Made, s.Result = false, l.Gen, l.At, l.Made, l.Text
 		s.Runs++
-		m.verdict(r, s, true, false)
+		m.verdict(r, s, true, s.Doubt != nil) // that a claim is not true tells nothing of reruns
 		if s.Doubt != nil {
 			m.send(Letter{Kind: "opinion", To: "c/" + s.Doubt.Worker, Key: s.Doubt.Key, Gen: s.Doubt.Gen, OK: false})
 			s.Doubt = nil
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -1,6 +1,7 @@
 package rerun
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -700,6 +701,46 @@
 	require.Equal(t, 20*4, w.reruns)
 }
 
+// Guards against a second opinion that clears an input counting as a good verdict on reruns of what its place spoils, so
+// that two of these go before any has its verdict.
+func TestSecondOpinionIsNoVerdictOnAPlace(t *testing.T) {
+	w := newWorld(t, 14, 4, 1000)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 3, "")))
+	first, verdict, out, most, opinions := map[string]string{"r0": "s2", "r1": "s2"}, false, map[string]bool{}, 0, 0
+	w.outcome = func(w *world, g Go) Command {
+		id := strings.Split(g.Key, "/")[1]
+		encode := strings.Replace(g.Key, "package", "encode", 1)
+		switch stage := stageOf(g.Key); {
+		case stage == "encode" && g.Gen == 1:
+			return Command{OK: true, Place: worker(1, cmp.Or(first[id], "s1"), "a")}
+		case stage == "encode" && id > "r2" && !verdict:
+			out[g.Key] = true
+			most = max(most, len(out))
+		case stage == "package" && id <= "r2" && g.Gen == 1: // the third lie has another look first
+			return Command{Cause: policy.BadInput, Input: "encode", Place: worker(3, "s3", "b")}
+		case stage == "package" && id > "r2" && g.Of[0] == 1:
+			return Command{Cause: policy.BadInput, Input: "encode", Place: worker(10+w.rng.IntN(90), "s3", "b")}
+		case stage == "package" && id > "r2":
+			verdict = true
+			delete(out, encode)
+		case stage == "package" && id == "r2":
+			opinions++
+		}
+		return Command{OK: true, Place: worker(2, "s4", "b")}
+	}
+	for i := range 9 {
+		if i == 2 || i == 3 {
+			w.finish(10_000)
+		}
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+	}
+	w.finish(10_000)
+	require.Equal(t, map[Kind]int{Done: 9}, w.ends(9, name))
+	require.Len(t, w.started["r/r2/encode"], 1)
+	require.Equal(t, 1, opinions)
+	require.Equal(t, 1, most, "reruns out at once before the first verdict")
+}
+
 // A stage of which nothing is heard is late after its own time, not its pipeline's, and runs again.
 func TestStageIsLate(t *testing.T) {
 	w := newWorld(t, 10, 3, 100)
