Clients: put what handles a call-back beside what reads it

parse.go read commands and answered call-backs; the latter moves to callback.go, and what a call-back tells the core becomes a method of its own. No change of behaviour.

--- a/internal/net/clients/callback.go
+++ b/internal/net/clients/callback.go
@@ -4,8 +4,53 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+
+	"caperrelay/internal/dispatch"
+	"caperrelay/internal/net/http1"
 )
 
+var newsStates = map[string]dispatch.NewsState{
+	"started": dispatch.Started, "running": dispatch.Running, "done": dispatch.Done,
+	"failed": dispatch.Errored, "returned": dispatch.Returned, "lost": dispatch.Lost,
+}
+
+// news takes an instance's call-back; false: the connection is to end.
+func (c *conn) news(q *http1.Request) bool {
+	var in callback
+	if err := in.read(q.Body); err != nil {
+		return c.reply(400, nil, "no call-back\n", q.Close)
+	}
+	state, ok := newsStates[in.State]
+	if !ok { // others may come some day: nothing to do
+		return c.reply(204, nil, "", q.Close)
+	}
+	n := in.news(state)
+	n.Report = c.server.reports.Object(in.Load)
+	c.server.core.News(n)
+	if !c.server.core.Keep(n) {
+		return false
+	}
+	return c.reply(204, nil, "", q.Close)
+}
+
+// news is what a call-back tells, but for the instance's load report.
+func (c *callback) news(state dispatch.NewsState) dispatch.News {
+	n := dispatch.News{ID: c.ID, From: c.From, State: state, Share: c.Share, Result: c.Result}
+	if plain, rest, ok := text(c.Result); ok && len(rest) == 0 { // a text stands for itself, all else as it is
+		n.Result = plain
+	} else if c.Result != nil {
+		var text *string
+		if json.Unmarshal(c.Result, &text) == nil && text != nil {
+			n.Result = []byte(*text)
+		}
+	}
+	// Guards against serving what no instance made: it ran, and nothing came of it.
+	if none := len(c.Result) == 0 || string(c.Result) == "null"; none && state == dispatch.Done {
+		n.State = dispatch.Errored
+	}
+	return n
+}
+
 // callback is the body of an instance's call.
 type callback struct {
 	ID     string          `json:"id"`
--- a/internal/net/clients/parse.go
+++ b/internal/net/clients/parse.go
@@ -1,7 +1,6 @@
 package clients
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -142,36 +141,3 @@
 	ms := (d + time.Millisecond - 1) / time.Millisecond
 	return strconv.FormatFloat(float64(ms)/1000, 'f', -1, 64)
 }
-
-var newsStates = map[string]dispatch.NewsState{
-	"started": dispatch.Started, "running": dispatch.Running, "done": dispatch.Done,
-	"failed": dispatch.Errored, "returned": dispatch.Returned, "lost": dispatch.Lost,
-}
-
-// news takes an instance's call-back; false: the connection is to end.
-func (c *conn) news(q *http1.Request) bool {
-	var in callback
-	if err := in.read(q.Body); err != nil {
-		return c.reply(400, nil, "no call-back\n", q.Close)
-	}
-	if state, ok := newsStates[in.State]; ok { // others may come some day: nothing to do
-		n := dispatch.News{ID: in.ID, From: in.From, State: state, Share: in.Share, Result: in.Result, Report: c.server.reports.Object(in.Load)}
-		if plain, rest, ok := text(in.Result); ok && len(rest) == 0 { // a text stands for itself, all else as it is
-			n.Result = plain
-		} else if in.Result != nil {
-			var text *string
-			if json.Unmarshal(in.Result, &text) == nil && text != nil {
-				n.Result = []byte(*text)
-			}
-		}
-		// Guards against serving what no instance made: it ran, and nothing came of it.
-		if none := len(in.Result) == 0 || string(in.Result) == "null"; none && state == dispatch.Done {
-			n.State = dispatch.Errored
-		}
-		c.server.core.News(n)
-		if !c.server.core.Keep(n) {
-			return false
-		}
-	}
-	return c.reply(204, nil, "", q.Close)
-}
