Have the newer process answer call-backs that an older one reads once it yields

Cause: a process that had yielded answered a call-back at once and its loop passed the word on later; killed in between it took the end along, and an answered encoder does not call again. The same for a call-back queued at the loop behind its yield.

Change: once another process takes over, conn.hand passes the connection with the call-back unread, in the form that any version reads. Program.yield holds call-backs (HoldCallbacks) from before the loop is asked to yield until it has: those handed to the loop earlier stand before the yield and are part of what is handed over. Whoever dies, the connection ends unanswered and the encoder calls again.

--- a/internal/net/clients/callback.go
+++ b/internal/net/clients/callback.go
@@ -14,7 +14,7 @@
 	"failed": dispatch.Errored, "returned": dispatch.Returned, "lost": dispatch.Lost,
 }
 
-// news takes an instance's call-back; false: the connection is to end.
+// news takes an instance's call-back; false: the connection is to end, or is another process's.
 func (c *conn) news(q *http1.Request) bool {
 	var in callback
 	if err := in.read(q.Body); err != nil {
@@ -26,13 +26,37 @@
 	}
 	n := in.news(state)
 	n.Report = c.server.reports.Object(in.Load)
-	c.server.core.News(n)
-	if !c.server.core.Keep(n) {
+	if !c.hand(q, n) || !c.server.core.Keep(n) {
 		return false
 	}
 	return c.reply(204, nil, "", q.Close)
 }
 
+// hand gives the core a call-back; false: a newer process has the connection, and the call-back to read and to answer. This
+// process could die before it had passed on what the instance takes for heard.
+func (c *conn) hand(q *http1.Request, n dispatch.News) bool {
+	s := c.server
+	s.callbacks.RLock()
+	defer s.callbacks.RUnlock()
+	if s.Yielded() && c.passUnread(q) {
+		return false
+	}
+	s.core.News(n)
+	return true
+}
+
+// passUnread passes the connection as if a call-back on it had not been read; false: nobody takes over any more.
+func (c *conn) passUnread(q *http1.Request) bool {
+	var h http1.Header
+	if q.Close {
+		h = http1.Header{{Name: "Connection", Value: "close"}}
+	}
+	unread := http1.AppendRequest(nil, q.Method, q.Target, h, q.Body)
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.pass(Passed{Rest: unread})
+}
+
 // news is what a call-back tells, but for the instance's load report.
 func (c *callback) news(state dispatch.NewsState) dispatch.News {
 	n := dispatch.News{ID: c.ID, From: c.From, State: state, Share: c.Share, Result: c.Result}
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -172,14 +172,15 @@
 var errPassed = errors.New("passed on")
 
 // pass hands the connection to the process that takes over, if there is one. What has come
-// unread goes with it. The server's lock is held.
+// unread goes with it, behind p.Rest. The server's lock is held.
 func (c *conn) pass(p Passed) bool {
 	tcp, ok := c.nc.(*net.TCPConn)
 	if c.server.heir == nil || !ok {
 		return false
 	}
 	p.Answered, p.Instance, p.Flood = c.answered, c.instance, c.flood
-	p.Rest, _ = c.br.Peek(c.br.Buffered())
+	unread, _ := c.br.Peek(c.br.Buffered())
+	p.Rest = append(p.Rest, unread...)
 	c.passed = true
 	c.server.heir.Pass(tcp, p)
 	return true
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -77,6 +77,9 @@
 	slots    chan struct{} // one for each connection; bounds the descriptors used here
 	books    *dispatch.Books
 
+	// callbacks is held for reading while a call-back is handed to the core, and for writing while the core yields.
+	callbacks sync.RWMutex
+
 	mu       sync.Mutex
 	draining bool
 	by       time.Time // commands are to be answered by then; zero: as their clients say
@@ -225,6 +228,14 @@
 	<-s.slots
 }
 
+// HoldCallbacks has each call-back that is read from now on wait until release is called, and returns once the core has
+// those before. A process holds them while it yields: one that its core got after that would be answered, and lost if the
+// process died before it had passed it on.
+func (s *Server) HoldCallbacks() (release func()) {
+	s.callbacks.Lock()
+	return s.callbacks.Unlock
+}
+
 // Yield has each connection that stands between two requests go to the process that takes over,
 // now and as their answers are written. Whoever serves the listener must have it end.
 func (s *Server) Yield(to Heir) {
--- a/internal/program/relief.go
+++ b/internal/program/relief.go
@@ -323,7 +323,9 @@
 
 // yield leaves all that is in hand and all that comes to the newer process.
 func (p *Program) yield(link *handover.Link) {
+	release := p.server.HoldCallbacks()
 	p.loop.Yield(func(given dispatch.Handed) bool {
+		defer release()
 		p.pool.Unsend() // before the other process can give one up: this one may stand still here
 		for _, c := range given.Commands {
 			if !link.Tell(command, c) {
