Pipelines: believe a claim that a second worker has confirmed

Cause: a second opinion that named the same input was itself a claim, judged by its own worker's open claims. Not believed, a third worker was asked, and so on, one use of the rule each.

TestConfirmedClaimNeedsNoThirdLook failed before: 4 runs of the stage, 3 wanted.

Change: the claim says that it confirms (same output, same generation), and is believed unless its worker was refuted. It counts as no claim of that worker.

--- a/internal/rerun/claims.go
+++ b/internal/rerun/claims.go
@@ -123,7 +123,8 @@
 // claimant has what is known of a worker's claims take a letter. The first ones are believed. While those are neither
 // confirmed nor refuted, a further one is looked into by another worker first, unless it was content with its inputs
 // as often at that stage: if that says so too, more are believed from then on; who was refuted is not believed for
-// a while. One in eight is looked into all the same, else who lies now and then would never be found out.
+// a while. One in eight is looked into all the same, else who lies now and then would never be found out. A claim that
+// confirms another worker's needs no third look, unless its own worker was refuted.
 func (m *Machine) claimant(l *Letter) {
 	c := m.s.Claimants[l.To]
 	if c == nil {
@@ -157,10 +158,13 @@
 		return
 	}
 	answer := Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, At: l.At}
-	c.Claims++
+	if !l.OK {
+		c.Claims++
+	}
 	switch {
 	case m.s.At < c.Until:
 		answer.OK, answer.Text = false, "its worker's claims were refuted"
+	case l.OK: // it confirms another's
 	case slices.ContainsFunc(c.Open, same):
 	case int64(len(c.Open)) < int64(c.Trust)+c.Content[l.Text]/trustEach && c.Claims%lookEach > 0:
 		c.Open = append(c.Open, Claim{Key: l.Key, Gen: l.Gen})
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -200,8 +200,10 @@
 		}
 		s.Ran = false // that is certain
 	}
+	confirms := false
 	if d := s.Doubt; d != nil { // a second opinion
-		if s.Doubt = nil; l.Cause == policy.BadInput && r.Key(input) == d.Key {
+		s.Doubt = nil
+		if confirms = l.Cause == policy.BadInput && r.Key(input) == d.Key && r.Stages[input].Have == d.Gen; confirms {
 			m.send(Letter{Kind: "opinion", To: "c/" + d.Worker, Key: d.Key, Gen: d.Gen, OK: true})
 		}
 	}
@@ -213,15 +215,15 @@
 		if holds, err := rule.When.Holds(f); err != nil {
 			m.tell(r, k, "the condition could not be reckoned: %v", err)
 		} else if holds {
-			m.use(r, k, input, l)
+			m.use(r, k, input, l, confirms)
 			return
 		}
 	}
 	m.finish(r, Answer{Kind: Dead, Stage: stage.Name, Cause: l.Cause, Reason: text + ", and no rule is about that"})
 }
 
-// use has a rule be used.
-func (m *Machine) use(r *Run, k, input int, l *Letter) {
+// use has a rule be used. confirms: the failure is a second opinion that says what the first one does.
+func (m *Machine) use(r *Run, k, input int, l *Letter, confirms bool) {
 	s, rule, stage := r.Stages[l.Stage], r.p.Rules[k], r.p.Stages[l.Stage]
 	n := &Next{Rule: k, Target: rule.Target, Bad: l.Gen, Cause: l.Cause, Failed: l.At}
 	switch rule.Target {
@@ -251,7 +253,7 @@
 	s.Next = n
 	if l.Cause == policy.BadInput && l.At.Worker != "" {
 		n.Phase, n.Claim = "claim", &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}
-		m.send(Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name})
+		m.send(Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms})
 		return
 	}
 	m.wait(r, l.Stage)
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -242,6 +242,32 @@
 	}
 }
 
+// Guards against a third look at a claim that a second worker has confirmed, as that worker has made many claims itself.
+func TestConfirmedClaimNeedsNoThirdLook(t *testing.T) {
+	w := newWorld(t, 15, 4, 4)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 3, "")))
+	first := 2 // two claims each are believed: those of the worker that is to confirm, then those of the one that claims
+	w.outcome = func(w *world, g Go) Command {
+		switch {
+		case stageOf(g.Key) != "package" || g.Of[0] > 1:
+			return Command{OK: true, Place: worker(9, "s1", "a")}
+		case g.First:
+			return Command{Cause: policy.BadInput, Input: "encode", Place: worker(first, "s1", "a")}
+		}
+		return Command{Cause: policy.BadInput, Input: "encode", Place: worker(2, "s1", "a")}
+	}
+	for i := range 5 {
+		if i == 2 {
+			first = 1
+		}
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+		w.finish(10_000)
+	}
+	require.Equal(t, map[Kind]int{Done: 5}, w.ends(5, name))
+	require.Len(t, w.started["r/r3/package"], 2, "believed")
+	require.Len(t, w.started["r/r4/package"], 3, "looked into once: %v", w.run("r4").Story)
+}
+
 // bad is one in four.
 func bad(key string) bool { return sha256.Sum256([]byte(key))[0]%4 == 0 }
 
