Pipelines: look into a claim against an input that another stage was content with

Cause: a worker's first two claims are believed, though the same run has another stage that another worker made of the same generation of that input.

TestStageContentWithAnInputHasAClaimLookedInto failed before: source made twice, once wanted.

Change: before a claim's rerun asks for its trial, a run with such a stage asks another worker first. Not with the last use of a rule.

Result: internal/rerun passes, mutants and interleavings included.

--- a/internal/rerun/hard_test.go
+++ b/internal/rerun/hard_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// Guards against one worker's word having an input made anew, and all below it, though another stage's worker was content with it.
+func TestStageContentWithAnInputHasAClaimLookedInto(t *testing.T) {
+	for _, lies := range []bool{true, false} {
+		w, r := inDiamond(t, func(g Go) Command {
+			if stageOf(g.Key) == "left" && g.Of[0] == 1 && (g.Gen == 1 || !lies) {
+				return Command{Cause: policy.BadInput, Input: "source", Place: worker(7+int(g.Gen), "s3", "b")}
+			}
+			return Command{OK: true}
+		})
+		require.Equal(t, Done, r.Answer.Kind, "%v", r.Story)
+		want := map[string]int{"source": 1, "left": 2, "right": 1, "join": 1, "publish": 1}
+		if !lies { // the second worker says so too
+			want["source"], want["left"], want["right"] = 2, 3, 2
+		}
+		require.Equal(t, want, w.gens(), "%v", r.Story)
+	}
+}
+
 // What is being made again loses its own input meanwhile, or is lost as soon as it is there.
 func TestLostWhileItIsMadeAgain(t *testing.T) {
 	w, r := inDiamond(t, func(g Go) Command {
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -104,8 +104,7 @@
 		if n := s.Next; n != nil && n.Phase == "claim" {
 			m.verdict(r, s, false, !l.OK)
 			if !l.OK {
-				n.Second, n.Target, n.Bad, n.Failed = true, l.Stage, s.Over, l.At
-				m.tell(r, n.Rule, "%s: %s; another worker is asked first", l.Text, r.p.Stages[l.Stage].Name)
+				m.askAnother(r, l.Stage, l.Text)
 			}
 			m.wait(r, l.Stage)
 		}
@@ -252,9 +251,38 @@
 	r.Uses[k]++
 	s.Next = n
 	if l.Cause == policy.BadInput && l.At.Worker != "" {
-		n.Phase, n.Claim = "claim", &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}
+		n.Phase, n.Claim, n.By, n.Sure = "claim", &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}, l.At, confirms
 		m.send(Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms})
 		return
 	}
 	m.wait(r, l.Stage)
 }
+
+// askAnother has the stage itself run at another worker first, for a second opinion on a claim.
+func (m *Machine) askAnother(r *Run, i int, why string) {
+	s := r.Stages[i]
+	n := s.Next
+	n.Second, n.Target, n.Bad, n.Failed = true, i, s.Over, n.By
+	m.tell(r, n.Rule, "%s: %s; another worker is asked first", why, r.p.Stages[i].Name)
+}
+
+// disputed tells whether a stage's claim that an input is bad has another stage of the run against it, which another worker
+// has made of the same generation and was content. It is not while it is the last use of its rule: a second opinion is one.
+func (r *Run) disputed(i int) bool {
+	n := r.Stages[i].Next
+	if n.Claim == nil || n.Second || n.Sure || n.By.Worker == "" || r.Uses[n.Rule] >= r.p.Rules[n.Rule].Most {
+		return false
+	}
+	for k, stage := range r.p.Stages {
+		other := r.Stages[k]
+		if k == i || !r.valid(k) || other.At.Worker == n.By.Worker {
+			continue
+		}
+		for j, input := range stage.Needs {
+			if r.Key(input) == n.Claim.Key && j < len(other.Of) && other.Of[j] == n.Claim.Gen {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/rerun/model.go
+++ b/internal/rerun/model.go
@@ -88,6 +88,8 @@
 	Phase  string         `json:"phase"` // claim, wait, trial
 	At     time.Duration  `json:"at,omitempty"`
 	Claim  *Claim         `json:"claim,omitempty"`
+	By     policy.Place   `json:"by"`               // who claims
+	Sure   bool           `json:"sure,omitempty"`   // two workers claim it
 	Second bool           `json:"second,omitempty"` // the stage itself runs elsewhere first: is its claim true?
 	Sites  []policy.Place `json:"sites,omitempty"`  // that the fingerprint told are bad
 }
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -326,6 +326,9 @@
 // try has a rerun ask whether it may go first, or in a good verdict's wake.
 func (m *Machine) try(r *Run, i int) {
 	n := r.Stages[i].Next
+	if r.disputed(i) {
+		m.askAnother(r, i, "another worker was content with its input")
+	}
 	n.Phase = "trial"
 	m.send(Letter{Kind: "try", To: n.Print, From: r.ID, Stage: i, Key: r.Key(n.Target)})
 }
