Pipelines: judge sites by the share of their outputs that is bad, not by count

Cause: a rerun keeps from sites named at least half as often as the worst. Who makes most is named most, at one bad output in eight; a site that made little and spoilt all of it was left over, and drew reruns with a better chance than by lot.

TestSitesAreToldOutOfWhatTheyMake failed with the count: 70 of 70 late reruns kept from the busy site, and free to go to the bad one.

Change: a stage content with its inputs tells that of the sites that made them (letter 'fine', only where a rule has bad inputs made anew); often goes by the share.

--- a/internal/rerun/claims.go
+++ b/internal/rerun/claims.go
@@ -104,16 +104,50 @@
 	m.s.Often[f][i].Last = m.s.At
 }
 
-// often is the sites of which a fingerprint's stage and cause are said far more often than of others, of late.
+// praise tells the sites where a stage's inputs were made that it was content with them, where a rule has bad ones made anew.
+func (m *Machine) praise(r *Run, i int) {
+	if !slices.ContainsFunc(r.p.Rules, func(rule *policy.Rule) bool { return rule.On == i && rule.Target == policy.Input }) {
+		return
+	}
+	for _, n := range r.p.Stages[i].Needs {
+		if at := r.Stages[n].At; at.Site != "" {
+			m.send(Letter{Kind: "fine", To: fingerprint(r.Pipeline, r.p.Stages[n].Name, policy.BadInput, at)})
+		}
+	}
+}
+
+// fine counts for a site that a stage was content with what was made there. Of a site that was not called bad nothing is kept.
+func (m *Machine) fine(l *Letter) {
+	for i, o := range m.s.Often[family(l.To)] {
+		if strings.HasSuffix(l.To, "/"+o.Site.Zone+"."+o.Site.Site) {
+			m.s.Often[family(l.To)][i].Fine++
+		}
+	}
+}
+
+// often is the sites of which a fingerprint's stage and cause are said far more often than of others, of late: out of what was
+// made there, or where nobody tells of that, by count.
 func (m *Machine) often(print string) (sites []policy.Place) {
-	most, all := oftenFrom, m.s.Often[family(print)]
-	for _, o := range all {
-		if o.Last+claimFor > m.s.At {
-			most = max(most, o.N)
+	var named []Often
+	rated := false
+	for _, o := range m.s.Often[family(print)] {
+		if o.Last+claimFor > m.s.At && o.N >= oftenFrom {
+			named = append(named, o)
 		}
+		rated = rated || o.Fine > 0
+	}
+	weight := func(o Often) int {
+		if rated {
+			return 1000 * o.N / (o.N + o.Fine)
+		}
+		return o.N
+	}
+	most := 0
+	for _, o := range named {
+		most = max(most, weight(o))
 	}
-	for _, o := range all {
-		if o.Last+claimFor > m.s.At && o.N >= oftenFrom && 2*o.N > most {
+	for _, o := range named {
+		if 2*weight(o) > most {
 			sites = append(sites, o.Site)
 		}
 	}
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -28,6 +28,8 @@
 		m.output(l)
 	case "try", "verdict":
 		m.print(l)
+	case "fine":
+		m.fine(l)
 	case "claim", "opinion", "content":
 		m.claimant(l)
 	case "ask", "give":
@@ -75,6 +77,7 @@
 			s.Doubt = nil
 		}
 		s.Own, s.Rule = false, 0
+		m.praise(r, l.Stage)
 		m.advance(r)
 	case "newer": // by somebody else's rerun, whose policy may count stages otherwise
 		for i := range r.Stages {
@@ -234,7 +237,7 @@
 	if n.Target != l.Stage {
 		n.Bad, n.Failed = r.Stages[n.Target].Have, r.Stages[n.Target].At
 	}
-	n.Print = fmt.Sprintf("f/%s/%s/%s/%s.%s", r.Pipeline, r.p.Stages[n.Target].Name, l.Cause, n.Failed.Zone, n.Failed.Site)
+	n.Print = fingerprint(r.Pipeline, r.p.Stages[n.Target].Name, l.Cause, n.Failed)
 	if r.Uses[k] >= rule.Most {
 		m.give(r, l.Stage, n, fmt.Sprintf("%s, and the rule of line %d was used %d times", l.Cause, rule.Line, rule.Most))
 		return
--- a/internal/rerun/model.go
+++ b/internal/rerun/model.go
@@ -210,6 +210,7 @@
 type Often struct {
 	Site policy.Place  `json:"site"` // zone and site alone
 	N    int           `json:"n"`
+	Fine int           `json:"fine,omitempty"` // outputs of it since that a stage was content with
 	Last time.Duration `json:"last"`
 }
 
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -143,6 +143,11 @@
 	return replica.GroupOf(key, m.c.Groups)
 }
 
+// fingerprint is the key of what failures of one stage, cause and place have in common.
+func fingerprint(pipeline, stage string, cause policy.Cause, at policy.Place) string {
+	return fmt.Sprintf("f/%s/%s/%s/%s.%s", pipeline, stage, cause, at.Zone, at.Site)
+}
+
 // family is a fingerprint without its place.
 func family(print string) string { return print[:max(0, strings.LastIndexByte(print, '/'))] }
 
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -307,6 +307,43 @@
 	}
 }
 
+// Guards against reruns being kept from the site that makes most, as it is named most, and sent to one that spoils the little it makes.
+func TestSitesAreToldOutOfWhatTheyMake(t *testing.T) {
+	w := newWorld(t, 16, 4, 40)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 3, "")))
+	made, kept, sent := 0, 0, 0
+	w.outcome = func(w *world, g Go) Command {
+		switch id := strings.Split(g.Key, "/")[1]; stageOf(g.Key) {
+		case "encode":
+			site := "s0"
+			if made++; g.First && made%20 == 0 {
+				site = "s1"
+			} else if !g.First {
+				site = "s2"
+				if made > 100 {
+					kept += map[bool]int{true: 1}[slices.Contains(g.Doubt, policy.Place{Zone: "a", Site: "s0"})]
+					sent += map[bool]int{true: 1}[!slices.Contains(g.Doubt, policy.Place{Zone: "a", Site: "s1"})]
+				}
+			}
+			return Command{OK: true, Place: worker(w.rng.IntN(20), site, "a")}
+		case "package":
+			o := w.ms[GroupOfRun(id, 4)].s.Outputs[g.Inputs[0]]
+			if o.At.Site == "s1" || o.At.Site == "s0" && bad(g.Key) {
+				return Command{Cause: policy.BadInput, Input: "encode", Place: worker(w.rng.IntN(90), "s2", "b")}
+			}
+		}
+		return Command{OK: true, Place: worker(w.rng.IntN(90), "s2", "b")}
+	}
+	for i := range 300 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+		if i%20 == 19 {
+			w.finish(200_000)
+		}
+	}
+	require.Equal(t, map[Kind]int{Done: 300}, w.ends(300, name))
+	require.Equal(t, []int{0, 0}, []int{kept, sent}, "reruns kept from the one, sent to the other")
+}
+
 // A site comes back with its outputs lost: reruns for it go by a trial first and then by what it takes.
 func TestLostOutputsArePaced(t *testing.T) {
 	w := newWorld(t, 6, 4, 1000)
