--- a/internal/program/acked_test.go
+++ b/internal/program/acked_test.go
@@ -53,11 +53,7 @@
 
 // Guards against a call-back being answered whose end stands behind the handing over of all that is in hand, and goes with the older process.
 func TestCallbackThatCrossesTheYieldIsPassedOn(t *testing.T) {
-	took := make(chan string, 9)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		took <- id(q)
-		return answer(c, 202)
-	})
+	w, took := startAccepting(t)
 	<-w.watches
 	held, ours := w.dial(), w.dial()
 	w.command(held, "c1", "once", "30000m")
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -131,6 +131,16 @@
 	return startAt(t, "", script)
 }
 
+// startAccepting runs a program with an instance that takes whatever it is sent, and tells the ids of that.
+func startAccepting(t *testing.T) (*world, <-chan string) {
+	took := make(chan string, 9)
+	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
+		took <- id(q)
+		return answer(c, 202)
+	})
+	return w, took
+}
+
 // startAt has the name table give another address for the instance, unless that is empty.
 func startAt(t *testing.T, address string, script func(w *world, c net.Conn, q *http1.Request) bool) *world {
 	return startBy(t, "", address, script)
--- a/internal/program/relief_test.go
+++ b/internal/program/relief_test.go
@@ -23,11 +23,7 @@
 // the listener and the connections, and what is held at the older one ends well, whichever of the
 // two an instance's word comes to.
 func TestNewProcessTakesOver(t *testing.T) {
-	took := make(chan string, 9)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		took <- id(q)
-		return answer(c, 202)
-	})
+	w, took := startAccepting(t)
 	held, kept, mute, half, ours := w.dial(), w.dial(), w.dial(), w.dial(), w.dial()
 	w.command(held, "c1", "once", "30000m")
 	require.Equal(t, "c1", <-took)
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -203,11 +203,7 @@
 // Settings in the file counted from the next start on. At SIGHUP a class appears and one vanishes
 // while a job of it runs, and nothing of a broken file counts.
 func TestReloadTakesSettings(t *testing.T) {
-	took := make(chan string, 9)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		took <- id(q)
-		return answer(c, 202)
-	})
+	w, took := startAccepting(t)
 	reload := func(text, figure, value string) {
 		w.settings = text
 		w.configure(w.table.Addr().String())
@@ -292,11 +288,7 @@
 // SIGTERM loses nothing: what is held is answered, new connections and call-backs still
 // come, and the program ends by itself.
 func TestTerminationAnswersWhatIsHeld(t *testing.T) {
-	took := make(chan string, 9)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		took <- id(q)
-		return answer(c, 202)
-	})
+	w, took := startAccepting(t)
 	held, idle, ours := w.dial(), w.dial(), w.dial()
 	// An instance that keeps its connection and goes on telling of a job given up delays nothing.
 	w.post(ours, "/_jobs/news", nil, `{"id":"c0","from":"s-1","state":"running","share":0.4}`)
@@ -329,11 +321,7 @@
 // Told to send clients away, the program went on saying yes to the front. It says no, takes what
 // crosses and what instances tell, closes what is idle, and once told to, serves as before.
 func TestQuiesceAndResume(t *testing.T) {
-	took := make(chan string, 9)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		took <- id(q)
-		return answer(c, 202)
-	})
+	w, took := startAccepting(t)
 	health := func() int {
 		c := w.connect()
 		defer c.Close()
@@ -423,11 +411,7 @@
 
 // An id in hand can't be taken a second time: call-backs could not be told apart.
 func TestSecondUseOfAnIDFails(t *testing.T) {
-	took := make(chan string, 9)
-	w := start(t, func(w *world, c net.Conn, q *http1.Request) bool {
-		took <- id(q)
-		return answer(c, 202)
-	})
+	w, took := startAccepting(t)
 	first, second := w.dial(), w.dial()
 	w.command(first, "c1", "safe", "30000m")
 	<-took
