--- a/internal/rerun/claims.go
+++ b/internal/rerun/claims.go
@@ -105,12 +105,13 @@
 }
 
 // praise tells the sites where a stage's inputs were made that it was content with them, where a rule has bad ones made anew.
-func (m *Machine) praise(r *Run, i int) {
+// of is the generations of its inputs.
+func (m *Machine) praise(r *Run, i int, of []int64) {
 	if !slices.ContainsFunc(r.p.Rules, func(rule *policy.Rule) bool { return rule.On == i && rule.Target == policy.Input }) {
 		return
 	}
-	for _, n := range r.p.Stages[i].Needs {
-		if at := r.Stages[n].At; at.Site != "" {
+	for k, n := range r.p.Stages[i].Needs {
+		if at := r.Stages[n].At; at.Site != "" && k < len(of) && of[k] == r.Stages[n].Have {
 			m.send(Letter{Kind: "fine", To: fingerprint(r.Pipeline, r.p.Stages[n].Name, policy.BadInput, at)})
 		}
 	}
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -77,7 +77,7 @@
 			s.Doubt = nil
 		}
 		s.Own, s.Rule = false, 0
-		m.praise(r, l.Stage)
+		m.praise(r, l.Stage, l.Of)
 		m.advance(r)
 	case "newer": // by somebody else's rerun, whose policy may count stages otherwise
 		for i := range r.Stages {
