Hold promised jobs past their class's aim instead of refusing them

What callers saw: on a busy machine pipelines took up to 30 s: promised jobs that found no room came again after pauses that grew to 5 s, and a stage could use up its 30 s so.

Cause: a request that is held past its aim is refused where its class earns nothing late; a patient one too, though it is waited for until its deadline.

TestPatientJobsAreNotRefusedAtTheirAim failed before.

Change: what is patient is held on, in the queue of what is late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -979,7 +979,7 @@
 			if w := d.lastResort(r); w != nil && d.send(r, w) {
 				continue
 			}
-			if r.c.LateWorth > 0 {
+			if r.c.LateWorth > 0 || r.Patient {
 				d.hold(r, false)
 			} else {
 				d.answer(r)
--- a/decide/further_test.go
+++ b/decide/further_test.go
@@ -320,6 +320,38 @@
 	}
 }
 
+// TestPatientJobsAreNotRefusedAtTheirAim guards against a promised job that finds no room, is refused at its class's aim, and
+// comes again after ever longer pauses, so that it may miss all the room that there is.
+func TestPatientJobsAreNotRefusedAtTheirAim(t *testing.T) {
+	for _, patient := range []bool{false, true} {
+		w := fleet(t, site(1, true, false, false), 1)
+		w.d.workers[1].ceiling = 1
+		_, running := w.place(2)
+		w.handle(JobStarted{running.ID, 0})
+		w.d.workers[1].ceiling = 1
+		var jobs []*job
+		for range 3 { // more than are sent as a last resort
+			j := w.arrive(2, time.Second)
+			j.Patient = patient
+			w.handle(j.Request)
+			jobs = append(jobs, j)
+		}
+		for range 30 { // past the aim of 150 ms, short of the deadline
+			w.now += 10 * ms
+			w.handle(Wake{})
+		}
+		for i, j := range jobs {
+			if len(j.tries) != 0 || j.answered == patient {
+				t.Errorf("patient %v: job %d has %d attempts, answered %v", patient, i, len(j.tries), j.answered)
+			}
+		}
+		w.handle(w.end(running, 0, OK, nil))
+		if patient && len(jobs[0].tries) != 1 {
+			t.Errorf("not sent once there was room")
+		}
+	}
+}
+
 // TestUnsentFirstAttemptsLeaveTheBudgetOfOthers guards against a first attempt that was never sent and takes another request's
 // further attempt out of the budget, so that one more than allowed could go out.
 func TestUnsentFirstAttemptsLeaveTheBudgetOfOthers(t *testing.T) {
