Pipelines: look into a claim against a shared input that another run was content with

What callers saw: one worker that calls every input bad had an ingest made anew that five lectures share, with their renditions and packages.

Cause: a second worker looks first only where another stage of the same run was content with the input. That other runs had used the same output counted for nothing.

TestSharedInputThatAnotherRunWasContentWithHasAClaimLookedInto failed before: the ingest was made twice, once wanted.

Change: a shared output keeps up to three runs and workers that were content with its newest generation; a claim on it passes by it and says whether another run's worker was content. Then a second worker looks first.

--- a/internal/rerun/claims.go
+++ b/internal/rerun/claims.go
@@ -155,6 +155,37 @@
 	return sites
 }
 
+// approve tells the shared inputs of a turn that its worker was content with them.
+func (m *Machine) approve(t *Turn, worker string) {
+	for i, key := range t.Inputs {
+		if shared(key) && i < len(t.Of) {
+			m.send(Letter{Kind: "approve", To: key, From: t.Run, Gen: t.Of[i], Worker: worker})
+		}
+	}
+}
+
+// approved has a shared output keep who was content with it.
+func (m *Machine) approved(l *Letter) {
+	o := m.s.Outputs[l.To]
+	if o == nil || o.Gen != l.Gen || len(o.Approved) >= mostApproved {
+		return
+	}
+	if !slices.ContainsFunc(o.Approved, func(a Approval) bool { return a.Run == l.From || a.Worker == l.Worker }) {
+		o.Approved = append(o.Approved, Approval{Run: l.From, Worker: l.Worker})
+	}
+}
+
+// challenge has a shared output pass on a claim that it is bad, with whether another run's stage at another worker was content
+// with it. What the run itself knows of that it looks at by itself.
+func (m *Machine) challenge(l *Letter) {
+	o, claim := m.s.Outputs[l.To], *l
+	claim.Kind, claim.To = "claim", "c/"+l.At.Worker
+	claim.Disputed = o != nil && o.Gen == l.Gen && slices.ContainsFunc(o.Approved, func(a Approval) bool {
+		return a.Run != l.From && a.Worker != l.At.Worker
+	})
+	m.send(claim)
+}
+
 // claimant has what is known of a worker's claims take a letter. The first ones are believed. While those are neither
 // confirmed nor refuted, a further one is looked into by another worker first, unless it was content with its inputs
 // as often at that stage: if that says so too, more are believed from then on; who was refuted is not believed for
@@ -165,7 +196,7 @@
 	if c == nil {
 		if l.Kind == "opinion" || len(m.s.Claimants) >= mostKept {
 			if l.Kind == "claim" {
-				m.send(Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true})
+				m.send(Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, Disputed: l.Disputed})
 			}
 			return
 		}
@@ -192,7 +223,7 @@
 		}
 		return
 	}
-	answer := Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, At: l.At}
+	answer := Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, At: l.At, Disputed: l.Disputed}
 	if !l.OK {
 		c.Claims++
 	}
--- a/internal/rerun/hard_test.go
+++ b/internal/rerun/hard_test.go
@@ -122,6 +122,30 @@
 	}
 }
 
+// Guards against one worker's word having a shared input made anew, and all below it in several runs, though the worker of
+// another run was content with it.
+func TestSharedInputThatAnotherRunWasContentWithHasAClaimLookedInto(t *testing.T) {
+	for _, lies := range []bool{true, false} {
+		w := newWorld(t, 22, 4, 100)
+		w.double = 0.5
+		w.policy(words("1", "100%", "60m", film("fleet", 3, "")))
+		w.outcome = func(_ *world, g Go) Command {
+			if strings.HasPrefix(g.Key, "r/r1/encode") && g.Of[0] == 1 && (g.Gen == 1 || !lies) {
+				return Command{Cause: policy.BadInput, Input: "ingest", Place: worker(7+int(g.Gen), "s3", "b")}
+			}
+			return Command{OK: true, Place: worker(int(g.Gen), fmt.Sprint("s", g.Gen), "a")}
+		}
+		for i := range 2 {
+			w.submit(name(i), "film", "t", map[string]string{"asset": "one"})
+			w.finish(2000)
+		}
+		story := w.run("r1").Story
+		require.Equal(t, map[Kind]int{Done: 2}, w.ends(2, name), "%v", story)
+		require.Len(t, w.started["s/film/ingest/one"], map[bool]int{true: 1, false: 2}[lies], "%v", story)
+		require.Len(t, w.started["r/r1/encode"], map[bool]int{true: 2, false: 3}[lies], "%v", story)
+	}
+}
+
 // What is being made again loses its own input meanwhile, or is lost as soon as it is there.
 func TestLostWhileItIsMadeAgain(t *testing.T) {
 	w, r := inDiamond(t, func(g Go) Command {
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -26,6 +26,10 @@
 	switch l.Kind {
 	case "want", "leave":
 		m.output(l)
+	case "approve":
+		m.approved(l)
+	case "challenge":
+		m.challenge(l)
 	case "try", "verdict":
 		m.print(l)
 	case "fine":
@@ -106,6 +110,7 @@
 	case "believed":
 		if n := s.Next; n != nil && n.Phase == "claim" {
 			m.verdict(r, s, false, !l.OK)
+			n.Disputed = l.Disputed
 			if !l.OK {
 				m.askAnother(r, l.Stage, l.Text)
 			}
@@ -255,7 +260,11 @@
 	s.Next = n
 	if l.Cause == policy.BadInput && l.At.Worker != "" {
 		n.Phase, n.Claim, n.By, n.Sure = "claim", &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}, l.At, confirms
-		m.send(Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms})
+		claim := Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms}
+		if shared(claim.Key) { // the output passes it on, with what it knows
+			claim.Kind, claim.To = "challenge", claim.Key
+		}
+		m.send(claim)
 		return
 	}
 	m.wait(r, l.Stage)
@@ -269,13 +278,17 @@
 	m.tell(r, n.Rule, "%s: %s; another worker is asked first", why, r.p.Stages[i].Name)
 }
 
-// disputed tells whether a stage's claim that an input is bad has another stage of the run against it, which another worker
-// has made of the same generation and was content. It is not while it is the last use of its rule: a second opinion is one.
+// disputed tells whether a stage's claim that an input is bad has another stage against it, of this run or of another one that
+// shares the input, which another worker has made of the same generation and was content. It is not while it is the last use of
+// its rule: a second opinion is one.
 func (r *Run) disputed(i int) bool {
 	n := r.Stages[i].Next
 	if n.Claim == nil || n.Second || n.Sure || n.By.Worker == "" || r.Uses[n.Rule] >= r.p.Rules[n.Rule].Most {
 		return false
 	}
+	if n.Disputed {
+		return true
+	}
 	for k, stage := range r.p.Stages {
 		other := r.Stages[k]
 		if k == i || !r.valid(k) || other.At.Worker == n.By.Worker {
--- a/internal/rerun/model.go
+++ b/internal/rerun/model.go
@@ -92,6 +92,8 @@
 	Sure   bool           `json:"sure,omitempty"`   // two workers claim it
 	Second bool           `json:"second,omitempty"` // the stage itself runs elsewhere first: is its claim true?
 	Sites  []policy.Place `json:"sites,omitempty"`  // that the fingerprint told are bad
+	// Disputed: another run's worker was content with the output that is claimed to be bad.
+	Disputed bool `json:"disputed,omitempty"`
 }
 
 // Tried is a trial, or a place in its wake, whose verdict this stage's next end is.
@@ -122,6 +124,14 @@
 	Idle   time.Duration    `json:"idle,omitempty"`
 	// Accrued: its first run has added to the budgets.
 	Accrued bool `json:"accrued,omitempty"`
+	// Approved: who was content with it as an input, where it is shared. No two are of one run or one worker.
+	Approved []Approval `json:"approved,omitempty"`
+}
+
+// Approval is that a run's stage was content with an output, which its worker had as an input.
+type Approval struct {
+	Run    string `json:"run"`
+	Worker string `json:"worker"`
 }
 
 // Account is what a group may spend of a budget: in microseconds of work.
@@ -249,6 +259,8 @@
 	Want   *Want          `json:"want,omitempty"`
 	Worker string         `json:"worker,omitempty"`
 	Sites  []policy.Place `json:"sites,omitempty"`
+	// Disputed: of a claim, that another worker was content with the output.
+	Disputed bool `json:"disputed,omitempty"`
 }
 
 // Faults switches a rule off, for the tests that must notice.
--- a/internal/rerun/outputs.go
+++ b/internal/rerun/outputs.go
@@ -172,9 +172,10 @@
 	m.turn(o, nil)
 	m.s.Running--
 	if c.OK {
-		o.Gen, o.Of, o.At, o.Made, o.Result = t.Gen, t.Of, at, m.s.At, c.Text
+		o.Gen, o.Of, o.At, o.Made, o.Result, o.Approved = t.Gen, t.Of, at, m.s.At, c.Text, nil
 		if len(t.Of) > 0 && at.Worker != "" {
 			m.send(Letter{Kind: "content", To: "c/" + at.Worker, Text: t.Name})
+			m.approve(t, at.Worker)
 		}
 		for _, id := range slices.Sorted(maps.Keys(o.Users)) {
 			if o.Wants[id] == nil {
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -31,6 +31,7 @@
 	mostKept     = 1 << 15 // fingerprints, claimants
 	mostPlaces   = 8       // that are kept of where a stage came to nothing
 	mostSites    = 64      // of which one thing is said
+	mostApproved = 3       // of a shared output: one besides those of the run and of the worker that claim that it is bad
 	oftenFrom    = 2       // times that it is said of a site, until others are taken if there are any
 	keepEnded    = time.Hour
 	keepOutput   = 24 * time.Hour // without anybody who uses it
@@ -151,6 +152,9 @@
 // family is a fingerprint without its place.
 func family(print string) string { return print[:max(0, strings.LastIndexByte(print, '/'))] }
 
+// shared tells whether the key of an output is of one that several runs use.
+func shared(key string) bool { return strings.HasPrefix(key, "s/") }
+
 // GroupOfRun is the group of a run of a pipeline.
 func GroupOfRun(id string, groups uint32) uint32 { return replica.GroupOf("r/"+id, groups) }
 
