Pipelines: keep second opinions from sites that spoil what the stage makes

What callers saw: where one worker calls every input bad, renditions were made three times: there, for a second opinion at the site that spoils all, and again.

Cause: a second opinion was told of the sites that spoil the input it looks at, and of none that spoil what its own stage makes.

TestSecondOpinionsAreKeptFromSitesThatSpoil failed before.

Change: a stage that runs again by itself asks first of which sites its outputs are called bad often.

--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -34,6 +34,8 @@
 		m.print(l)
 	case "fine":
 		m.fine(l)
+	case "where":
+		m.send(Letter{Kind: "sites", To: "r/" + l.From, Stage: l.Stage, Sites: m.often(l.To)})
 	case "claim", "opinion", "content":
 		m.claimant(l)
 	case "ask", "give":
@@ -100,6 +102,15 @@
 	case "go":
 		if n := s.Next; n != nil && n.Phase == "trial" {
 			n.Sites = l.Sites
+			if n.Target != l.Stage {
+				m.rerun(r, l.Stage)
+				return
+			}
+			m.askSites(r, l.Stage)
+		}
+	case "sites":
+		if n := s.Next; n != nil && n.Phase == "sites" {
+			n.Sites = mergeSites(n.Sites, l.Sites)
 			m.rerun(r, l.Stage)
 		}
 	case "no":
--- a/internal/rerun/model.go
+++ b/internal/rerun/model.go
@@ -85,7 +85,7 @@
 	Cause  policy.Cause   `json:"cause"`
 	Failed policy.Place   `json:"failed"` // whom the rerun must not be at
 	Print  string         `json:"print"`
-	Phase  string         `json:"phase"` // claim, wait, trial
+	Phase  string         `json:"phase"` // claim, wait, trial, sites
 	At     time.Duration  `json:"at,omitempty"`
 	Claim  *Claim         `json:"claim,omitempty"`
 	By     policy.Place   `json:"by"`               // who claims
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -290,7 +290,7 @@
 	m.tell(r, -1, "%s: %s", a.Kind, cmp.Or(a.Reason, "all that it is for is made"))
 	for i, s := range r.Stages {
 		m.verdict(r, s, a.Kind == Done, a.Kind != Done && a.Kind != Dead)
-		if s.Next != nil && s.Next.Phase == "trial" {
+		if s.Next != nil && (s.Next.Phase == "trial" || s.Next.Phase == "sites") {
 			m.send(Letter{Kind: "verdict", To: s.Next.Print, From: trialOf(r, i), Text: "none"})
 		}
 		m.send(Letter{Kind: "leave", To: r.Key(i), From: r.ID})
@@ -342,6 +342,26 @@
 	m.send(Letter{Kind: "try", To: n.Print, From: r.ID, Stage: i, Key: r.Key(n.Target)})
 }
 
+// askSites has a stage that runs again by itself, or for a second opinion on an input, first be told of the sites that spoil what
+// it makes: where it came to nothing tells nothing of those.
+func (m *Machine) askSites(r *Run, i int) {
+	n := r.Stages[i].Next
+	if n.Phase = "sites"; n.Second {
+		n.Sites = nil // they spoil its input, which is not made anew
+	}
+	m.send(Letter{Kind: "where", To: fingerprint(r.Pipeline, r.p.Stages[i].Name, policy.BadInput, policy.Place{}), From: r.ID, Stage: i})
+}
+
+// mergeSites is all of both, once.
+func mergeSites(all, more []policy.Place) []policy.Place {
+	for _, site := range more {
+		if !slices.Contains(all, site) {
+			all = append(all, site)
+		}
+	}
+	return all
+}
+
 // rerun has the target of a rule, and what used its old output, be made anew.
 func (m *Machine) rerun(r *Run, i int) {
 	s := r.Stages[i]
--- a/internal/rerun/rerun_test.go
+++ b/internal/rerun/rerun_test.go
@@ -344,6 +344,51 @@
 	require.Equal(t, []int{0, 0}, []int{kept, sent}, "reruns kept from the one, sent to the other")
 }
 
+// Guards against a second opinion on a stage's input being had at a site that spoils what that stage makes, so that it is made again.
+func TestSecondOpinionsAreKeptFromSitesThatSpoil(t *testing.T) {
+	w := newWorld(t, 17, 4, 40)
+	w.policy(words("1", "100%", "60m", film("tenant:100%", 3, "")))
+	bad := policy.Place{Zone: "a", Site: "s0"}
+	kept, sent := 0, 0
+	w.outcome = func(w *world, g Go) Command {
+		id := strings.Split(g.Key, "/")[1]
+		switch stageOf(g.Key) {
+		case "encode":
+			if g.First && w.rng.IntN(3) == 0 { // a lie
+				return Command{Cause: policy.BadInput, Input: "ingest", Place: worker(99, "s3", "b")}
+			}
+			site := "s1"
+			switch second := w.run(id).Stages[1].Doubt != nil; {
+			case second && slices.Contains(g.Doubt, bad):
+				kept++
+			case second:
+				sent++
+				site = "s0"
+			case g.First:
+				site = []string{"s0", "s1", "s2"}[w.rng.IntN(3)]
+			}
+			return Command{OK: true, Place: worker(w.rng.IntN(20), site, "a")}
+		case "package":
+			if w.ms[GroupOfRun(id, 4)].s.Outputs[g.Inputs[0]].At.Site == "s0" {
+				return Command{Cause: policy.BadInput, Input: "encode", Place: worker(w.rng.IntN(90), "s2", "b")}
+			}
+		}
+		return Command{OK: true, Place: worker(w.rng.IntN(90), "s2", "b")}
+	}
+	for i := range 200 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": name(i)})
+		if i%20 == 19 {
+			w.finish(200_000)
+		}
+		if i == 39 { // by then it has been called bad often
+			kept, sent = 0, 0
+		}
+	}
+	require.Equal(t, map[Kind]int{Done: 200}, w.ends(200, name))
+	require.Greater(t, kept, 20)
+	require.Zero(t, sent, "of %d", kept+sent)
+}
+
 // A site comes back with its outputs lost: reruns for it go by a trial first and then by what it takes.
 func TestLostOutputsArePaced(t *testing.T) {
 	w := newWorld(t, 6, 4, 1000)
