Give a promised job's encoder five times as long to confirm it

Cause: an unconfirmed attempt is taken back after half of its class's aim, as its client has no use of it after that. A promised job is waited for until its own deadline, but was given up after 100 ms of an aim of 200 ms; both ran.

TestPatientJobsAreConfirmedLater failed before: 60 ms, 260 wanted.

Change: a patient request has five times as long.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,7 +56,8 @@
 	widen         = 4.0     // by so many keepers for each aim that they have waited
 	longRun       = 1.5     // of the usual job's, from which on a job goes anywhere
 	keptSlots     = 2.0     // of each of its keepers that the jobs of a key fill
-	confirmPart   = 2       // part of its aim for which a job may lack its worker's confirmation
+	confirmPart   = 2       // part of its aim for which a job may lack its worker's confirmation,
+	confirmTimes  = 5       // times as long where it is waited for until its deadline
 	idleDouble    = 4       // windows of the rule on cold workers in which trust in idle connections doubles
 	recheck       = 8       // one in so many repeatable jobs still tries an old connection
 	moveShare     = 0.01    // of the requests, that are moved from where they queue: they may run twice
@@ -976,12 +977,11 @@
 		}
 		if r.held && d.now >= r.limit && !r.late { // once: it is not held anew at each sweep
 			r.held, r.late = false, true
-			if w := d.lastResort(r); w != nil && d.send(r, w) {
-				continue
-			}
-			if r.c.LateWorth > 0 || r.Patient {
+			switch w := d.lastResort(r); {
+			case w != nil && d.send(r, w):
+			case r.c.LateWorth > 0 || r.Patient:
 				d.hold(r, false)
-			} else {
+			default:
 				d.answer(r)
 			}
 		}
@@ -1002,7 +1002,7 @@
 		}
 		// Confirmations come at once or never: then the connection has gone silent, whatever else its worker
 		// does. What can be repeated goes elsewhere; this says nothing of the worker.
-		unconfirmed := d.confirms && !a.taken && !a.started && d.now-a.sent-d.late > r.c.Aim/confirmPart+d.setup()
+		unconfirmed := d.confirms && !a.taken && !a.started && d.now-a.sent-d.late > r.confirmWithin()+d.setup()
 		if unconfirmed && !a.fresh && a.w.lived > a.sent {
 			d.silent = d.now + d.s.Limits.ConnIdle // others of its time may be silent too
 		}
--- a/decide/further_test.go
+++ b/decide/further_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // TestGivenUpAtOnce: each way of giving up a request is answered in the turn in which it is
@@ -352,6 +354,28 @@
 	}
 }
 
+// TestPatientJobsAreConfirmedLater guards against a promised job that is sent to a second worker, and so runs twice, only because
+// the first took over half of its class's aim to confirm it.
+func TestPatientJobsAreConfirmedLater(t *testing.T) {
+	for patient, within := range map[bool]time.Duration{false: 60 * ms, true: 260 * ms} { // past half of the aim of 100 ms, and five times that
+		w := fleet(t, site(1, false, false, false), 3)
+		w.d.confirms = true
+		j := w.arrive(0, time.Second)
+		j.Patient = patient
+		w.handle(j.Request)
+		began := w.now
+		for takenBack := false; !takenBack; {
+			w.now += 10 * ms
+			for _, a := range w.handle(Wake{}) {
+				_, is := a.(Cancel)
+				takenBack = takenBack || is
+			}
+			require.LessOrEqual(t, w.now-began, within, "patient %v", patient)
+		}
+		require.Equal(t, within, w.now-began, "patient %v", patient)
+	}
+}
+
 // TestUnsentFirstAttemptsLeaveTheBudgetOfOthers guards against a first attempt that was never sent and takes another request's
 // further attempt out of the budget, so that one more than allowed could go out.
 func TestUnsentFirstAttemptsLeaveTheBudgetOfOthers(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -481,6 +481,14 @@
 	return time.Duration(max(0, r.c.Stretch-1) * float64(r.c.typical()))
 }
 
+// confirmWithin is how long a request's attempt may lack its worker's confirmation.
+func (r *request) confirmWithin() time.Duration {
+	if r.Patient {
+		return confirmTimes * r.c.Aim / confirmPart
+	}
+	return r.c.Aim / confirmPart
+}
+
 // size is what a worker runs at once: as learned, or as large as the fleet must be for what the tenants have agreed.
 // A dispatcher of many sees too little of any worker to learn it; of a few jobs, one long one says too much.
 func (d *Dispatcher) size(w *worker) float64 {
