Pipelines: ask whether others are content with an input when its rerun may go

Cause: whether another run was content with a shared input was asked when the claim came. The rerun then waited 6 s for its turn, while four other runs were content; nobody asked again.

TestContentThatComesAfterAClaimCounts failed before: the ingest made twice, once wanted.

Change: both looks, at other runs and at the run's own stages, are made once the rerun may go; the output answers by itself, claims no longer pass by it.

--- a/internal/rerun/claims.go
+++ b/internal/rerun/claims.go
@@ -175,15 +175,14 @@
 	}
 }
 
-// challenge has a shared output pass on a claim that it is bad, with whether another run's stage at another worker was content
-// with it. What the run itself knows of that it looks at by itself.
+// challenge has a shared output tell whether another run's stage, at another worker than the one that claims that it is bad, was
+// content with it. What the run itself knows of that it looks at by itself.
 func (m *Machine) challenge(l *Letter) {
-	o, claim := m.s.Outputs[l.To], *l
-	claim.Kind, claim.To = "claim", "c/"+l.At.Worker
-	claim.Disputed = o != nil && o.Gen == l.Gen && slices.ContainsFunc(o.Approved, func(a Approval) bool {
-		return a.Run != l.From && a.Worker != l.At.Worker
+	o := m.s.Outputs[l.To]
+	content := o != nil && o.Gen == l.Gen && slices.ContainsFunc(o.Approved, func(a Approval) bool {
+		return a.Run != l.From && a.Worker != l.Worker
 	})
-	m.send(claim)
+	m.send(Letter{Kind: "challenged", To: "r/" + l.From, Stage: l.Stage, OK: content})
 }
 
 // claimant has what is known of a worker's claims take a letter. The first ones are believed. While those are neither
@@ -196,7 +195,7 @@
 	if c == nil {
 		if l.Kind == "opinion" || len(m.s.Claimants) >= mostKept {
 			if l.Kind == "claim" {
-				m.send(Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, Disputed: l.Disputed})
+				m.send(Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true})
 			}
 			return
 		}
@@ -223,7 +222,7 @@
 		}
 		return
 	}
-	answer := Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, At: l.At, Disputed: l.Disputed}
+	answer := Letter{Kind: "believed", To: "r/" + l.From, Stage: l.Stage, OK: true, At: l.At}
 	if !l.OK {
 		c.Claims++
 	}
--- a/internal/rerun/explain.go
+++ b/internal/rerun/explain.go
@@ -32,6 +32,8 @@
 			all = append(all, fmt.Sprintf("%s: %v until %s is run again", name, max(0, n.At-m.s.At).Round(time.Millisecond), r.p.Stages[n.Target].Name))
 		case n != nil && n.Phase == "trial":
 			all = append(all, fmt.Sprintf("%s: the verdict of a rerun that went first, of %s", name, strings.TrimPrefix(n.Print, "f/")))
+		case n != nil && n.Phase == "challenge":
+			all = append(all, name+": whether others were content with its input")
 		case n != nil && n.Phase == "sites":
 			all = append(all, name+": which sites spoil what it makes")
 		case n != nil:
--- a/internal/rerun/hard_test.go
+++ b/internal/rerun/hard_test.go
@@ -146,6 +146,30 @@
 	}
 }
 
+// Guards against a shared input being made anew on a claim that another run's worker spoke against while the claim was looked at.
+func TestContentThatComesAfterAClaimCounts(t *testing.T) {
+	w := newWorld(t, 23, 4, 100)
+	w.policy(words("1", "100%", "60m", film("fleet", 3, "")))
+	w.takes = func(_ *world, g Go) time.Duration {
+		if g.Key == "r/r0/encode" {
+			return g.Work/2 + 400*time.Millisecond // the claim's rerun waits half a second at least
+		}
+		return g.Work / 2
+	}
+	w.outcome = func(_ *world, g Go) Command {
+		if g.Key == "r/r1/encode" && g.Gen == 1 {
+			return Command{Cause: policy.BadInput, Input: "ingest", Place: worker(8, "s3", "b")}
+		}
+		return Command{OK: true, Place: worker(int(g.Gen), fmt.Sprint("s", g.Gen), "a")}
+	}
+	for i := range 2 {
+		w.submit(name(i), "film", "t", map[string]string{"asset": "one"})
+	}
+	w.finish(2000)
+	require.Equal(t, map[Kind]int{Done: 2}, w.ends(2, name))
+	require.Len(t, w.started["s/film/ingest/one"], 1, "%v", w.run("r1").Story)
+}
+
 // What is being made again loses its own input meanwhile, or is lost as soon as it is there.
 func TestLostWhileItIsMadeAgain(t *testing.T) {
 	w, r := inDiamond(t, func(g Go) Command {
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -102,11 +102,16 @@
 	case "go":
 		if n := s.Next; n != nil && n.Phase == "trial" {
 			n.Sites = l.Sites
-			if n.Target != l.Stage {
-				m.rerun(r, l.Stage)
+			m.decide(r, l.Stage)
+		}
+	case "challenged":
+		if n := s.Next; n != nil && n.Phase == "challenge" {
+			if l.OK {
+				m.askAnother(r, l.Stage, anotherWasContent)
+				m.askSites(r, l.Stage)
 				return
 			}
-			m.askSites(r, l.Stage)
+			m.rerun(r, l.Stage)
 		}
 	case "sites":
 		if n := s.Next; n != nil && n.Phase == "sites" {
@@ -121,7 +126,6 @@
 	case "believed":
 		if n := s.Next; n != nil && n.Phase == "claim" {
 			m.verdict(r, s, false, !l.OK)
-			n.Disputed = l.Disputed
 			if !l.OK {
 				m.askAnother(r, l.Stage, l.Text)
 			}
@@ -271,16 +275,14 @@
 	s.Next = n
 	if l.Cause == policy.BadInput && l.At.Worker != "" {
 		n.Phase, n.Claim, n.By, n.Sure = "claim", &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}, l.At, confirms
-		claim := Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms}
-		if shared(claim.Key) { // the output passes it on, with what it knows
-			claim.Kind, claim.To = "challenge", claim.Key
-		}
-		m.send(claim)
+		m.send(Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms})
 		return
 	}
 	m.wait(r, l.Stage)
 }
 
+const anotherWasContent = "another worker was content with its input"
+
 // askAnother has the stage itself run at another worker first, for a second opinion on a claim.
 func (m *Machine) askAnother(r *Run, i int, why string) {
 	s := r.Stages[i]
@@ -289,17 +291,37 @@
 	m.tell(r, n.Rule, "%s: %s; another worker is asked first", why, r.p.Stages[i].Name)
 }
 
-// disputed tells whether a stage's claim that an input is bad has another stage against it, of this run or of another one that
-// shares the input, which another worker has made of the same generation and was content. It is not while it is the last use of
-// its rule: a second opinion is one.
-func (r *Run) disputed(i int) bool {
+// decide goes on with a stage's rerun that may go now. A claim that an input is bad has waited: what others found meanwhile counts.
+func (m *Machine) decide(r *Run, i int) {
 	n := r.Stages[i].Next
-	if n.Claim == nil || n.Second || n.Sure || n.By.Worker == "" || r.Uses[n.Rule] >= r.p.Rules[n.Rule].Most {
-		return false
+	if r.disputed(i) {
+		m.askAnother(r, i, anotherWasContent)
+	}
+	switch {
+	case n.Target == i:
+		m.askSites(r, i)
+	case r.disputable(i) && shared(n.Claim.Key):
+		n.Phase = "challenge"
+		m.send(Letter{Kind: "challenge", To: n.Claim.Key, From: r.ID, Stage: i, Gen: n.Claim.Gen, Worker: n.By.Worker})
+	default:
+		m.rerun(r, i)
 	}
-	if n.Disputed {
-		return true
+}
+
+// disputable tells whether a stage's claim that an input is bad would have a second worker look first, if another was content with
+// that. The last use of its rule has not: a second opinion is one.
+func (r *Run) disputable(i int) bool {
+	n := r.Stages[i].Next
+	return n.Claim != nil && !n.Second && !n.Sure && n.By.Worker != "" && r.Uses[n.Rule] < r.p.Rules[n.Rule].Most
+}
+
+// disputed tells whether a stage's claim that an input is bad has another stage of the run against it, which another worker
+// has made of the same generation and was content.
+func (r *Run) disputed(i int) bool {
+	if !r.disputable(i) {
+		return false
 	}
+	n := r.Stages[i].Next
 	for k, stage := range r.p.Stages {
 		other := r.Stages[k]
 		if k == i || !r.valid(k) || other.At.Worker == n.By.Worker {
--- a/internal/rerun/model.go
+++ b/internal/rerun/model.go
@@ -85,15 +85,13 @@
 	Cause  policy.Cause   `json:"cause"`
 	Failed policy.Place   `json:"failed"` // whom the rerun must not be at
 	Print  string         `json:"print"`
-	Phase  string         `json:"phase"` // claim, wait, trial, sites
+	Phase  string         `json:"phase"` // claim, wait, trial, challenge, sites
 	At     time.Duration  `json:"at,omitempty"`
 	Claim  *Claim         `json:"claim,omitempty"`
 	By     policy.Place   `json:"by"`               // who claims
 	Sure   bool           `json:"sure,omitempty"`   // two workers claim it
 	Second bool           `json:"second,omitempty"` // the stage itself runs elsewhere first: is its claim true?
 	Sites  []policy.Place `json:"sites,omitempty"`  // that the fingerprint told are bad
-	// Disputed: another run's worker was content with the output that is claimed to be bad.
-	Disputed bool `json:"disputed,omitempty"`
 }
 
 // Tried is a trial, or a place in its wake, whose verdict this stage's next end is.
@@ -259,8 +257,6 @@
 	Want   *Want          `json:"want,omitempty"`
 	Worker string         `json:"worker,omitempty"`
 	Sites  []policy.Place `json:"sites,omitempty"`
-	// Disputed: of a claim, that another worker was content with the output.
-	Disputed bool `json:"disputed,omitempty"`
 }
 
 // Faults switches a rule off, for the tests that must notice.
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -290,7 +290,7 @@
 	m.tell(r, -1, "%s: %s", a.Kind, cmp.Or(a.Reason, "all that it is for is made"))
 	for i, s := range r.Stages {
 		m.verdict(r, s, a.Kind == Done, a.Kind != Done && a.Kind != Dead)
-		if s.Next != nil && (s.Next.Phase == "trial" || s.Next.Phase == "sites") {
+		if s.Next != nil && slices.Contains([]string{"trial", "challenge", "sites"}, s.Next.Phase) {
 			m.send(Letter{Kind: "verdict", To: s.Next.Print, From: trialOf(r, i), Text: "none"})
 		}
 		m.send(Letter{Kind: "leave", To: r.Key(i), From: r.ID})
@@ -336,7 +336,7 @@
 func (m *Machine) try(r *Run, i int) {
 	n := r.Stages[i].Next
 	if r.disputed(i) {
-		m.askAnother(r, i, "another worker was content with its input")
+		m.askAnother(r, i, anotherWasContent)
 	}
 	n.Phase = "trial"
 	m.send(Letter{Kind: "try", To: n.Print, From: r.ID, Stage: i, Key: r.Key(n.Target)})
