--- a/internal/rerun/explain.go
+++ b/internal/rerun/explain.go
@@ -28,13 +28,13 @@
 	for i, s := range r.Stages {
 		name := r.p.Stages[i].Name
 		switch n := s.Next; {
-		case n != nil && n.Phase == "wait":
+		case n != nil && n.Phase == Pausing:
 			all = append(all, fmt.Sprintf("%s: %v until %s is run again", name, max(0, n.At-m.s.At).Round(time.Millisecond), r.p.Stages[n.Target].Name))
-		case n != nil && n.Phase == "trial":
+		case n != nil && n.Phase == OnTrial:
 			all = append(all, fmt.Sprintf("%s: the verdict of a rerun that went first, of %s", name, strings.TrimPrefix(n.Print, "f/")))
-		case n != nil && n.Phase == "challenge":
+		case n != nil && n.Phase == Challenging:
 			all = append(all, name+": whether others were content with its input")
-		case n != nil && n.Phase == "sites":
+		case n != nil && n.Phase == AskingSites:
 			all = append(all, name+": which sites spoil what it makes")
 		case n != nil:
 			all = append(all, fmt.Sprintf("%s: whether its worker is believed", name))
--- a/internal/rerun/letters.go
+++ b/internal/rerun/letters.go
@@ -100,12 +100,12 @@
 		s.Runs++
 		m.failed(r, l)
 	case "go":
-		if n := s.Next; n != nil && n.Phase == "trial" {
+		if n := s.Next; n != nil && n.Phase == OnTrial {
 			n.Sites = l.Sites
 			m.decide(r, l.Stage)
 		}
 	case "challenged":
-		if n := s.Next; n != nil && n.Phase == "challenge" {
+		if n := s.Next; n != nil && n.Phase == Challenging {
 			if l.OK {
 				m.askAnother(r, l.Stage, anotherWasContent)
 				m.askSites(r, l.Stage)
@@ -114,17 +114,17 @@
 			m.rerun(r, l.Stage)
 		}
 	case "sites":
-		if n := s.Next; n != nil && n.Phase == "sites" {
+		if n := s.Next; n != nil && n.Phase == AskingSites {
 			n.Sites = mergeSites(n.Sites, l.Sites)
 			m.rerun(r, l.Stage)
 		}
 	case "no":
-		if n := s.Next; n != nil && n.Phase == "trial" {
+		if n := s.Next; n != nil && n.Phase == OnTrial {
 			n.Phase = ""
 			m.give(r, l.Stage, n, "reruns for this stage, cause and place were tried and came to nothing")
 		}
 	case "believed":
-		if n := s.Next; n != nil && n.Phase == "claim" {
+		if n := s.Next; n != nil && n.Phase == Claiming {
 			m.verdict(r, s, false, !l.OK)
 			if !l.OK {
 				m.askAnother(r, l.Stage, l.Text)
@@ -274,7 +274,7 @@
 	r.Uses[k]++
 	s.Next = n
 	if l.Cause == policy.BadInput && l.At.Worker != "" {
-		n.Phase, n.Claim, n.By, n.Sure = "claim", &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}, l.At, confirms
+		n.Phase, n.Claim, n.By, n.Sure = Claiming, &Claim{l.At.Worker, r.Key(input), r.Stages[input].Have}, l.At, confirms
 		m.send(Letter{Kind: "claim", To: "c/" + l.At.Worker, From: r.ID, Stage: l.Stage, Key: n.Claim.Key, Gen: n.Claim.Gen, At: l.At, Text: stage.Name, OK: confirms})
 		return
 	}
@@ -301,7 +301,7 @@
 	case n.Target == i:
 		m.askSites(r, i)
 	case r.disputable(i) && shared(n.Claim.Key):
-		n.Phase = "challenge"
+		n.Phase = Challenging
 		m.send(Letter{Kind: "challenge", To: n.Claim.Key, From: r.ID, Stage: i, Gen: n.Claim.Gen, Worker: n.By.Worker})
 	default:
 		m.rerun(r, i)
--- a/internal/rerun/model.go
+++ b/internal/rerun/model.go
@@ -85,7 +85,7 @@
 	Cause  policy.Cause   `json:"cause"`
 	Failed policy.Place   `json:"failed"` // whom the rerun must not be at
 	Print  string         `json:"print"`
-	Phase  string         `json:"phase"` // claim, wait, trial, challenge, sites
+	Phase  NextPhase      `json:"phase"`
 	At     time.Duration  `json:"at,omitempty"`
 	Claim  *Claim         `json:"claim,omitempty"`
 	By     policy.Place   `json:"by"`               // who claims
@@ -94,6 +94,21 @@
 	Sites  []policy.Place `json:"sites,omitempty"`  // that the fingerprint told are bad
 }
 
+// NextPhase is how far a rerun is on its way to be asked for.
+type NextPhase string
+
+// The phases of a rerun, in their order.
+const (
+	Claiming    NextPhase = "claim"     // whether the worker that calls an input bad is believed
+	Pausing     NextPhase = "wait"      // its rule's time
+	OnTrial     NextPhase = "trial"     // the verdicts of reruns that went first
+	Challenging NextPhase = "challenge" // whether other runs were content with the input
+	AskingSites NextPhase = "sites"     // which sites spoil what the stage makes
+)
+
+// onTrial tells whether a fingerprint knows of the rerun, as one that waits there or that it has let go.
+func (p NextPhase) onTrial() bool { return p == OnTrial || p == Challenging || p == AskingSites }
+
 // Tried is a trial, or a place in its wake, whose verdict this stage's next end is.
 type Tried struct {
 	Print string `json:"print"`
--- a/internal/rerun/rerun.go
+++ b/internal/rerun/rerun.go
@@ -290,7 +290,7 @@
 	m.tell(r, -1, "%s: %s", a.Kind, cmp.Or(a.Reason, "all that it is for is made"))
 	for i, s := range r.Stages {
 		m.verdict(r, s, a.Kind == Done, a.Kind != Done && a.Kind != Dead)
-		if s.Next != nil && slices.Contains([]string{"trial", "challenge", "sites"}, s.Next.Phase) {
+		if s.Next != nil && s.Next.Phase.onTrial() {
 			m.send(Letter{Kind: "verdict", To: s.Next.Print, From: trialOf(r, i), Text: "none"})
 		}
 		m.send(Letter{Kind: "leave", To: r.Key(i), From: r.ID})
@@ -322,7 +322,7 @@
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%s/%d/%d", r.ID, i, r.Uses[n.Rule])
 	after = after/2 + time.Duration(mix(h.Sum64())%uint64(after/2+1))
-	n.Phase, n.At = "wait", m.s.At+after
+	n.Phase, n.At = Pausing, m.s.At+after
 	m.wake(n.At, "wait", trialOf(r, i))
 }
 
@@ -338,7 +338,7 @@
 	if r.disputed(i) {
 		m.askAnother(r, i, anotherWasContent)
 	}
-	n.Phase = "trial"
+	n.Phase = OnTrial
 	m.send(Letter{Kind: "try", To: n.Print, From: r.ID, Stage: i, Key: r.Key(n.Target)})
 }
 
@@ -346,7 +346,7 @@
 // it makes: where it came to nothing tells nothing of those.
 func (m *Machine) askSites(r *Run, i int) {
 	n := r.Stages[i].Next
-	if n.Phase = "sites"; n.Second {
+	if n.Phase = AskingSites; n.Second {
 		n.Sites = nil // they spoil its input, which is not made anew
 	}
 	m.send(Letter{Kind: "where", To: fingerprint(r.Pipeline, r.p.Stages[i].Name, policy.BadInput, policy.Place{}), From: r.ID, Stage: i})
--- a/internal/rerun/schedule.go
+++ b/internal/rerun/schedule.go
@@ -70,7 +70,7 @@
 			i := 0
 			fmt.Sscan(number, &i)
 			if r := m.s.Runs[id]; r != nil && r.Answer == nil && i < len(r.Stages) {
-				if n := r.Stages[i].Next; n != nil && n.Phase == "wait" && n.At <= m.s.At {
+				if n := r.Stages[i].Next; n != nil && n.Phase == Pausing && n.At <= m.s.At {
 					m.try(r, i)
 				}
 			}
--- a/internal/rerun/snapshot.go
+++ b/internal/rerun/snapshot.go
@@ -45,7 +45,7 @@
 			next.wake(r.Answer.At+keepEnded, "ended", id)
 		}
 		for i, s := range r.Stages {
-			if s.Next != nil && s.Next.Phase == "wait" {
+			if s.Next != nil && s.Next.Phase == Pausing {
 				next.wake(s.Next.At, "wait", trialOf(r, i))
 			}
 		}
