Review, case 2: a keyed repeat goes out after its window when a connection is late

Cause: the window in which workers drop repeats is looked at where an attempt is decided, and not again before its first byte, after the dial.

Change: a script with stand-ins; nothing of the software.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*bench) int{
 	"returned": playReturned,
+	"window":   playWindow,
 }
 
 func main() {
