Review, case 3: the front gives one client another's answer after a late second answer

Cause: the front uses a server's connection again as soon as an answer has been read; a second answer some milliseconds late is taken for that to the next request.

Change: a script with stand-ins; nothing of the software.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*bench) int{
 	"returned": playReturned,
 	"window":   playWindow,
+	"front":    playFront,
 }
 
 func main() {
