--- a/review/standin/returned.go
+++ b/review/standin/returned.go
@@ -168,13 +168,6 @@
 	return e.runs[id]
 }
 
-// has reports whether the encoder has a job.
-func (e *encoder) has(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.holds[id]
-}
-
 // hasLost reports whether the answer to a call-back of the encoder was lost.
 func (e *encoder) hasLost() bool {
 	e.mu.Lock()
