Review: stand-ins use no customer's names

Cause: TestNoCustomerNamesInCode reads all Go files, those of the review too, and found a kind of one customer.

Change: kinds, zones and tenants of the stand-ins have neutral names.

--- a/review/standin/returned.go
+++ b/review/standin/returned.go
@@ -14,7 +14,7 @@
 
 // settingsOfReturned are those of the wire page's example but for: one dispatcher, one zone, one kind; late answers of
 // publish are worth something, as at the second operator's.
-const settingsOfReturned = `{"Balancers":1,"SlotNo":0,"Zone":0,"Zones":["inaquito"],"Skus":["gen4"],"GranularityUs":2000,"Discovery":"subscribe",
+const settingsOfReturned = `{"Balancers":1,"SlotNo":0,"Zone":0,"Zones":["a"],"Skus":["m2"],"GranularityUs":2000,"Discovery":"subscribe",
 "KindOfService":"jobs","Weights":"silent","WorthBy":"work","OverShareWorth":0.05,
 "Domain":{"ClassKind":[-1,-1],"ClassPriority":[0,1],"ClassStretch":[2.5,2.0],"ProgressUs":1000000,"QueueOrder":"fifo","TellsStart":true},
 "LoadReport":{"Fields":[],"Via":"silent"},"ObjectiveMix":{"Whole":0.4,"WorstClass":0.2,"WorstTenant":0.25,"WorstWindow":0.15},
@@ -25,7 +25,7 @@
 {"AimUs":500000,"DeadlineUs":5000000,"Effect":"free","KeyScope":"all","LateWorth":0,"MemorySpanUs":5000000,"Name":"preview","Points":1,"Stream":false},
 {"AimUs":2000000,"DeadlineUs":25000000,"Effect":"single_shot","KeyScope":"all","LateWorth":0.5,"MemorySpanUs":5000000,"Name":"publish","Points":5,"Stream":false}],
 "Rules":{"AnswerSlackUs":8000,"ColdFrom":0.14,"ColdUs":24000000,"DrainGraceUs":750000,"FallMultiple":3,"FallUs":1000000,"MustAskInUs":10000000},
-"Tenants":[{"Name":"u-litoral","QuotaPerS":20,"Share":1}],"Tiers":["encoders"],"Layer":0}`
+"Tenants":[{"Name":"acme","QuotaPerS":20,"Share":1}],"Tiers":["encoders"],"Layer":0}`
 
 const (
 	callTimeout  = 4 * time.Second        // of an encoder's call-back that is not answered; then it calls again
@@ -179,7 +179,7 @@
 func publish(b *bench, dispatcher, id string) (int, string) {
 	q, err := http.NewRequest("POST", "http://"+dispatcher+"/api", bytes.NewReader([]byte("lecture "+id)))
 	need(err)
-	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "publish", "X-Account": "u-litoral", "X-Time-Left": "25000m"} {
+	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "publish", "X-Account": "acme", "X-Time-Left": "25000m"} {
 		q.Header.Set(k, v)
 	}
 	b.note("client: sends %s", id)
@@ -201,7 +201,7 @@
 	encoders := []*encoder{newEncoder(b, "s-00000001", dispatcher), newEncoder(b, "s-00000002", dispatcher)}
 	var members []member
 	for _, e := range encoders {
-		members = append(members, member{ID: e.id, HostPort: e.address, Locality: "inaquito", Flavor: "gen4", Phase: "in_service", Size: 1})
+		members = append(members, member{ID: e.id, HostPort: e.address, Locality: "a", Flavor: "m2", Phase: "in_service", Size: 1})
 	}
 	disc := listen(discovery(members))
 	known, err := json.Marshal(members)
--- a/review/standin/window.go
+++ b/review/standin/window.go
@@ -16,7 +16,7 @@
 )
 
 // settingsOfWindow are those of a deployment with a keyed class whose repeats all encoders drop for 1.5 s.
-const settingsOfWindow = `{"Balancers":1,"SlotNo":0,"Zone":0,"Zones":["purmerend"],"Skus":["snel-8"],"GranularityUs":2000,"Discovery":"subscribe",
+const settingsOfWindow = `{"Balancers":1,"SlotNo":0,"Zone":0,"Zones":["a"],"Skus":["m2"],"GranularityUs":2000,"Discovery":"subscribe",
 "KindOfService":"jobs","Weights":"silent","WorthBy":"work","OverShareWorth":0.05,
 "Domain":{"ClassKind":[-1],"ClassPriority":[0],"ClassStretch":[1.75],"ProgressUs":2000000,"QueueOrder":"backfill","TellsStart":true},
 "LoadReport":{"Fields":[],"Via":"silent"},"ObjectiveMix":{"Whole":0.4,"WorstClass":0.2,"WorstTenant":0.25,"WorstWindow":0.15},
@@ -26,7 +26,7 @@
 "RequestClasses":[
 {"AimUs":300000,"DeadlineUs":5000000,"Effect":"guarded","KeyScope":"all","LateWorth":0.5,"MemorySpanUs":1500000,"Name":"invoice","Points":10,"Stream":false}],
 "Rules":{"AnswerSlackUs":8000,"ColdFrom":0.14,"ColdUs":24000000,"DrainGraceUs":1500000,"FallMultiple":3,"FallUs":1000000,"MustAskInUs":10000000},
-"Tenants":[{"Name":"billing","QuotaPerS":20,"Share":1}],"Tiers":["workers"],"Layer":0}`
+"Tenants":[{"Name":"acme","QuotaPerS":20,"Share":1}],"Tiers":["workers"],"Layer":0}`
 
 const (
 	earlier    = "earlier-"              // keys of the invoices before begin with it
@@ -195,7 +195,7 @@
 		e := &worker{b: b, id: id, l: newLateListener(), dispatcher: dispatcher, memory: m, got: got}
 		go http.Serve(e.l, e)
 		workers[id] = e
-		members = append(members, member{ID: id, HostPort: e.l.Addr().String(), Locality: "purmerend", Flavor: "snel-8", Phase: "in_service", Size: 1})
+		members = append(members, member{ID: id, HostPort: e.l.Addr().String(), Locality: "a", Flavor: "m2", Phase: "in_service", Size: 1})
 	}
 	disc := listen(discovery(members))
 	known, err := json.Marshal(members)
@@ -210,7 +210,7 @@
 	send := func(id, key string) int {
 		q, err := http.NewRequest("POST", "http://"+dispatcher+"/api", bytes.NewReader([]byte("invoice")))
 		need(err)
-		for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "invoice", "X-Account": "billing", "X-Time-Left": "5000m", "Idempotency-Key": key} {
+		for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "invoice", "X-Account": "acme", "X-Time-Left": "5000m", "Idempotency-Key": key} {
 			q.Header.Set(k, v)
 		}
 		b.note("client: sends the invoice with key %s", key)
