A repeated call-back "returned" no longer ends a later attempt at its encoder

An encoder returned it unstarted, the answer to that call-back was lost, the publish was sent there again and ran; the repeated call-back was taken for the end of that second attempt, and a third one was sent.

Cause: a call-back names request and encoder, not the attempt. handleCallback assigned it to the attempt open at that encoder. Ruled out: the module, which is right to send again what was returned.

Change: an attempt that has ended has what its instance may still report on it, also across a handover. A "returned" that may be about an earlier attempt there proves nothing of the open one: dropped if that is known to run, taken if it comes on the connection on which the earlier one was answered, else the module is told MaybeReturned. It cancels what may be repeated, and leaves any other open.

Why it works: only a report that can be about no other attempt now ends one as never run. Returned twice by one encoder on two connections, what must not run twice now waits for its deadline: the protocol cannot tell that from the repeat.

--- a/decide/api.go
+++ b/decide/api.go
@@ -310,6 +310,12 @@
 		Report       *Report
 		ConnIdle     time.Duration // how long its connection had been idle; 0: new, or not known
 	}
+	// MaybeReturned: the worker has returned the attempt without having started it, or has repeated that it returned an
+	// earlier attempt of the request; the two cannot be told apart.
+	MaybeReturned struct {
+		Request uint32
+		Attempt int
+	}
 	// RequestCancelled: the client has left, and expects no answer.
 	RequestCancelled struct{ Request uint32 }
 	// TimerFired: a timer set by a SetTimer has fired. Its Token is ignored.
@@ -353,6 +359,7 @@
 func (JobStarted) event()         {}
 func (JobProgress) event()        {}
 func (AttemptEnded) event()       {}
+func (MaybeReturned) event()      {}
 func (RequestCancelled) event()   {}
 func (TimerFired) event()         {}
 func (Probed) event()             {}
@@ -521,6 +528,8 @@
 			d.attemptReported(e.Request, e.Attempt, e)
 		case AttemptEnded:
 			d.attemptEnded(e)
+		case MaybeReturned:
+			d.maybeReturned(e)
 		case RequestCancelled:
 			if r := d.requests[e.Request]; r != nil {
 				d.closeRequest(r)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -827,15 +827,32 @@
 // prompt refusal counts against the whole worker, a slow one may concern the class only. This covers
 // throttling, quotas and wrong refusals.
 func (d *Dispatcher) workerRefused(r *request, a *attempt) {
-	refusal := &a.worker.classBars[r.Class]
-	refusal.Doublings = min(refusal.Doublings+1, maxFailures)
-	refusal.Until = d.now + d.backoff(r.class.Aim, refusal.Doublings)
+	d.barClass(a.worker, r.Class, r.class.Aim)
 	if d.now-a.sentAt-d.batchDelay <= d.startGrace(r, a) {
 		d.adjustAdmission(true)
 		d.recordFailure(a.worker)
 	}
 }
 
+// barClass bars a class from a worker for a time in proportion to its aim, each time for longer.
+func (d *Dispatcher) barClass(w *worker, class int, aim time.Duration) {
+	bar := &w.classBars[class]
+	bar.Doublings = min(bar.Doublings+1, maxFailures)
+	bar.Until = d.now + d.backoff(aim, bar.Doublings)
+}
+
+// maybeReturned handles a worker's report that may be about an attempt or repeat one about an earlier attempt. A
+// request that may be repeated is cancelled there, to be sent elsewhere. Any other stays: its attempt may be running, and
+// ends with its next report or its deadline.
+func (d *Dispatcher) maybeReturned(e MaybeReturned) {
+	r, a := d.openAttempt(e.Request, e.Attempt)
+	if a == nil || !d.settings.Limits.Cancel || !d.repeatable(r) {
+		return
+	}
+	d.barClass(a.worker, r.Class, r.class.Aim)
+	d.emit(Cancel{Request: e.Request, Attempt: e.Attempt})
+}
+
 // recordJobEnd records whether a job ended in an error. A class is barred from a worker for a while where its
 // errors come more often than at the others; requests that fail everywhere bar nothing, and other classes are
 // not affected. Once an error puts the worker's share of errors above the margin, unsafe jobs are barred from it
@@ -846,9 +863,7 @@
 	d.classes[class].errors.add(failed, 8*errorSamples)
 	d.errors.add(failed, 8*errorSamples)
 	if failed && w.classErrors[class].Share > d.classes[class].errors.Share+errorMargin {
-		refusal := &w.classBars[class]
-		refusal.Doublings = min(refusal.Doublings+1, maxFailures)
-		refusal.Until = d.now + d.backoff(d.classes[class].Aim, refusal.Doublings)
+		d.barClass(w, class, d.classes[class].Aim)
 	}
 	if w.errors.Share <= d.errors.Share+unsafeErrorMargin {
 		w.unsafeBarredUntil = 0
@@ -941,7 +956,12 @@
 // exhausted reports whether a request has no permitted attempt left, so that it is answered at once. One that
 // ended in errors at two workers would fail anywhere, and must not use up the budget of others.
 func (d *Dispatcher) exhausted(r *request) bool {
-	return r.sentAttempts() >= d.settings.Limits.MaxAttempts || r.errors > 1 || r.anyAttempt(func(a *attempt) bool {
+	return r.sentAttempts() >= d.settings.Limits.MaxAttempts || r.errors > 1 || !d.repeatable(r)
+}
+
+// repeatable reports whether a request's effect permits a further attempt after those that may have run.
+func (d *Dispatcher) repeatable(r *request) bool {
+	return !r.anyAttempt(func(a *attempt) bool {
 		return !a.neverRan && (r.class.Effect == Unsafe || r.class.Effect == Keyed && d.now-a.sentAt >= r.class.DedupWindow)
 	})
 }
--- a/internal/dispatch/callback.go
+++ b/internal/dispatch/callback.go
@@ -13,6 +13,8 @@
 	Result []byte         `json:"Result"`           // of a job that is done
 	Report *decide.Report `json:"Report,omitempty"` // of the instance, if the callback ends the attempt
 	Via    Origin         `json:"-"`
+	// Connection identifies the connection on which the instance reported Returned, in this process; 0: not known.
+	Connection uint64 `json:"-"`
 }
 
 // Origin is where a callback was received.
@@ -58,16 +60,18 @@
 	}
 	switch n.State {
 	case Started:
+		a.reportedRunning = true
 		l.queueEvent(decide.JobStarted{Request: a.request, Attempt: a.Index})
 		a.notifyStarted(true)
 	case Running:
+		a.reportedRunning = true
 		l.queueEvent(decide.JobProgress{Request: a.request, Attempt: a.Index, Share: n.Share})
 	case Done:
 		l.attemptServed(a, Answer{Verdict: Served, Result: n.Result})
 	case Errored:
 		l.endAttempt(a, decide.Errored)
 	case Returned:
-		l.endAttempt(a, decide.Full)
+		l.attemptReturned(a, n)
 	case Lost:
 		l.endAttempt(a, decide.Reset)
 	}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -14,6 +14,7 @@
 // Counters counts the outcomes of commands and attempts.
 type Counters struct {
 	Received, Cancelled, Sent, Probes, UnmatchedCallbacks atomic.Int64
+	ambiguousCallbacks                                    atomic.Int64 // that may report on either of two attempts at their instance
 	ConfigLoads, ConfigLoadErrors                         atomic.Int64 // configuration files accepted and rejected
 	written                                               atomic.Int64 // attempts sent completely
 	listed, avoided                                       atomic.Int64 // instances, as the decision module counts them
@@ -154,6 +155,7 @@
 	}
 	add("probes_sent", &b.Probes)
 	add("news_for_no_attempt", &b.UnmatchedCallbacks)
+	add("ambiguous_callbacks", &b.ambiguousCallbacks)
 	return all
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -121,6 +121,9 @@
 	ended             bool
 	accepted          bool          // by the instance
 	sentByOlder       bool          // sent by an older process, which reports its outcome
+	reportedRunning   bool          // the instance has reported its start or its progress
+	lateReports       lateReports   // once it has ended
+	returnedOn        uint64        // the connection on which the instance returned it; 0: not known
 	connIdle          time.Duration // as the fleet reported with the outcome
 	report            *decide.Report
 	gateState         gateState
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -74,6 +74,7 @@
 	Ended         bool      `json:"Over"`
 	Accepted      bool      `json:"Taken"`
 	CancelPending bool      `json:"Leaving"`
+	LateReports   int       `json:"LateReports"` // once it has ended; absent: any
 }
 
 // HandOver hands over all pending commands to another process by calling transfer from the loop. Afterwards this loop
@@ -115,7 +116,7 @@
 	payload, _ := json.Marshal(p.Payload) // plain data: encoding cannot fail
 	c := &HandoverCommand{Command: p.encodableCopy(), Payload: payload, Snapshot: r}
 	for _, a := range p.attempts {
-		c.Attempts = append(c.Attempts, HandoverAttempt{a.Instance, a.Deadline, a.ended, a.accepted, a.cancelUnconfirmed.Load()})
+		c.Attempts = append(c.Attempts, HandoverAttempt{a.Instance, a.Deadline, a.ended, a.accepted, a.cancelUnconfirmed.Load(), int(a.lateReports)})
 	}
 	return c
 }
@@ -202,7 +203,7 @@
 	for n, t := range c.Attempts {
 		a := &Attempt{
 			Command: p.Command, Instance: t.Instance, Index: n, Deadline: t.Deadline, request: p.request,
-			ended: t.Ended, accepted: t.Accepted, sentByOlder: !t.Ended && !t.Accepted,
+			ended: t.Ended, accepted: t.Accepted, sentByOlder: !t.Ended && !t.Accepted, lateReports: lateReports(t.LateReports),
 		}
 		p.attempts = append(p.attempts, a)
 		a.cancelUnconfirmed.Store(t.CancelPending) // for good: the older process does not forward the instance's confirmation
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -101,6 +101,7 @@
 	a.ended = true
 	p.outstanding--
 	o = l.settleGate(a, o)
+	a.lateReports = lateReportsAfter(o)
 	l.Counters.countOutcome(o)
 	l.queueEvent(decide.AttemptEnded{Request: a.request, Attempt: a.Index, Outcome: o, RequestEnded: p.answered, ConnIdle: a.connIdle, Report: a.report})
 	l.removeIfDone(p)
--- a/internal/net/clients/callback.go
+++ b/internal/net/clients/callback.go
@@ -27,6 +27,9 @@
 	}
 	cb := in.toDispatch(state)
 	cb.Report = c.server.reports.ParseObject(in.Load)
+	if state == dispatch.Returned {
+		cb.Connection = c.id
+	}
 	if !c.deliver(q, cb) || !c.server.core.PersistCallback(cb) {
 		return false
 	}
--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -33,6 +33,7 @@
 // conn is an accepted connection; run is its goroutine.
 type conn struct {
 	server    *Server
+	id        uint64 // unique in this process, from 1
 	nc        net.Conn
 	reader    *bufio.Reader
 	outBuf    []byte      // buffer for answers
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -78,6 +78,7 @@
 	timeouts     timeouts
 	slots        chan struct{} // one for each connection; bounds the file descriptors used here
 	connCounters *dispatch.Counters
+	lastConnID   atomic.Uint64
 
 	// callbacks is read-locked while a callback is passed to the core, and write-locked while the core hands over.
 	callbacks sync.RWMutex
@@ -209,6 +210,7 @@
 func (s *Server) startConn(nc net.Conn) { s.runConn(&conn{server: s, nc: nc, stateSince: time.Now()}) }
 
 func (s *Server) runConn(c *conn) {
+	c.id = s.lastConnID.Add(1)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
--- a/internal/program/callbacks_test.go
+++ b/internal/program/callbacks_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +112,27 @@
 	close(unblockSecond)
 	newer.Close()
 }
+
+// Guards against an encoder's repeated callback "returned", of which the answer was lost, ending the attempt that the
+// encoder has got since: the command then ran twice.
+func TestRepeatedReturnDoesNotEndLaterAttempt(t *testing.T) {
+	accepted := make(chan string, 9)
+	settings := strings.ReplaceAll(defaultSettings, `"AimUs":20000000`, `"AimUs":20000,"LateWorth":0.5`) // for a short pause between attempts
+	env := startWith(t, settings, "", func(env *testEnv, c net.Conn, q *http1.Request) bool {
+		accepted <- id(q)
+		return respond(c, 202)
+	})
+	<-env.watches
+	pending := env.dial()
+	env.sendCommand(pending, "c1", "once", "30000m")
+	for range 2 { // the second callback repeats the first, but comes when the encoder has the second attempt
+		require.Equal(t, "c1", <-accepted)
+		require.Equal(t, 204, env.callback("c1", "s-1", "returned", ""))
+	}
+	env.sendCommand(env.dial(), "c2", "safe", "30000m") // follows a third attempt of c1
+	next := <-accepted
+	require.Equal(t, "c2", next, "the command runs already, and was sent once more")
+	require.Equal(t, 204, env.callback("c1", "s-1", "done", "r"))
+	p := env.read(pending)
+	require.Equal(t, []any{200, "r"}, []any{p.Status, string(p.Body)})
+}
