A late "lost" or "failed" has the later attempt at its encoder cancelled

What callers would see: a safe or keyed request that was cancelled or timed out at an encoder and sent there again could be sent there a third time, or elsewhere, while the second attempt still was there.

Evidence: TestLateFailureOfCancelledAttempt failed before (nothing was cancelled, the instance was free for a third attempt).

Change: if an earlier attempt at that instance may be meant, the open one ends as before, may have run, and is cancelled there; mayBeAt keeps further attempts from the instance until that is confirmed.

Tests of internal/dispatch pass.

--- a/internal/dispatch/callback.go
+++ b/internal/dispatch/callback.go
@@ -69,11 +69,11 @@
 	case Done:
 		l.attemptServed(a, Answer{Verdict: Served, Result: n.Result})
 	case Errored:
-		l.endAttempt(a, decide.Errored)
+		l.attemptFailed(a, n, decide.Errored)
 	case Returned:
 		l.attemptReturned(a, n)
 	case Lost:
-		l.endAttempt(a, decide.Reset)
+		l.attemptFailed(a, n, decide.Reset)
 	}
 }
 
--- a/internal/dispatch/latereports.go
+++ b/internal/dispatch/latereports.go
@@ -72,3 +72,13 @@
 	l.Counters.ambiguousCallbacks.Add(1)
 	l.queueEvent(decide.MaybeReturned{Request: a.request, Attempt: a.Index})
 }
+
+// attemptFailed ends an attempt that its instance reports to have failed. Where an earlier attempt at that instance may
+// be meant, this one may still be there and is cancelled.
+func (l *Loop) attemptFailed(a *Attempt, n Callback, o decide.Outcome) {
+	if l.byRequest[a.request].mayReportOnEarlier(n, a) != noReport {
+		l.Counters.ambiguousCallbacks.Add(1)
+		l.cancelAtInstance(a)
+	}
+	l.endAttempt(a, o)
+}
--- a/internal/dispatch/latereports_test.go
+++ b/internal/dispatch/latereports_test.go
@@ -116,3 +116,19 @@
 		require.Equal(t, Served, c.answers[0].Verdict)
 	}
 }
+
+// Guards against a late callback on an attempt that was cancelled ending the next one at that instance, which still has
+// it and must not get a third.
+func TestLateFailureOfCancelledAttempt(t *testing.T) {
+	for _, state := range []JobState{Errored, Lost} {
+		l, f, _ := loopWithCommand(t)
+		l.cancelAttempt(decide.Cancel{Request: f.sent[0].request})
+		f.sent[0].CancelConfirmed()
+		l.startAttempt(decide.Send{Request: f.sent[0].request, Worker: l.workerID("s-1")}, time.Now())
+		require.Len(t, f.sent, 2)
+		l.HandleCallback(Callback{ID: "c1", From: "s-1", State: state})
+		l.runBatch()
+		require.Equal(t, f.sent, f.cancelled)
+		require.True(t, l.byID["c1"].mayBeAt("s-1", nil))
+	}
+}
