A keyed repeat is not written after the window in which its repeats are dropped

Cause: only the decision looked at the window; decide.Send and dispatch.Attempt did not say until when the attempt may be sent, so that after a dial, at a promised job's gate or before the last byte nothing could check it.

Change: Send.SendWithin is what is left of the window; the loop sets its end for all unsent attempts of the command. The pool ends the dial by then, checks it before the first byte, and has the write fail from then on. An attempt whose time is over before its first byte counts as not sent. Why it works: all bytes of all attempts of a request now lie within the window of the earliest that may have run.

The property test of the module checks the time against its own record of attempts.

--- a/decide/api.go
+++ b/decide/api.go
@@ -382,6 +382,9 @@
 		MaxIdle         time.Duration // a connection idle for longer must not be used; 0: no limit
 		NewConn         bool          // only a new connection may be used
 		Lease           uint64        // the lease that it uses; 0: none
+		// SendWithin is the time in which it, and all open attempts of the request, must have been sent completely:
+		// until the end of the deduplication window of a Keyed request of which an attempt may have run. 0: no limit.
+		SendWithin time.Duration
 	}
 	// Cancel cancels an attempt.
 	Cancel struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -633,7 +633,7 @@
 	newConn := r.class.Effect == Unsafe && d.now < d.silentUntil // on a connection that has gone silent it would be lost
 	d.predictConn(r, a, newConn)
 	lease := d.takeLease(r, w)
-	d.emit(Send{Request: r.ID, Worker: w.ID, MaxIdle: d.idleLimit(r.class.Effect), NewConn: newConn, Lease: lease})
+	d.emit(Send{Request: r.ID, Worker: w.ID, MaxIdle: d.idleLimit(r.class.Effect), NewConn: newConn, Lease: lease, SendWithin: d.dedupTimeLeft(r)})
 	if a.extra = r.sentAttempts() > 0; a.extra {
 		d.extraAttempts = append(d.extraAttempts, d.now)
 	}
@@ -650,6 +650,20 @@
 	return true
 }
 
+// dedupTimeLeft returns the time in which workers still drop repeats of a Keyed request; 0: no limit, as no attempt of
+// it may have run.
+func (d *Dispatcher) dedupTimeLeft(r *request) (left time.Duration) {
+	if r.class.Effect != Keyed {
+		return 0
+	}
+	for _, a := range r.attempts {
+		if rest := a.sentAt + r.class.DedupWindow - d.now; !a.neverRan && (left == 0 || rest < left) {
+			left = rest
+		}
+	}
+	return left
+}
+
 // predictConn predicts which connection an attempt will use. Idle connections may be dropped unnoticed, so
 // those idle for a time at which sends fail are closed first; now and then a repeatable job tries whether they
 // still fail.
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -140,6 +140,7 @@
 	if req.sent() >= h.s.Limits.MaxAttempts {
 		h.t.Fatalf("request %d: more attempts than allowed", a.Request)
 	}
+	sendWithin := time.Duration(0)
 	for i, att := range req.attempts {
 		if !att.over && !h.s.Limits.ParallelAttempts {
 			h.t.Fatalf("request %d: second copy, which the settings do not allow", a.Request)
@@ -149,6 +150,12 @@
 			risky && c.Effect == Keyed && (h.now-att.sent >= c.DedupWindow || att.worker.Zone != to.Zone) {
 			h.t.Fatalf("repeat rule: request %d repeated though attempt %d may have run", a.Request, i)
 		}
+		if left := att.sent + c.DedupWindow - h.now; risky && c.Effect == Keyed && (sendWithin == 0 || left < sendWithin) {
+			sendWithin = left
+		}
+	}
+	if a.SendWithin != sendWithin {
+		h.t.Fatalf("repeat rule: request %d may be sent within %v, want %v", a.Request, a.SendWithin, sendWithin)
 	}
 	if to.Started > 0 && h.now-to.Started < h.s.Rules.Cold {
 		// A loose bound: this dispatcher's half of the budget of a cold worker with 4 slots, in jobs of the
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,7 +36,8 @@
 	Client        Client        `json:"-"`
 	Gate          Gate          `json:"-"` // nil: attempts are sent without waiting; otherwise the command stays with this process
 
-	clientGone atomic.Bool // the client has disconnected; no further attempt may begin
+	clientGone atomic.Bool               // the client has disconnected; no further attempt may begin
+	sendBefore atomic.Pointer[time.Time] // no attempt may be sent later, since instances drop repeats only until then; nil: no limit
 }
 
 // encodableCopy returns a copy of the command's data without clientGone, which other goroutines set and which is
@@ -113,7 +114,7 @@
 	Deadline  time.Time
 	MaxIdle   time.Duration // longest permitted idle time of a reused connection; 0: no limit
 	NewConn   bool          // must use a new connection
-	SendUntil time.Time     // must not be sent later; zero: not bound by a lease
+	SendUntil time.Time     // the end of its lease; zero: not bound by a lease
 
 	// Private to the loop.
 	request           uint32
@@ -151,13 +152,25 @@
 	CloseIdle(instance string)
 }
 
+// SendBefore returns the time before which an attempt must have been sent completely: the end of its lease, or of the
+// time in which instances drop repeats of its command. The latter may be set or changed while the attempt waits.
+// Zero: no limit.
+func (a *Attempt) SendBefore() time.Time {
+	limit := a.Command.sendBefore.Load()
+	if limit == nil || !a.SendUntil.IsZero() && a.SendUntil.Before(*limit) {
+		return a.SendUntil
+	}
+	return *limit
+}
+
 // Expired reports whether an attempt must no longer be sent: its command has been answered (which may happen
 // while the attempt waits for a connection, even where cancellation is disabled), its client has disconnected,
-// or the lease that permits it has ended. A client counts as disconnected as soon as ClientGone is called or its
+// or the time before which it must be sent is over. A client counts as disconnected as soon as ClientGone is called or its
 // connection is seen to be closed, however far the loop is behind. The sender calls this as late as possible,
 // since the process may have been stopped for a while.
 func (a *Attempt) Expired(now time.Time) bool {
-	return a.obsolete.Load() || !a.SendUntil.IsZero() && !now.Before(a.SendUntil) || a.permitted != nil && !a.permitted() || a.Command.checkClientGone()
+	limit := a.SendBefore()
+	return a.obsolete.Load() || !limit.IsZero() && !now.Before(limit) || a.permitted != nil && !a.permitted() || a.Command.checkClientGone()
 }
 
 // Begin must be called before the first byte of an attempt is sent, and before the last check of Expired. If it
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -148,3 +148,23 @@
 		}
 	}
 }
+
+// Guards against an attempt passing its gate, or its first byte, after the time in which its command may be sent again.
+// That holds for an earlier attempt too that is still unsent.
+func TestAttemptExpiresWithTheTimeToSendIt(t *testing.T) {
+	l, f, _, g := loopWithGatedCommand(t)
+	first, now := g.requested[0], time.Now()
+	l.startAttempt(decide.Send{Request: first.request, Worker: l.workerID("s-3"), SendWithin: time.Minute}, now)
+	for _, a := range []*Attempt{first, g.requested[1]} {
+		l.AllowSend(a, func() bool { return true })
+		l.runBatch()
+		require.Contains(t, f.sent, a)
+		require.False(t, a.Expired(now.Add(time.Minute-1)))
+		require.True(t, a.Expired(now.Add(time.Minute)))
+	}
+	second := g.requested[1]
+	second.SendUntil = now.Add(time.Second)
+	require.Equal(t, second.SendUntil, second.SendBefore(), "the end of its lease is earlier")
+	l.startAttempt(decide.Send{Request: first.request, Worker: l.workerID("s-4")}, now)
+	require.False(t, first.Expired(now.Add(time.Minute)), "no earlier attempt has run")
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -26,6 +26,7 @@
 		delete(l.leases, s.Lease)
 		l.leaser.Spent(t)
 	}
+	p.limitSending(s.SendWithin, now)
 	p.attempts = append(p.attempts, a)
 	p.outstanding++
 	l.Counters.Sent.Add(1)
@@ -40,6 +41,16 @@
 	l.sendOrWait(a)
 }
 
+// limitSending sets the time in which all attempts of a command that are not sent yet must be sent; 0: no limit.
+func (c *Command) limitSending(within time.Duration, now time.Time) {
+	if within <= 0 {
+		c.sendBefore.Store(nil)
+		return
+	}
+	limit := now.Add(within)
+	c.sendBefore.Store(&limit)
+}
+
 // mayBeAt reports whether an instance may still have an earlier attempt of the command. A second attempt could
 // otherwise overtake the cancellation of the first.
 func (p *pendingCommand) mayBeAt(instance string, except *Attempt) bool {
--- a/internal/net/upstream/conn.go
+++ b/internal/net/upstream/conn.go
@@ -80,6 +80,7 @@
 	newWork              bool                 // new work: sent only to an encoder that is ready
 	connectUntilDeadline bool                 // the connect timeout does not apply, only the deadline
 	expired              func(time.Time) bool // reports whether it must no longer be sent; nil: never
+	sendBefore           func() time.Time     // returns the time before which it must be sent completely, zero if there is none; may be nil
 	begin                func() bool          // called right before sending, which it permits by returning true; nil: always permitted
 	onSent               func()               // called after the last byte has been written; may be nil
 	onDone               func(result)         // called exactly once, from the connection's goroutine
@@ -116,6 +117,23 @@
 // tooLate reports whether the deadline has passed for new work that has not been sent.
 func (x *exchange) tooLate() bool { return x.newWork && !time.Now().Before(x.deadline) }
 
+// sendLimit returns the time before which the exchange must be sent completely, or another time if that is earlier.
+func (x *exchange) sendLimit(other time.Time) time.Time {
+	if x.sendBefore == nil {
+		return other
+	}
+	if limit := x.sendBefore(); !limit.IsZero() && limit.Before(other) {
+		return limit
+	}
+	return other
+}
+
+// sendTimeOver reports whether the time is over in which the exchange must be sent.
+func (x *exchange) sendTimeOver() bool {
+	now := time.Now()
+	return !x.sendLimit(now.Add(1)).After(now)
+}
+
 // attach assigns the exchange to a connection. It returns false if the exchange has been aborted.
 func (x *exchange) attach(c net.Conn) bool {
 	x.mu.Lock()
@@ -223,6 +241,8 @@
 	switch {
 	case err == nil:
 		return result{}, true
+	case x.sendTimeOver(): // it cut the dial short, which says nothing about the encoder
+		return result{progress: notSent}, false
 	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 		return result{progress: notSent}, false // a shortage of descriptors in this process says nothing about the encoder
 	}
@@ -235,7 +255,7 @@
 	if x.connectUntilDeadline || x.deadline.Before(dialBy) {
 		dialBy = x.deadline
 	}
-	dialer := net.Dialer{Deadline: dialBy, KeepAlive: -1}
+	dialer := net.Dialer{Deadline: x.sendLimit(dialBy), KeepAlive: -1}
 	for {
 		nc, err := dialer.Dial("tcp", c.pool.dialAddress(c))
 		if err != nil {
@@ -267,7 +287,7 @@
 	if c.buf = request; cap(request) > http1.MaxLine { // reuse the buffer unless a large request made it grow
 		c.buf = nil
 	}
-	if c.nc.SetDeadline(deadline) != nil {
+	if c.nc.SetDeadline(deadline) != nil || c.nc.SetWriteDeadline(x.sendLimit(deadline)) != nil {
 		return result{progress: connectFailed}
 	}
 	// The list may have reported a drain or a new address since the attempt was decided, or while the connection was
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -216,7 +216,7 @@
 // Send starts an attempt.
 func (p *Pool) Send(a *dispatch.Attempt) {
 	q := a.Command.Payload.(*http1.Request)
-	x := &exchange{method: q.Method, target: q.Target, body: q.Body, correlationID: a.Command.ID, passedHeader: passThrough(q.Header), deadline: a.Deadline, maxIdle: a.MaxIdle, newConn: a.NewConn, newWork: true, begin: a.Begin, expired: a.Expired}
+	x := &exchange{method: q.Method, target: q.Target, body: q.Body, correlationID: a.Command.ID, passedHeader: passThrough(q.Header), deadline: a.Deadline, maxIdle: a.MaxIdle, newConn: a.NewConn, newWork: true, begin: a.Begin, expired: a.Expired, sendBefore: a.SendBefore}
 	x.onSent = func() { p.observer.AttemptSent(a) }
 	x.onDone = func(e result) {
 		p.mu.Lock()
