Where copies are not allowed, the next attempt waits for a cancellation under way

What would be seen: a second copy of a request at a site without parallel attempts. An attempt that an instance has accepted is cancelled, as a call-back may report on an earlier one there; the DELETE may need a new connection, and the next attempt overtakes it to another instance.

Cause: decided before a wait; only the same instance was kept from a further attempt until the cancellation is confirmed (mayBeAt). Evidence: TestNoCopyBeforeCancelIsConfirmed failed before (three sent, two wanted). Attempts that are not accepted are given up by closing the connection, at once, so these hold nothing back. An instance that calls back counts as having accepted, even if its 202 is still under way.

--- a/internal/dispatch/callback.go
+++ b/internal/dispatch/callback.go
@@ -55,6 +55,7 @@
 		}
 		return
 	}
+	a.accepted = true // even if its response is still under way
 	if n.Report != nil {
 		a.report = n.Report
 	}
--- a/internal/dispatch/latereports_test.go
+++ b/internal/dispatch/latereports_test.go
@@ -132,3 +132,23 @@
 		require.True(t, l.byID["c1"].mayBeAt("s-1", nil))
 	}
 }
+
+// Guards against a second copy where copies are not allowed: an attempt that ends by a callback on an earlier one may
+// still run, and its cancellation may take longer to reach its instance than the next attempt takes to reach another.
+func TestNoCopyBeforeCancelIsConfirmed(t *testing.T) {
+	for parallel, sent := range map[bool]int{false: 2, true: 3} {
+		l, f, _ := loopWithCommand(t)
+		l.settings.Limits.ParallelAttempts = parallel
+		l.cancelAttempt(decide.Cancel{Request: f.sent[0].request})
+		f.sent[0].CancelConfirmed()
+		l.startAttempt(decide.Send{Request: f.sent[0].request, Worker: l.workerID("s-1")}, time.Now())
+		l.HandleCallback(Callback{ID: "c1", From: "s-1", State: Lost})
+		l.runBatch()
+		toOther := decide.Send{Request: f.sent[0].request, Worker: l.workerID("s-2")}
+		l.startAttempt(toOther, time.Now())
+		require.Len(t, f.sent, sent)
+		f.sent[1].CancelConfirmed()
+		l.startAttempt(toOther, time.Now())
+		require.Len(t, f.sent, 3)
+	}
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"caperrelay/decide"
@@ -33,7 +34,7 @@
 	if p.clientGone.Load() { // the disconnect message is still queued
 		l.cancelCommand(p)
 	}
-	if p.answered || !a.Deadline.After(now) || p.mayBeAt(a.Instance, a) {
+	if p.answered || !a.Deadline.After(now) || p.mayBeAt(a.Instance, a) || !l.settings.Limits.ParallelAttempts && p.awaitsCancel() {
 		l.endAttempt(a, decide.NotSent)
 		return
 	}
@@ -62,6 +63,12 @@
 	return false
 }
 
+// awaitsCancel reports whether an instance that has accepted an attempt may not have been told yet that it is cancelled.
+// One that has not accepted it is told by the end of the connection, at once.
+func (p *pendingCommand) awaitsCancel() bool {
+	return slices.ContainsFunc(p.attempts, func(a *Attempt) bool { return a.ended && a.accepted && a.cancelUnconfirmed.Load() })
+}
+
 // expireAttempt ends an attempt that has had no result by its deadline.
 func (l *Loop) expireAttempt(a *Attempt) {
 	if !a.ended {
