The front asks again directly before the first byte whether a request may be sent

What would be seen: a request sent to a server although its client had left, or the server had left the pool, while the connection was being opened. Cause: decided before the dial and not asked again; the pool of the platform does. Cancelling covered the first only once the loop had heard of it. Evidence: TestNothingIsSentThatWasGivenUpDuringTheDial failed before (served, "not sent" wanted).

Tests of internal/net/plain pass.

--- a/internal/net/plain/servers.go
+++ b/internal/net/plain/servers.go
@@ -213,6 +213,10 @@
 			k.Close()
 		}
 	}()
+	if !s.maySend(a) { // asked last, since the dial may have taken long
+		reusable = s.putIdle(a.Instance, k)
+		return nil, decide.NotSent, 0
+	}
 	k.SetDeadline(a.Deadline)
 	defer context.AfterFunc(ctx, func() { k.SetDeadline(time.Unix(1, 0)) })()
 	head := append(http1.Header{{Name: "Host", Value: x.Host}}, x.Header...)
@@ -234,6 +238,16 @@
 	return p, decide.OK, age
 }
 
+// maySend reports whether an attempt may still be sent.
+func (s *Servers) maySend(a *dispatch.Attempt) bool {
+	if a.Expired(time.Now()) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addresses[a.Instance] != ""
+}
+
 // putIdle keeps a connection for reuse. It returns false if the member has enough idle ones or is gone.
 func (s *Servers) putIdle(id string, k *idleConn) bool {
 	s.mu.Lock()
