An attempt's time is told as it is after the record of it has been written

Cause: the request was encoded before the wait for the record.

Now the record comes first, then the request is encoded and everything else is checked.

--- a/internal/net/upstream/conn.go
+++ b/internal/net/upstream/conn.go
@@ -278,8 +278,10 @@
 }
 
 func (c *conn) roundTrip(x *exchange) result {
-	now := time.Now()
-	request := http1.AppendRequest(c.buf[:0], x.method, x.target, x.header(c.nc.RemoteAddr().String(), now), x.body)
+	if x.begin != nil && !x.begin() { // first, since it may take long
+		return result{progress: notSent}
+	}
+	request := http1.AppendRequest(c.buf[:0], x.method, x.target, x.header(c.nc.RemoteAddr().String(), time.Now()), x.body)
 	deadline := x.deadline
 	if x.newWork {
 		deadline = deadline.Add(graceTime)
@@ -292,7 +294,7 @@
 	}
 	// The list may have reported a drain or a new address since the attempt was decided, or while the connection was
 	// being opened. From the first byte on, the request counts as sent.
-	if x.begin != nil && !x.begin() || x.expired != nil && x.expired(time.Now()) || x.tooLate() || x.newWork && !c.pool.allowsNewWork(c) {
+	if x.expired != nil && x.expired(time.Now()) || x.tooLate() || x.newWork && !c.pool.allowsNewWork(c) {
 		return result{progress: notSent}
 	}
 	x.mu.Lock()
--- a/internal/net/upstream/window_test.go
+++ b/internal/net/upstream/window_test.go
@@ -111,3 +111,35 @@
 	_, err := http1.ReadRequest(c.br, nil)
 	require.Error(t, err, "the encoder has got all of it")
 }
+
+// Guards against telling an encoder more time than is left, and against sending after the time for it, where the record
+// of the attempt that is made before the first byte takes long.
+func TestTimeIsReadAfterTheRecordOfAnAttempt(t *testing.T) {
+	const recordTime = 300 * time.Millisecond
+	e := listen(t)
+	p, _ := newScriptedPool(t, e, 9)
+	send := func(sendTime time.Duration) chan result {
+		start := time.Now()
+		ended := make(chan result, 1)
+		p.start("s-1", &exchange{
+			method: "POST", target: "/api", correlationID: "c1", newWork: true, deadline: start.Add(testTimeout),
+			begin:      func() bool { <-time.After(recordTime); return true },
+			sendBefore: func() time.Time { return start.Add(sendTime) },
+			expired:    func(now time.Time) bool { return !now.Before(start.Add(sendTime)) },
+			onDone:     func(e result) { ended <- e },
+		})
+		return ended
+	}
+	ended := send(testTimeout)
+	c := e.accept()
+	left, err := time.ParseDuration(c.read().Header.Get("X-Time-Left") + "s") // "m" is the unit of milliseconds there
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, testTimeout-recordTime)
+	c.write(response202)
+	require.Equal(t, answered, receive(t, ended).progress)
+	awaitIdle(t, p, 1)
+	ended = send(recordTime / 2)
+	require.Equal(t, notSent, receive(t, ended).progress)
+	p.CloseIdle("s-1")
+	c.expectClosed()
+}
