What must not run twice is not sent on a connection used within the last 50 ms

What callers would see: the first late second response of an encoder, a 503 with X-Unprocessed, is read as the response to the next request on that connection, and what must not run twice is sent again though it was taken.

Cause: a response is that of the last request on its connection, and connections were let settle only once an encoder had shown a second response. Evidence: TestLateSecondResponseIsNotReadForSettledAttempt failed with the rule switched off (written on the connection just used).

Change: decide.Send.SettledConn for keyed and unsafe classes; the pool takes a connection idle for the settle time for these, or opens one. Safe ones are as before.

Tests of internal/net/upstream, dispatch and program pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -381,6 +381,7 @@
 		Timeout         time.Duration // always 0: none; the attempt may last until the client gives up
 		MaxIdle         time.Duration // a connection idle for longer must not be used; 0: no limit
 		NewConn         bool          // only a new connection may be used
+		SettledConn     bool          // no connection may be used on which a late response to its last request may still come
 		Lease           uint64        // the lease that it uses; 0: none
 		// SendWithin is the time in which it, and all open attempts of the request, must have been sent completely:
 		// until the end of the deduplication window of a Keyed request of which an attempt may have run. 0: no limit.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -633,7 +633,10 @@
 	newConn := r.class.Effect == Unsafe && d.now < d.silentUntil // on a connection that has gone silent it would be lost
 	d.predictConn(r, a, newConn)
 	lease := d.takeLease(r, w)
-	d.emit(Send{Request: r.ID, Worker: w.ID, MaxIdle: d.idleLimit(r.class.Effect), NewConn: newConn, Lease: lease, SendWithin: d.dedupTimeLeft(r)})
+	d.emit(Send{
+		Request: r.ID, Worker: w.ID, MaxIdle: d.idleLimit(r.class.Effect), NewConn: newConn, SettledConn: r.class.Effect != Safe,
+		Lease: lease, SendWithin: d.dedupTimeLeft(r),
+	})
 	if a.extra = r.sentAttempts() > 0; a.extra {
 		d.extraAttempts = append(d.extraAttempts, d.now)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -114,6 +114,7 @@
 	Deadline  time.Time
 	MaxIdle   time.Duration // longest permitted idle time of a reused connection; 0: no limit
 	NewConn   bool          // must use a new connection
+	Settled   bool          // must not use a connection on which a late response to its last request may still come
 	SendUntil time.Time     // the end of its lease; zero: not bound by a lease
 
 	// Private to the loop.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -15,7 +15,7 @@
 	}
 	a := &Attempt{
 		Command: p.Command, Instance: l.instanceIDs[s.Worker], Index: len(p.attempts), Deadline: p.Deadline,
-		MaxIdle: s.MaxIdle, NewConn: s.NewConn, request: s.Request,
+		MaxIdle: s.MaxIdle, NewConn: s.NewConn, Settled: s.SettledConn, request: s.Request,
 	}
 	if s.Timeout > 0 {
 		if t := now.Add(s.Timeout); t.Before(a.Deadline) {
--- a/internal/net/upstream/conn.go
+++ b/internal/net/upstream/conn.go
@@ -77,6 +77,7 @@
 	deadline             time.Time
 	maxIdle              time.Duration        // longest permitted idle time of the connection; 0: no limit
 	newConn              bool                 // must use a new connection
+	settled              bool                 // must not use a connection that has been idle for less than the settle time
 	newWork              bool                 // new work: sent only to an encoder that is ready
 	connectUntilDeadline bool                 // the connect timeout does not apply, only the deadline
 	expired              func(time.Time) bool // reports whether it must no longer be sent; nil: never
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -216,7 +216,7 @@
 // Send starts an attempt.
 func (p *Pool) Send(a *dispatch.Attempt) {
 	q := a.Command.Payload.(*http1.Request)
-	x := &exchange{method: q.Method, target: q.Target, body: q.Body, correlationID: a.Command.ID, passedHeader: passThrough(q.Header), deadline: a.Deadline, maxIdle: a.MaxIdle, newConn: a.NewConn, newWork: true, begin: a.Begin, expired: a.Expired, sendBefore: a.SendBefore}
+	x := &exchange{method: q.Method, target: q.Target, body: q.Body, correlationID: a.Command.ID, passedHeader: passThrough(q.Header), deadline: a.Deadline, maxIdle: a.MaxIdle, newConn: a.NewConn, settled: a.Settled, newWork: true, begin: a.Begin, expired: a.Expired, sendBefore: a.SendBefore}
 	x.onSent = func() { p.observer.AttemptSent(a) }
 	x.onDone = func(e result) {
 		p.mu.Lock()
@@ -375,8 +375,9 @@
 }
 
 // takeIdle removes and returns the idle connection to be used for an exchange, or nil if a new one is needed. It is
-// the most recently used one. If some encoder sends unsolicited data, it is the most recently used one that has been
-// idle for at least the settle time; if none has, the longest idle one, or nil if this encoder sent the data.
+// the most recently used one. If some encoder sends unsolicited data, or the exchange asks for a settled connection, it
+// is the most recently used one that has been idle for at least the settle time; if none has, the longest idle one, or nil
+// if this encoder sent the data or the exchange asks for it.
 func (ep *endpoint) takeIdle(x *exchange, settle time.Duration, unsolicited bool, now time.Time) *conn {
 	last := len(ep.idle) - 1
 	if last < 0 || x.newConn {
@@ -384,10 +385,10 @@
 	}
 	idleTime := func(i int) time.Duration { return now.Sub(ep.idle[i].idleSince) }
 	usable := func(i int) bool {
-		return (x.maxIdle == 0 || idleTime(i) <= x.maxIdle) && (idleTime(i) >= settle || !ep.sendsUnsolicited(now))
+		return (x.maxIdle == 0 || idleTime(i) <= x.maxIdle) && (idleTime(i) >= settle || !x.settled && !ep.sendsUnsolicited(now))
 	}
 	i := last
-	for unsolicited && i > 0 && idleTime(i) < settle {
+	for (unsolicited || x.settled) && i > 0 && idleTime(i) < settle {
 		i--
 	}
 	if !usable(i) { // it may have been idle for longer than maxIdle
--- a/internal/net/upstream/pool_test.go
+++ b/internal/net/upstream/pool_test.go
@@ -288,6 +288,24 @@
 	require.Empty(t, r.ended)
 }
 
+// Guards against the first late second response, which no encoder has shown before, being read as the response to a request
+// that must not run twice: as a refusal, after which that would be sent again.
+func TestLateSecondResponseIsNotReadForSettledAttempt(t *testing.T) {
+	e := listen(t)
+	p, r := newScriptedPool(t, e, 9)
+	p.settle = time.Minute
+	first := e.serveAttempt(p, r)
+	a := attempt("s-1")
+	a.Settled = true
+	p.Send(a)
+	c := e.accept()
+	c.read()
+	first.write("HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+	c.write(response202)
+	require.Equal(t, a, receive(t, r.accepted))
+	require.Empty(t, r.ended)
+}
+
 // The most recently used idle connection is taken; if some encoder sends unsolicited data, the most recently used one
 // that has settled.
 func TestSettledConnectionsArePreferred(t *testing.T) {
@@ -321,6 +339,14 @@
 		if tt.unsolicited == 0 && tt.maxIdle == 0 && len(ep.idle) > 0 {
 			quiet := &endpoint{idle: slices.Clone(ep.idle)}
 			require.Same(t, ep.idle[len(ep.idle)-1], quiet.takeIdle(&exchange{correlationID: "c1"}, settle, false, now))
+			careful := &endpoint{idle: slices.Clone(ep.idle)}
+			var settled *conn
+			for i, d := range tt.idle {
+				if d >= settle {
+					settled = ep.idle[i]
+				}
+			}
+			require.Same(t, settled, careful.takeIdle(&exchange{correlationID: "c1", settled: true}, settle, false, now))
 		}
 		// The same applies to a cancellation or a probe, which has no correlation ID: a late response would be taken
 		// for its own.
