--- a/decide/api.go
+++ b/decide/api.go
@@ -2,7 +2,7 @@
 // Policies. It does no input or output and reads no clock: the caller passes events and the time to
 // [Dispatcher.Handle] and carries out the actions that it returns.
 //
-// This file has the package's interface; most decisions are in decide.go and placement.go.
+// This file has the package's interface; most decisions are in decide.go, placement.go and retry.go.
 package decide
 
 import (
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,4 @@
-// Most decisions are made in this file and placement.go; lease.go, reservations.go, peers.go, subscribe.go and
+// Most decisions are made in this file, placement.go and retry.go; lease.go, reservations.go, peers.go, subscribe.go and
 // gated.go have those of their subject. Settings, events and actions are in api.go, the state is in state.go, and what
 // is learned from events in estimate.go.
 
@@ -556,39 +556,18 @@
 // dispatchers share their load.
 func (d *Dispatcher) hasUnseenLoad() bool { return !d.settings.ReportsStart && d.peerGroups() > 1 }
 
-// sendForbidden reports whether a request must not be sent to any worker: by its limit on attempts, its deadline, the
-// limit on parallel attempts or the budget of further ones.
-func (d *Dispatcher) sendForbidden(r *request) bool {
-	return r.done || r.streaming || r.sentAttempts() >= d.settings.Limits.MaxAttempts || d.now >= r.deadline ||
-		r.outstanding > 0 && !d.settings.Limits.ParallelAttempts || r.sentAttempts() > 0 && !d.withinBudget()
-}
-
 // forbidden reports whether the rules on sending forbid an attempt. Every attempt is checked by it.
 func (d *Dispatcher) forbidden(r *request, w *worker) bool {
 	if d.sendForbidden(r) || !w.ready() || d.blockedByReservations(r, w) { // no new job at a draining, gone or cordoned worker
 		return true
 	}
-	for _, a := range r.attempts { // an earlier attempt that may have run limits repeats by the class's effect
-		if a.neverRan || r.class.Effect == Safe {
-			continue
-		}
-		if r.class.Effect == Unsafe || d.now-a.sentAt >= r.class.DedupWindow ||
-			r.class.Scope == ScopeZone && a.worker.Zone != w.Zone || r.class.Scope == ScopeCell && a.worker.Cell != w.Cell {
-			return true
-		}
+	if !d.repeatable(r) || r.anyAttempt(func(a *attempt) bool { return !a.neverRan && outsideDedupGroup(r.class, a.worker, w) }) {
+		return true
 	}
 	// A cold worker needs a turn or a lease; nextColdSend is a cheap first check, since most turns are not due.
 	return d.warmth(w) < 1 && (d.now < w.nextColdSend || !d.coldTurn(w, r)) && d.findLease(r, w) == 0
 }
 
-// withinBudget reports whether the budget allows one more attempt beyond a first (a move, retry or copy) in any
-// window that ends now. Where no rule sets a budget, the package's own keeps retries from becoming most of the
-// load.
-func (d *Dispatcher) withinBudget() bool {
-	d.extraAttempts, d.arrivals = dropBefore(d.extraAttempts, d.now-d.budget.Window), dropBefore(d.arrivals, d.now-d.budget.Window+1)
-	return float64(len(d.extraAttempts)+1) <= d.budget.Spare+d.budget.PerRequest*float64(len(d.arrivals))
-}
-
 // coldBudgetAt returns when this dispatcher's share of a cold worker's budget, counted from a time on, reaches
 // the work, in slot seconds. It grows in proportion to the worker's size and warmth.
 func (d *Dispatcher) coldBudgetAt(w *worker, from time.Duration, work float64) time.Duration {
@@ -653,20 +632,6 @@
 	return true
 }
 
-// dedupTimeLeft returns the time in which workers still drop repeats of a Keyed request; 0: no limit, as no attempt of
-// it may have run.
-func (d *Dispatcher) dedupTimeLeft(r *request) (left time.Duration) {
-	if r.class.Effect != Keyed {
-		return 0
-	}
-	for _, a := range r.attempts {
-		if rest := a.sentAt + r.class.DedupWindow - d.now; !a.neverRan && (left == 0 || rest < left) {
-			left = rest
-		}
-	}
-	return left
-}
-
 // predictConn predicts which connection an attempt will use. Idle connections may be dropped unnoticed, so
 // those idle for a time at which sends fail are closed first; now and then a repeatable job tries whether they
 // still fail.
@@ -858,18 +823,6 @@
 	bar.Until = d.now + d.backoff(aim, bar.Doublings)
 }
 
-// maybeReturned handles a worker's report that may be about an attempt or repeat one about an earlier attempt. A
-// request that may be repeated is cancelled there, to be sent elsewhere. Any other stays: its attempt may be running, and
-// ends with its next report or its deadline.
-func (d *Dispatcher) maybeReturned(e MaybeReturned) {
-	r, a := d.openAttempt(e.Request, e.Attempt)
-	if a == nil || !d.settings.Limits.Cancel || !d.repeatable(r) {
-		return
-	}
-	d.barClass(a.worker, r.Class, r.class.Aim)
-	d.emit(Cancel{Request: e.Request, Attempt: e.Attempt})
-}
-
 // recordJobEnd records whether a job ended in an error. A class is barred from a worker for a while where its
 // errors come more often than at the others; requests that fail everywhere bar nothing, and other classes are
 // not affected. Once an error puts the worker's share of errors above the margin, unsafe jobs are barred from it
@@ -970,29 +923,6 @@
 	}
 }
 
-// exhausted reports whether a request has no permitted attempt left, so that it is answered at once. One that
-// ended in errors at two workers would fail anywhere, and must not use up the budget of others.
-func (d *Dispatcher) exhausted(r *request) bool {
-	return r.sentAttempts() >= d.settings.Limits.MaxAttempts || r.errors > 1 || !d.repeatable(r)
-}
-
-// repeatable reports whether a request's effect permits a further attempt after those that may have run.
-func (d *Dispatcher) repeatable(r *request) bool {
-	return !r.anyAttempt(func(a *attempt) bool {
-		return !a.neverRan && (r.class.Effect == Unsafe || r.class.Effect == Keyed && d.now-a.sentAt >= r.class.DedupWindow)
-	})
-}
-
-// retryOrAnswer holds a request whose attempts have all ended for a further one if that is permitted, else
-// answers it.
-func (d *Dispatcher) retryOrAnswer(r *request) {
-	if d.exhausted(r) || r.sentAttempts() > 0 && !d.withinBudget() {
-		d.answerFinal(r)
-		return
-	}
-	d.enqueue(r, true)
-}
-
 // learnRun learns from the run time of a successful attempt.
 func (d *Dispatcher) learnRun(r *request, a *attempt) {
 	from := a.sentAt
