--- a/internal/program/callbacks_test.go
+++ b/internal/program/callbacks_test.go
@@ -114,25 +114,33 @@
 }
 
 // Guards against an encoder's repeated callback "returned", of which the answer was lost, ending the attempt that the
-// encoder has got since: the command then ran twice.
+// encoder has got since: the command then ran twice. The process that gets the repetition may be a newer one.
 func TestRepeatedReturnDoesNotEndLaterAttempt(t *testing.T) {
-	accepted := make(chan string, 9)
-	settings := strings.ReplaceAll(defaultSettings, `"AimUs":20000000`, `"AimUs":20000,"LateWorth":0.5`) // for a short pause between attempts
-	env := startWith(t, settings, "", func(env *testEnv, c net.Conn, q *http1.Request) bool {
-		accepted <- id(q)
-		return respond(c, 202)
-	})
-	<-env.watches
-	pending := env.dial()
-	env.sendCommand(pending, "c1", "once", "30000m")
-	for range 2 { // the second callback repeats the first, but comes when the encoder has the second attempt
-		require.Equal(t, "c1", <-accepted)
-		require.Equal(t, 204, env.callback("c1", "s-1", "returned", ""))
+	for name, takeOver := range map[string]bool{"same process": false, "newer process": true} {
+		t.Run(name, func(t *testing.T) {
+			accepted := make(chan string, 9)
+			settings := strings.ReplaceAll(defaultSettings, `"AimUs":20000000`, `"AimUs":20000,"LateWorth":0.5`) // for a short pause between attempts
+			env := startWith(t, settings, "", func(env *testEnv, c net.Conn, q *http1.Request) bool {
+				accepted <- id(q)
+				return respond(c, 202)
+			})
+			<-env.watches
+			pending := env.dial()
+			env.sendCommand(pending, "c1", "once", "30000m")
+			require.Equal(t, "c1", <-accepted)
+			require.Equal(t, 204, env.callback("c1", "s-1", "returned", ""))
+			require.Equal(t, "c1", <-accepted)
+			if takeOver {
+				older := env.startNewer()
+				sendList(<-env.watches, 7, true, member(env.instance.Addr().String(), "in_service"))
+				env.await(func() bool { return env.program.Phase() == Serving && older.program.Phase() == HandedOver })
+			}
+			require.Equal(t, 204, env.callback("c1", "s-1", "returned", ""), "repeats the first, when the encoder has the second attempt")
+			env.sendCommand(env.dial(), "c2", "safe", "30000m") // follows a third attempt of c1
+			require.Equal(t, "c2", <-accepted, "the command runs already, and was sent once more")
+			require.Equal(t, 204, env.callback("c1", "s-1", "done", "r"))
+			p := env.read(pending)
+			require.Equal(t, []any{200, "r"}, []any{p.Status, string(p.Body)})
+		})
 	}
-	env.sendCommand(env.dial(), "c2", "safe", "30000m") // follows a third attempt of c1
-	next := <-accepted
-	require.Equal(t, "c2", next, "the command runs already, and was sent once more")
-	require.Equal(t, 204, env.callback("c1", "s-1", "done", "r"))
-	p := env.read(pending)
-	require.Equal(t, []any{200, "r"}, []any{p.Status, string(p.Body)})
 }
