--- a/decide/api.go
+++ b/decide/api.go
@@ -533,7 +533,7 @@
 		case AttemptEnded:
 			d.attemptEnded(e)
 		case MaybeReturned:
-			d.maybeReturned(e)
+			d.maybeReturned(e.Request, e.Attempt)
 		case RequestCancelled:
 			if r := d.requests[e.Request]; r != nil {
 				d.closeRequest(r)
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -64,11 +64,11 @@
 // maybeReturned handles a worker's report that may be about an attempt or repeat one about an earlier attempt. A
 // request that may be repeated is cancelled there, to be sent elsewhere. Any other stays: its attempt may be running, and
 // ends with its next report or its deadline.
-func (d *Dispatcher) maybeReturned(e MaybeReturned) {
-	r, a := d.openAttempt(e.Request, e.Attempt)
+func (d *Dispatcher) maybeReturned(id uint32, n int) {
+	r, a := d.openAttempt(id, n)
 	if a == nil || !d.settings.Limits.Cancel || !d.repeatable(r) {
 		return
 	}
 	d.barClass(a.worker, r.Class, r.class.Aim)
-	d.emit(Cancel{Request: e.Request, Attempt: e.Attempt})
+	d.emit(Cancel{Request: id, Attempt: n})
 }
