Review case 7: a late Forget drops the end of the next job under the id

Cause: the command Forget names an id only, so a call that was cut off drops whatever job has the id when it arrives. Change: the case and its part of the stand-ins.

--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -484,5 +484,6 @@
 }
 
 var cases = map[string]func(context.Context, *play){
-	"promise-twice": promiseTwice,
+	"promise-twice": promiseTwice, // review/6
+	"end-lost":      endLost,
 }
--- a/review/standin-2/promises.go
+++ b/review/standin-2/promises.go
@@ -192,6 +192,76 @@
 	}
 }
 
+// endLost: clients are cut off from one dispatcher while they forget a promise, and call another; each then hands in
+// the next job under the same id, awaits its end, and asks for the end once more after the cut.
+func endLost(ctx context.Context, p *play) {
+	r := p.recordOf(3, 3, 100*time.Millisecond)
+	p.settle(ctx, r)
+	first := p.relay(r.control[0])
+	keep := func(c *winglb.Promises, id, payload string) (winglb.End, error) {
+		receipt, err := c.Promise(ctx, winglb.Promised{
+			Job: winglb.Job{ID: id, Class: "publish", Tenant: "ups", Work: 100 * time.Millisecond}, Payload: []byte(payload), Within: time.Hour, Keep: 24 * time.Hour,
+		})
+		if err != nil {
+			return winglb.End{}, fmt.Errorf("Promise: %w", err)
+		}
+		end, err := c.Await(ctx, id)
+		p.note("client: %s (%s): receipt, index %d; end kind %d %q, %v", id, payload, receipt.Index, end.Kind, end.Result, err)
+		return end, err
+	}
+	kept := 0
+	for round := range 2 {
+		name := fmt.Sprintf("round%d", round)
+		all := p.clients(ctx, 40, name, []string{first.address, r.control[1], r.control[2]})
+		id := func(n int) string { return fmt.Sprintf("%s-%02d", name, n) }
+		var wg sync.WaitGroup
+		for n, c := range all {
+			wg.Go(func() {
+				if _, err := keep(c, id(n), "first job"); err != nil {
+					p.note("client: %s: %v", id(n), err)
+				}
+			})
+		}
+		wg.Wait()
+		healed := p.cutOff(first, "n0")
+		ends := make([]winglb.End, len(all))
+		for n, c := range all {
+			wg.Go(func() {
+				p.note("client: Forget %s", id(n))
+				err := c.Forget(ctx, id(n))
+				if err == nil {
+					p.note("client: %s: forgotten; the next job under that id", id(n))
+					ends[n], err = keep(c, id(n), "second job")
+				}
+				if err != nil {
+					p.note("client: %s: %v", id(n), err)
+				}
+			})
+		}
+		wg.Wait()
+		<-healed
+		time.Sleep(3 * time.Second)
+		for n, c := range all {
+			if ends[n].Kind == 0 {
+				continue
+			}
+			kept++
+			end, err := c.Await(ctx, id(n))
+			if err == nil && end.Kind == ends[n].Kind && string(end.Result) == string(ends[n].Result) {
+				continue
+			}
+			p.breaks("%s: its second job has the end kind %d %q, is to be kept for 24 h and was not forgotten; Await says kind %d %q, %v", id(n), ends[n].Kind, ends[n].Result, end.Kind, end.Result, err)
+		}
+		for _, c := range all {
+			c.Close()
+		}
+	}
+	p.note("%d ends of second jobs were told, each to be kept", kept)
+	if kept == 0 {
+		p.cannot("no second job has ended")
+	}
+}
+
 func describe(jobs []*job) string {
 	var out []string
 	for _, j := range jobs {
