Review case 8: the front writes decoded line ends to a server, which reads a second request

Cause: arguments made of the decoded path are written to the server unescaped. Change: the case and its stand-ins. The stand-in of case 9 comes with it.

--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -485,5 +485,7 @@
 
 var cases = map[string]func(context.Context, *play){
 	"promise-twice": promiseTwice, // review/6
-	"end-lost":      endLost,
+	"end-lost":      endLost,      // review/7
+	"front-split":   frontSplit,   // review/8
+	"front-twice":   frontTwice,   // review/9
 }
