Review case 10: plug-ins keep the old list once discovery has moved

Cause: a plug-in drops lists whose revision is not above the last, also where they come from another service. Change: the case and its stand-ins.

--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -488,4 +488,5 @@
 	"end-lost":      endLost,      // review/7
 	"front-split":   frontSplit,   // review/8
 	"front-twice":   frontTwice,   // review/9
+	"stale-list":    staleList,    // review/10
 }
