--- a/review/standin-2/front.go
+++ b/review/standin-2/front.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -239,3 +240,61 @@
 		p.cannot("the front has answered %d requests only", answers.Load())
 	}
 }
+
+// frontReplaced: the dispatcher's process is replaced by another one while clients open connections all the time.
+func frontReplaced(ctx context.Context, p *play) {
+	s := p.server(never)
+	address, pr, file := p.front(fmt.Sprintf(`events {}
+http {
+    upstream app { server %s; }
+    server { listen 127.0.0.1:PORT; location / { proxy_pass http://app; } }
+}
+`, s.address))
+	over, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	var refused, answered, lost atomic.Int64
+	for k := range 24 {
+		wg.Go(func() {
+			for n := 0; over.Err() == nil; n++ {
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					refused.Add(1)
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				target := fmt.Sprintf("/r-%d-%d", k, n)
+				status, body, err := get(c, bufio.NewReader(c), "GET", target)
+				c.Close()
+				if err == nil {
+					answered.Add(1)
+					if body != "answer to GET "+target {
+						p.note("client: %s: %d %q", target, status, body)
+					}
+					continue
+				}
+				lost.Add(1)
+				p.note("client: %s: no answer: %v", target, err)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	if p.trouble {
+		for n := range 8 {
+			next := p.start(fmt.Sprintf("n0-%d", n), "exec bin/winglb serve --config "+file)
+			time.Sleep(4 * time.Second)
+			p.note("SIGTERM to the older process")
+			pr.cmd.Process.Signal(syscall.SIGTERM)
+			time.Sleep(2 * time.Second)
+			pr = next
+		}
+	} else {
+		time.Sleep(48 * time.Second)
+	}
+	cancel()
+	wg.Wait()
+	p.note("answered %d, refused %d, lost %d", answered.Load(), refused.Load(), lost.Load())
+	fmt.Printf("answered %d, refused %d, lost %d\n", answered.Load(), refused.Load(), lost.Load())
+	if lost.Load() > 0 {
+		p.breaks("%d requests on accepted connections got no answer, of %d", lost.Load(), answered.Load())
+	}
+}
--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -351,6 +351,7 @@
 
 func (e *encoder) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	io.Copy(io.Discard, q.Body)
+	e.p.note("%s: got %s %s", e.id, q.Method, q.RequestURI)
 	if q.Method == "DELETE" {
 		id := strings.TrimPrefix(q.URL.Path, "/jobs/")
 		e.mu.Lock()
@@ -484,9 +485,11 @@
 }
 
 var cases = map[string]func(context.Context, *play){
-	"promise-twice": promiseTwice, // review/6
-	"end-lost":      endLost,      // review/7
-	"front-split":   frontSplit,   // review/8
-	"front-twice":   frontTwice,   // review/9
-	"stale-list":    staleList,    // review/10
+	"promise-twice":  promiseTwice, // review/6
+	"end-lost":       endLost,      // review/7
+	"front-split":    frontSplit,   // review/8
+	"front-twice":    frontTwice,   // review/9
+	"bad-target":     badTarget,
+	"front-replaced": frontReplaced,
+	"stale-list":     staleList, // review/10
 }
--- a/review/standin-2/promises.go
+++ b/review/standin-2/promises.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"caperrelay/winglb"
 )
 
@@ -104,7 +107,7 @@
 		return fmt.Errorf("Await: %w", err)
 	}
 	p.note("client: %s: end kind %d %q %q at %s", id, end.Kind, end.Result, end.Reason, end.Instance)
-	if err := c.Forget(ctx, id); err != nil {
+	if err := c.Forget(ctx, id); err != nil && status.Code(err) != codes.NotFound { // forgotten by an earlier try of the same call
 		return fmt.Errorf("Forget: %w", err)
 	}
 	p.note("client: %s: forgotten", id)
@@ -269,3 +272,60 @@
 	}
 	return strings.Join(out, ", ")
 }
+
+// badTarget: a bad client hands in jobs whose targets hold the end of a request line and further requests.
+func badTarget(ctx context.Context, p *play) {
+	const victims = 9
+	r := p.recordOf(3, 3, 4*time.Second)
+	good, err := winglb.NewPromises(winglb.Config{Daemons: r.control})
+	p.must(err, "client")
+	defer good.Close()
+	bad, err := winglb.NewPromises(winglb.Config{Daemons: r.control})
+	p.must(err, "client")
+	defer bad.Close()
+	var wg sync.WaitGroup
+	ids := make([]string, victims) // as encoders know the jobs
+	for n := range victims {
+		wg.Go(func() {
+			id := fmt.Sprintf("lecture-%d", n)
+			receipt, err := good.Promise(ctx, winglb.Promised{
+				Job: winglb.Job{ID: id, Class: "publish", Tenant: "ups", Work: 4 * time.Second}, Payload: []byte(id), Within: time.Hour, Keep: 24 * time.Hour,
+			})
+			p.must(err, "Promise")
+			ids[n] = fmt.Sprintf("%s~%d~1", id, receipt.Index)
+			p.note("client: %s: receipt, index %d", id, receipt.Index)
+		})
+	}
+	wg.Wait()
+	time.Sleep(1500 * time.Millisecond)
+	if p.trouble {
+		inner := ""
+		for _, id := range ids {
+			inner += fmt.Sprintf(" HTTP/1.1\r\nHost: e\r\nContent-Length: 0\r\n\r\nDELETE /jobs/%s", id)
+		}
+		for n, e := range r.encoders {
+			id := fmt.Sprintf("bad-%d", n)
+			_, err := bad.Promise(ctx, winglb.Promised{
+				Job: winglb.Job{ID: id, Class: "preview", Tenant: "ups", Work: 100 * time.Millisecond}, Target: "/api" + inner, Within: 20 * time.Second, Keep: time.Hour, Order: []string{e.id},
+			})
+			p.note("bad client: Promise %s with a target of %d bytes, at %s only: %v", id, len(inner)+4, e.id, err)
+			go func() {
+				end, err := bad.Await(ctx, id)
+				p.note("bad client: %s: end kind %d %q %q, %v", id, end.Kind, end.Result, end.Reason, err)
+			}()
+		}
+	}
+	lost := 0
+	for n := range victims {
+		id := fmt.Sprintf("lecture-%d", n)
+		wait, cancel := context.WithTimeout(ctx, 40*time.Second)
+		end, err := good.Await(wait, id)
+		cancel()
+		p.note("client: %s: end kind %d %q %q, %v", id, end.Kind, end.Result, end.Reason, err)
+		if err != nil || end.Kind != winglb.EndDone {
+			lost++
+			p.breaks("%s was promised and an encoder had it; its end is kind %d %q, %v", id, end.Kind, end.Reason, err)
+		}
+	}
+	p.note("%d of %d promised jobs have not been done", lost, victims)
+}
