--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p review/standin-2/bin
-go build -o review/standin-2/bin/ ./review/standin-2
+GOPROXY=off go build -o review/standin-2/bin/ ./review/standin-2
