--- a/review/standin-2/promises.go
+++ b/review/standin-2/promises.go
@@ -99,16 +99,16 @@
 		Job: winglb.Job{ID: id, Class: "publish", Tenant: "ups", Work: 100 * time.Millisecond}, Payload: []byte(id), Within: time.Hour, Keep: 24 * time.Hour,
 	})
 	if err != nil {
-		return fmt.Errorf("Promise: %w", err)
+		return fmt.Errorf("promising: %w", err)
 	}
 	p.note("client: %s: receipt, group %d index %d", id, receipt.Group, receipt.Index)
 	end, err := c.Await(ctx, id)
 	if err != nil {
-		return fmt.Errorf("Await: %w", err)
+		return fmt.Errorf("awaiting: %w", err)
 	}
 	p.note("client: %s: end kind %d %q %q at %s", id, end.Kind, end.Result, end.Reason, end.Instance)
 	if err := c.Forget(ctx, id); err != nil && status.Code(err) != codes.NotFound { // forgotten by an earlier try of the same call
-		return fmt.Errorf("Forget: %w", err)
+		return fmt.Errorf("forgetting: %w", err)
 	}
 	p.note("client: %s: forgotten", id)
 	return nil
@@ -206,7 +206,7 @@
 			Job: winglb.Job{ID: id, Class: "publish", Tenant: "ups", Work: 100 * time.Millisecond}, Payload: []byte(payload), Within: time.Hour, Keep: 24 * time.Hour,
 		})
 		if err != nil {
-			return winglb.End{}, fmt.Errorf("Promise: %w", err)
+			return winglb.End{}, fmt.Errorf("promising: %w", err)
 		}
 		end, err := c.Await(ctx, id)
 		p.note("client: %s (%s): receipt, index %d; end kind %d %q, %v", id, payload, receipt.Index, end.Kind, end.Result, err)
