--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"caperrelay/internal/net/sock"
 )
 
 // errCase is a reason why a case could not run.
@@ -135,21 +137,16 @@
 
 var quick = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// taken keeps two calls of free from returning one port.
-var taken = map[string]bool{}
-
-// free returns a loopback address whose port is free.
+// free returns a loopback address whose port is kept for the programs of this run: a socket that shares its port, as theirs
+// do, is bound to it and does not listen, so that nobody else is given the port before they listen or while they restart.
 func (p *play) free() string {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		p.must(err, "port")
-		at := l.Addr().String()
-		l.Close()
-		if !taken[at] {
-			taken[at] = true
-			return at
-		}
-	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	p.must(err, "port")
+	p.must(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, sock.ReusePort, 1), "port")
+	p.must(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), "port")
+	at, err := syscall.Getsockname(fd)
+	p.must(err, "port")
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port) // the socket is closed by the end of this process
 }
 
 func (p *play) write(name, text string) string {
