A command received before a reload keeps the class of that time

Callers would see: a request that came directly before a SIGHUP with another effect was treated by the new one.

Cause: both were in one batch of the loop; the reload reached the decision module at once, the request only at the end of the batch.

Change: a reload lets the module decide on what has come before it. TestCommandReceivedBeforeReloadKeepsItsClass failed before (not answered "failed" after a loss) and passes now.

--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -100,3 +100,22 @@
 	require.Empty(t, clients["repeatable"].answers, "it may be sent again")
 	require.NotContains(t, newest.Counters.OperatorCounters(), "former")
 }
+
+// Guards against a command being decided on by settings that were applied after it had been received.
+func TestCommandReceivedBeforeReloadKeepsItsClass(t *testing.T) {
+	f := &fleet{}
+	l := loopWithEffect(t, f, decide.Unsafe)
+	c := submit(l, "once")
+	s, done := l.settings, make(chan error, 1)
+	s.Classes = slices.Clone(s.Classes)
+	s.Classes[0].Effect = decide.Safe
+	go func() { done <- l.Reconfigure(s, wire.Names{Classes: []string{"safe"}}) }()
+	for len(l.inbox) < 2 { // the reload is received in the same batch
+		time.Sleep(time.Millisecond)
+	}
+	l.runBatch()
+	require.NoError(t, <-done)
+	l.AttemptEnded(f.sent[0], decide.Reset, 0)
+	l.runBatch()
+	require.Equal(t, []Answer{{Verdict: Failed}}, c.answers, "it may have run")
+}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -34,7 +34,12 @@
 // the network.
 func (l *Loop) Reconfigure(s decide.Settings, n wire.Names) error {
 	done := make(chan error, 1)
-	l.post(func(l *Loop) { done <- l.reconfigure(l.mapSettings(s, n)) })
+	l.post(func(l *Loop) {
+		for len(l.events) > 0 { // commands received before keep the classes of that time
+			l.handleEvents()
+		}
+		done <- l.reconfigure(l.mapSettings(s, n))
+	})
 	return <-done
 }
 
