What was learned by class is handed over by the class's name

Callers would see: after a replacement by a process whose settings have the classes in another order, an encoder's refusals of one class kept another class from it.

Cause: refusals and error shares of an encoder are lists by class number, and were copied by the older process's numbers. Tenants and candidates of a request crossed by number in the same way; no decision has read those.

Change: all are translated, where the class describes the same work here. TestRefusalsAreHandedOverByClassName failed before (7 doublings at the other class) and passes now.

--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -206,7 +206,11 @@
 				saved.Ceiling, saved.Slots, saved.Abandoned, saved.LogDeviation, saved.DeviationWeight, saved.MinStartDelay
 			w.probes, w.retryAt, w.lastAlive, w.nextColdSend, w.lateStarts = saved.Probes, saved.RetryAt, saved.LastAlive, saved.NextColdSend, saved.LateStarts
 			w.errors, w.unsafeBarredUntil = saved.Errors, saved.UnsafeBarredUntil
-			copy(w.classErrors, saved.ClassErrors)
+			for i, errors := range saved.ClassErrors[:min(len(saved.ClassErrors), len(w.classErrors))] {
+				if errors != (tally{}) { // zero: nothing was learned of the class
+					w.classErrors[i] = errors
+				}
+			}
 			copy(w.classBars, saved.ClassBars)
 			if saved.State == Draining { // it holds for the process, whatever an older list says
 				w.State = Draining
--- a/internal/dispatch/classes.go
+++ b/internal/dispatch/classes.go
@@ -78,3 +78,15 @@
 	n.Classes, s.Classes = merged.names, merged.classes
 	return numbers, l.reconfigure(s, numberedNames{n, l.configuredNames})
 }
+
+// renumberClasses returns values by class with the numbers in use here, for size classes. Values of classes with the
+// number -1 are dropped; classes that are missing have the zero value.
+func renumberClasses[T any](values []T, numbers []int, size int) []T {
+	renumbered := make([]T, size)
+	for i, v := range values[:min(len(values), len(numbers))] {
+		if numbers[i] >= 0 {
+			renumbered[numbers[i]] = v
+		}
+	}
+	return renumbered
+}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -147,22 +147,32 @@
 // numbers in use here. classNumbers has this loop's number for each of its classes, or -1.
 func (l *Loop) translateSnapshot(state HandoverState, classNumbers []int) decide.Snapshot {
 	m := state.Module
+	learned, size := l.sameWorkloads(state, classNumbers), len(l.allNames.Classes)
+	m.Workers = slices.Clone(m.Workers)
 	for i := range m.Workers {
-		m.Workers[i].Worker = l.translateWorker(m.Workers[i].Worker, state)
+		w := &m.Workers[i]
+		w.Worker = l.translateWorker(w.Worker, state)
+		w.ClassErrors, w.ClassBars = renumberClasses(w.ClassErrors, learned, size), renumberClasses(w.ClassBars, learned, size)
 	}
-	known := make([]decide.ClassSnapshot, len(l.allNames.Classes))
-	for i, c := range m.Classes[:min(len(m.Classes), len(classNumbers))] {
-		if classNumbers[i] >= 0 && i < len(state.Classes) && state.Classes[i].SameWorkload(l.settings.Classes[classNumbers[i]]) {
-			known[classNumbers[i]] = c
-		}
-	}
-	m.Classes, m.Tenants = known, nil // tenants' state is relearned within seconds
+	m.Classes, m.Tenants = renumberClasses(m.Classes, learned, size), nil // tenants' state is relearned within seconds
 	if !slices.Equal(l.allNames.Zones, state.Names.Zones) || !slices.Equal(l.allNames.Kinds, state.Names.Kinds) {
 		m.Zones, m.Kinds = nil, nil
 	}
 	return m
 }
 
+// sameWorkloads returns those of the class numbers of which the other process's class describes the same workload as
+// here, and -1 for the others: what was learned of their jobs does not hold here.
+func (l *Loop) sameWorkloads(state HandoverState, classNumbers []int) []int {
+	same := slices.Repeat([]int{-1}, len(classNumbers))
+	for i, n := range classNumbers[:min(len(classNumbers), len(state.Classes))] {
+		if n >= 0 && state.Classes[i].SameWorkload(l.settings.Classes[n]) {
+			same[i] = n
+		}
+	}
+	return same
+}
+
 // translateWorker converts a worker in another process's snapshot to the numbers in use here.
 func (l *Loop) translateWorker(w decide.Worker, state HandoverState) decide.Worker {
 	w.ID = l.workerID(state.InstanceIDs[w.ID])
@@ -199,7 +209,12 @@
 // translateRequest converts the decision module's state of a command that is taken over to the numbers in use here.
 func (l *Loop) translateRequest(c *HandoverCommand, state HandoverState, classNumbers []int) decide.RequestSnapshot {
 	r := c.Snapshot
-	r.ID, r.Class = l.newRequestID(), classNumbers[r.Class]
+	r.ID, r.Class, r.Tenant = l.newRequestID(), classNumbers[r.Class], indexOrLen(l.allNames.Tenants, c.Tenant)
+	r.Candidates = nil
+	for _, id := range c.Candidates {
+		r.Candidates = append(r.Candidates, l.workerID(id))
+	}
+	r.Attempts = slices.Clone(r.Attempts)
 	for i := range r.Attempts {
 		r.Attempts[i].Worker = l.translateWorker(r.Attempts[i].Worker, state)
 	}
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -119,3 +119,29 @@
 	l.runBatch()
 	require.Equal(t, []Answer{{Verdict: Failed}}, c.answers, "it may have run")
 }
+
+// Guards against what an instance refused of one class counting for another, where the newer process's settings have the
+// classes in another order.
+func TestRefusalsAreHandedOverByClassName(t *testing.T) {
+	older := newTestLoop(t, &fleet{})
+	s := older.settings
+	s.Classes = []decide.Class{s.Classes[0], s.Classes[0]}
+	require.NoError(t, older.reconfigure(older.mapSettings(s, wire.Names{Classes: []string{"safe", "other"}})))
+	older.UpdateInstances(InstanceUpdate{Instances: []Instance{{ID: "s-1", State: decide.Ready}}}, true)
+	older.runBatch()
+	newer, err := New(s, wire.Names{Classes: []string{"other", "safe"}}, &fleet{}, &fleet{}, &fleet{}, older.log)
+	require.NoError(t, err)
+	newer.UpdateInstances(InstanceUpdate{Instances: []Instance{{ID: "s-1", State: decide.Ready}}}, true)
+	newer.runBatch()
+	older.HandOver(func(state HandoverState) bool {
+		state.Module.Workers[0].ClassBars[0].Doublings = 7
+		newer.TakeOver(state)
+		return true
+	})
+	older.runBatch()
+	newer.runBatch()
+	bars := newer.mod.Snapshot().Workers[0].ClassBars
+	require.Zero(t, bars[0].Doublings, "of class other")
+	require.Equal(t, 7, bars[1].Doublings, "of class safe")
+	require.Equal(t, newer.mod.Snapshot().Workers[0].ClassErrors[0], newer.mod.Snapshot().Workers[0].ClassErrors[1])
+}
