Late messages of an older process do not reach a new command with the same ID

Callers would see: a request that came again under its id after a replacement was sent a second time, or dropped.

Cause: the older process names a command by its id when it tells of an attempt or of a client that left; the newer one took a new command of that id for it.

TestLateMessagesOfOlderProcessDoNotReachNewCommand failed before (the new command's attempt ended as never sent, its result matched none).

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -249,8 +249,8 @@
 			return
 		}
 		p := l.byID[f.ID]
-		if p == nil || f.Index < 0 || f.Index >= len(p.attempts) || p.attempts[f.Index].ended {
-			return
+		if p == nil || f.Index < 0 || f.Index >= len(p.attempts) || p.attempts[f.Index].ended || !p.attempts[f.Index].sentByOlder {
+			return // also if it is about an earlier command with the same ID
 		}
 		a := p.attempts[f.Index]
 		if f.CancelPending {
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -145,3 +145,29 @@
 	require.Equal(t, 7, bars[1].Doublings, "of class safe")
 	require.Equal(t, newer.mod.Snapshot().Workers[0].ClassErrors[0], newer.mod.Snapshot().Workers[0].ClassErrors[1])
 }
+
+// Guards against late messages of an older process about a command that it had handed over being taken for a new command
+// with the same ID: its attempt would count as never sent and be sent a second time, or its client as gone.
+func TestLateMessagesOfOlderProcessDoNotReachNewCommand(t *testing.T) {
+	older, f, _ := loopWithCommand(t)
+	newerFleet := &fleet{}
+	newer := loopWithEffect(t, newerFleet, decide.Safe)
+	handOverEncoded(t, older, newer)
+	newer.HandleCallback(Callback{ID: "c1", From: "s-1", State: Done})
+	newer.runBatch()
+	c := submit(newer, "c1")
+	newer.runBatch()
+	require.Len(t, newerFleet.sent, 1)
+	older.AttemptEnded(f.sent[0], decide.ConnectFailed, 0)
+	older.ClientGone(f.sent[0].Command)
+	older.runBatch()
+	newer.UpdateAttempt(f.updates[0])
+	newer.ClientGoneByID(f.disconnected[0])
+	newer.runBatch()
+	require.Len(t, newerFleet.sent, 1)
+	require.Empty(t, newerFleet.cancelled)
+	newer.HandleCallback(Callback{ID: "c1", From: newerFleet.sent[0].Instance, State: Done})
+	newer.runBatch()
+	require.Len(t, c.answers, 1)
+	require.Equal(t, Served, c.answers[0].Verdict)
+}
