The front encodes decoded text that would end a request line to a server

Cause: a target is decoded once; what a rewrite, try_files, a variable or a pass with variables puts behind the question mark, or into the URI of the pass, was written to the server as it is, with spaces and line ends in it.

Change: bytes that cannot stand in a request line are percent-encoded in the URI of each pass, whichever way they came; all other text is as before. Encoded, and not refused, so that a name with a space is served.

TestDecodedTextStaysInRequestLine (ten ways into a URI) and TestDecodedLineEndsStayInTheirLine (over sockets) failed before and pass now.

--- a/internal/net/plain/plain_test.go
+++ b/internal/net/plain/plain_test.go
@@ -441,3 +441,37 @@
 	wg.Wait()
 	require.Zero(t, failed.Load(), "of %d", sent.Load())
 }
+
+// Guards against decoded text of a target reaching a server as a further request, or a client as a further header line.
+func TestDecodedLineEndsStayInTheirLine(t *testing.T) {
+	var got sync.Map
+	a := startServer(t, "a", func(c net.Conn, q *http1.Request) bool {
+		got.Store(q.Target, q.Header)
+		c.Write(http1.AppendResponse(nil, 200, nil, []byte(q.Target)))
+		return true
+	})
+	c := onePool("", routes.Member{Address: a.address()})
+	c.Servers[0].Locations = []routes.Location{
+		{Pattern: "/try", Steps: []routes.Step{{Action: "rewrite", Args: []string{"^([^!]*)$", "/app?q=$1", "last"}}}},
+		{Pattern: "/app", Pass: "http://p"},
+		{Pattern: "/pass", Pass: "http://p$uri", Headers: [][2]string{{"X-Path", "$uri"}}},
+		{Pattern: "/away", Steps: []routes.Step{{Action: "return", Args: []string{"302", "https://x.example$uri"}}}},
+	}
+	s := startSite(t, c)
+	k := dial(t, s)
+	const inner = "%20HTTP/1.1%0D%0AHost:%20p%0D%0A%0D%0APOST%20/internal%20HTTP/1.1%0D%0AContent-Length:%200%0D%0AX-Rest:%20"
+	for _, target := range []string{"/app?q=/try" + inner, "/pass" + inner} {
+		sent := strings.TrimPrefix(target, "/app?q=")
+		p := k.do("GET", sent, "")
+		require.Equal(t, 200, p.Status)
+		require.Equal(t, target, string(p.Body))
+		h, arrived := got.Load(target)
+		require.True(t, arrived)
+		require.False(t, h.(http1.Header).Present("X-Rest"))
+	}
+	require.EqualValues(t, 2, a.requests.Load(), "one for each request of the client")
+	p := k.do("GET", "/away%0D%0AX-Rest:%20a", "")
+	require.Equal(t, 302, p.Status)
+	require.False(t, p.Header.Present("X-Rest"))
+	require.Equal(t, "/app?q=/try", string(k.do("GET", "/try", "").Body), "the connection goes on")
+}
--- a/internal/nginx/import_test.go
+++ b/internal/nginx/import_test.go
@@ -350,3 +350,51 @@
 		require.Equal(t, []routes.KeyedLimit{{Limit: routes.Limit{Zone: "r", NoDelay: true, DryRun: true}, Key: "10.0.0.1"}, {Limit: routes.Limit{Zone: "c", MaxConcurrent: 7}, Key: "s"}}, d.Limits)
 	}
 }
+
+// Guards against decoded text of a target ending the request line to a server, which would read a further request: in
+// each place where such text becomes part of a URI. Other text arrives as nginx sends it.
+func TestDecodedTextStaysInRequestLine(t *testing.T) {
+	table, _, err := importText(`
+upstream p { server 127.0.0.1:1; }
+map $uri $mapped { default $uri; }
+server {
+  listen 80;
+  set $copy $uri;
+  location /try/ { try_files $uri /app?q=$uri; }
+  location = /app { proxy_pass http://p; }
+  location /last/ { rewrite ^/last/([^!]*)$ /app?q=$1 last; }
+  location /brk/ { rewrite ^/brk/(?<rest>[^!]*)$ /x/$rest?q=$rest break; proxy_pass http://p; }
+  location /set/ { try_files $uri /app?q=$copy; }
+  location /map/ { try_files $uri /app?q=$mapped; }
+  location /uri/ { proxy_pass http://p$uri; }
+  location /args/ { proxy_pass http://p/in?$args&u=$document_uri; }
+  location ~ ^/group/([^!]*)$ { proxy_pass http://p/$1; }
+  location /prefix/ { proxy_pass http://p/b/; }
+  location /pool/ { proxy_pass http://$copy; }
+}`)
+	require.NoError(t, err)
+	decide := func(target string) routes.Decision {
+		return table.Decide(routes.Request{Listen: ":80", Host: "x", Method: "GET", Target: target, Remote: "10.0.0.1", Header: func(string) string { return "" }})
+	}
+	const attack = "a%20HTTP/1.1%0D%0AHost:%20p%0D%0A%0D%0AGET%20/b%7F"
+	for _, c := range [][2]string{
+		{"/try/" + attack, "/app?q=/try/" + attack},
+		{"/last/" + attack, "/app?q=" + attack},
+		{"/brk/" + attack, "/x/" + attack + "?q=" + attack},
+		{"/set/" + attack, "/app?q=/set/" + attack},
+		{"/map/" + attack, "/app?q=/map/" + attack},
+		{"/uri/" + attack, "/uri/" + attack},
+		{"/args/" + attack, "/in?&u=/args/" + attack},
+		{"/group/" + attack, "/" + attack},
+		{"/prefix/" + attack, "/b/" + attack},
+		{"/try/course/7", "/app?q=/try/course/7"},
+		{"/try/ecuaci%C3%B3n%2B%2520%23%3F&", "/app?q=/try/ecuación+%20#?&"},
+		{"/uri/ecuaci%C3%B3n?x", "/uri/ecuación"},
+		{"/args/x?a=%20b", "/in?a=%20b&u=/args/x"},
+	} {
+		d := decide(c[0])
+		require.Equal(t, "p", d.Pool, c[0])
+		require.Equal(t, c[1], d.URI, c[0])
+	}
+	require.NotEqual(t, "p", decide("/pool/"+attack).Pool, "decoded text names no pool")
+}
--- a/internal/routes/decide.go
+++ b/internal/routes/decide.go
@@ -227,6 +227,7 @@
 			d.URI += "?" + e.args
 		}
 	}
+	d.URI = escapeUnsendable(d.URI)
 	if key, ok := e.table.keys[pool]; ok {
 		d.Key = key.eval(e)
 	}
--- a/internal/routes/uri.go
+++ b/internal/routes/uri.go
@@ -105,18 +105,24 @@
 }
 
 // Escape encodes a decoded path for a request line.
-func Escape(path string) string {
+func Escape(path string) string { return escape(path, needsEscape) }
+
+// escapeUnsendable encodes those bytes of a URI that cannot stand in a request line. A URI holds decoded text where
+// variables or captures become part of its arguments, or of a pass with variables; nginx sends such text unchanged.
+func escapeUnsendable(uri string) string { return escape(uri, unsendable) }
+
+func escape(text string, needed func(byte) bool) string {
 	const digits = "0123456789ABCDEF"
 	plain := true
-	for i := range len(path) {
-		plain = plain && !needsEscape(path[i])
+	for i := range len(text) {
+		plain = plain && !needed(text[i])
 	}
 	if plain {
-		return path
+		return text
 	}
 	var s strings.Builder
-	for i := range len(path) {
-		if c := path[i]; needsEscape(c) {
+	for i := range len(text) {
+		if c := text[i]; needed(c) {
 			s.WriteByte('%')
 			s.WriteByte(digits[c>>4])
 			s.WriteByte(digits[c&15])
@@ -127,6 +133,9 @@
 	return s.String()
 }
 
+// unsendable reports whether a byte would end a request line or its target.
+func unsendable(c byte) bool { return c <= ' ' || c == 0x7f }
+
 func needsEscape(c byte) bool {
-	return c <= ' ' || c >= 0x7f || c == '#' || c == '%' || c == '?'
+	return unsendable(c) || c >= 0x80 || c == '#' || c == '%' || c == '?'
 }
