Written messages keep to their lines whatever text a caller passes

Text that did not come in a line of a message (jobs that an earlier build stored, decoded text of a route) could end one.

Change: spaces, control characters and line ends of a target are encoded, line ends in a field's value become spaces, for requests and responses. What may stand in a line is written as before.

TestWrittenMessagesKeepTheirLines failed before (a second message was read).

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -404,9 +404,11 @@
 	return s != ""
 }
 
-// AppendRequest appends a complete request to buf. It adds the Content-Length.
+// AppendRequest appends a complete request to buf. It adds the Content-Length. Bytes of the target that would end it are
+// percent-encoded, since callers may pass text that did not come in a request line.
 func AppendRequest(buf []byte, method, target string, h Header, body []byte) []byte {
-	buf = append(append(append(append(buf, method...), ' '), target...), " HTTP/1.1\r\n"...)
+	buf = append(append(buf, method...), ' ')
+	buf = append(appendTarget(buf, target), " HTTP/1.1\r\n"...)
 	return appendHeaderAndBody(buf, h, body, method == "GET" || method == "DELETE")
 }
 
@@ -417,9 +419,34 @@
 	return appendHeaderAndBody(buf, h, body, status == 204)
 }
 
+func appendTarget(buf []byte, target string) []byte {
+	const digits = "0123456789ABCDEF"
+	for i := range len(target) {
+		if c := target[i]; c <= ' ' || c == 127 {
+			buf = append(buf, '%', digits[c>>4], digits[c&15])
+		} else {
+			buf = append(buf, c)
+		}
+	}
+	return buf
+}
+
+// appendValue appends a field's value with a space in place of each byte that would end its line.
+func appendValue(buf []byte, value string) []byte {
+	start := len(buf)
+	buf = append(buf, value...)
+	for i, c := range buf[start:] {
+		if c == '\r' || c == '\n' || c == 0 {
+			buf[start+i] = ' '
+		}
+	}
+	return buf
+}
+
 func appendHeaderAndBody(buf []byte, h Header, body []byte, noBody bool) []byte {
 	for _, f := range h {
-		buf = append(append(append(append(buf, f.Name...), ": "...), f.Value...), "\r\n"...)
+		buf = append(append(buf, f.Name...), ": "...)
+		buf = append(appendValue(buf, f.Value), "\r\n"...)
 	}
 	if !noBody || len(body) > 0 {
 		buf = append(strconv.AppendInt(append(buf, "Content-Length: "...), int64(len(body)), 10), "\r\n"...)
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -115,3 +115,24 @@
 	require.NoError(t, json.Unmarshal([]byte(`[{"Name":"K","Value":"v"}]`), &h))
 	require.Equal(t, Header{{"K", "v"}}, h)
 }
+
+// Guards against text that did not come in a line of a message ending one: whatever the caller passes is read back as one
+// message, and what may stand in a line is unchanged.
+func TestWrittenMessagesKeepTheirLines(t *testing.T) {
+	const text = "/a b\r\nX: y\n\x00\t\x7fé%20#"
+	r := newReader(string(AppendRequest(nil, "GET", text, Header{{"Host", "h"}, {"X-A", "v\r\nX-B: w\x00"}}, nil)))
+	q, err := ReadRequest(r, nil)
+	require.Error(t, err, "é is no visible ASCII")
+	require.Nil(t, q)
+	r = newReader(string(AppendRequest(nil, "GET", strings.ReplaceAll(text, "é", ""), Header{{"Host", "h"}, {"X-A", "v\r\nX-B: w\x00é"}}, nil)))
+	q, err = ReadRequest(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, "/a%20b%0D%0AX:%20y%0A%00%09%7F%20#", q.Target)
+	require.Equal(t, Header{{"Host", "h"}, {"X-A", "v  X-B: w é"}}, q.Header)
+	require.Zero(t, r.Buffered())
+	r = newReader(string(AppendResponse(nil, 302, Header{{"Location", "/x\r\n\r\nbody"}}, nil)))
+	p, err := ReadResponse(r, "GET")
+	require.NoError(t, err)
+	require.Equal(t, "/x    body", p.Header.Get("Location"))
+	require.Zero(t, r.Buffered())
+}
