Targets of promised jobs, gangs' members and stages must keep to their line

Cause: a target was checked for its length only, a gang's id for line ends and spaces only.

Change: the call is refused with InvalidArgument where a target holds a space or a control character, or a gang's id anything but visible ASCII. The check stands where calls are received: replicas of different builds decide alike on what is in the log; what is stored already is encoded when it is written.

TestTargetsKeepToTheirLine, TestTargetsOfMembersKeepToTheirLine and TestTargetsOfStagesKeepToTheirLine failed before.

--- a/internal/net/gangs/gangs.go
+++ b/internal/net/gangs/gangs.go
@@ -27,6 +27,7 @@
 	"caperrelay/internal/gang"
 	"caperrelay/internal/net/http1"
 	"caperrelay/internal/net/replicas"
+	"caperrelay/internal/promise"
 	"caperrelay/internal/replica"
 )
 
@@ -624,7 +625,7 @@
 	spec := gang.Spec{
 		ID: q.GetId(), NotBefore: us(q.GetNotBeforeUs()), LatestStart: us(q.GetLatestStartUs()), Skew: us(q.GetSkewUs()), OnDeath: gang.DeathPolicy(q.GetAfter()),
 	}
-	if strings.ContainsAny(spec.ID, "/?#% \r\n") { // the ID becomes part of job IDs
+	if !http1.IsVisible(spec.ID) || strings.ContainsAny(spec.ID, "/?#%") { // the ID becomes part of job IDs
 		return nil, status.Error(codes.InvalidArgument, "id: letters, digits and -_. only")
 	}
 	for i, m := range q.GetMembers() {
@@ -632,6 +633,9 @@
 		if !known {
 			return nil, status.Errorf(codes.InvalidArgument, "member %d: class %q is not known", i, m.GetClass())
 		}
+		if err := promise.CheckTarget(m.GetTarget()); err != nil {
+			return nil, status.Errorf(codes.InvalidArgument, "member %d: %v", i, err)
+		}
 		spec.Members = append(spec.Members, gang.Member{
 			Site: m.GetSite(), Kind: m.GetKind(), Slots: int(max(1, m.GetSlots())), Work: us(m.GetWorkUs()), Key: m.GetKey(), Class: m.GetClass(),
 			Once: once, Target: m.GetTarget(), Payload: m.GetPayload(),
--- a/internal/net/gangs/gangs_test.go
+++ b/internal/net/gangs/gangs_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	gangv1 "caperrelay/proto/winglb/gang/v1"
 
@@ -216,3 +218,15 @@
 	require.Equal(t, gang.MayHaveRun, s.handleMessage(run).Members[0].Status)
 	require.Len(t, s.starter.TakeActions(), 1)
 }
+
+// Guards against a member's target, or the ID that is part of its job's, ending a line of a request to an encoder.
+func TestTargetsOfMembersKeepToTheirLine(t *testing.T) {
+	s := &Server{}
+	s.SetClasses(map[string]bool{"live": true})
+	for id, target := range map[string]string{"g": "/x HTTP/1.1\r\n\r\nDELETE /jobs/other", "g2": "/a b", "g\x0b": "/x", "g\x7f": "/x", "g\t": "/x"} {
+		_, err := s.Submit(t.Context(), &gangv1.SubmitRequest{Id: id, Members: []*gangv1.Member{{Class: "live", Target: target}}})
+		require.Equal(t, codes.InvalidArgument, status.Code(err), "%q %q", id, target)
+		require.NotContains(t, err.Error(), "slots", "refused for what it is")
+		require.NotContains(t, err.Error(), "work of")
+	}
+}
--- a/internal/net/pipelines/pipelines.go
+++ b/internal/net/pipelines/pipelines.go
@@ -500,6 +500,9 @@
 		params[k] = v
 	}
 	for k, v := range q.Targets {
+		if err := promise.CheckTarget(v); err != nil {
+			return nil, status.Errorf(codes.InvalidArgument, "stage %q: %v", k, err)
+		}
 		params[targetKey+k] = v
 	}
 	r, err := s.proposeWithRetry(ctx, q.Id, rerun.Command{Op: rerun.OpSubmit, ID: q.Id, Pipeline: q.Pipeline, Tenant: q.Tenant, Params: params})
--- a/internal/net/pipelines/pipelines_test.go
+++ b/internal/net/pipelines/pipelines_test.go
@@ -23,6 +23,7 @@
 	"caperrelay/internal/replica"
 	"caperrelay/internal/rerun"
 	"caperrelay/internal/rerun/policy"
+	pipelinev1 "caperrelay/proto/winglb/pipeline/v1"
 	promisev1 "caperrelay/proto/winglb/promise/v1"
 )
 
@@ -318,3 +319,10 @@
 	list(5)
 	require.Equal(t, map[string]int{"a.1": 30}, capacities())
 }
+
+// Guards against the target of a stage ending the request line to an encoder.
+func TestTargetsOfStagesKeepToTheirLine(t *testing.T) {
+	_, err := (&Server{}).Submit(t.Context(), &pipelinev1.SubmitRequest{Id: "run", Targets: map[string]string{"cut": "/x HTTP/1.1\r\n\r\nDELETE /jobs/other"}})
+	require.Equal(t, codes.InvalidArgument, status.Code(err))
+	require.ErrorContains(t, err, "cut")
+}
--- a/internal/net/promises/server_test.go
+++ b/internal/net/promises/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -172,3 +173,21 @@
 	_, err = s[0].Await(at, &promisev1.AwaitRequest{Id: "other", WaitMs: 60_000})
 	require.Equal(t, codes.NotFound, code(err))
 }
+
+// Guards against a client's target ending the request line to an encoder, which would read a further request. A target
+// with any other text is promised.
+func TestTargetsKeepToTheirLine(t *testing.T) {
+	s, _, _ := pair(t)
+	promise := func(id, target string) error {
+		j := job("once")
+		j.Target = target
+		_, err := s[0].Promise(t.Context(), &promisev1.PromiseRequest{Id: id, Job: j})
+		return err
+	}
+	for _, target := range []string{"/api HTTP/1.1\r\n\r\nDELETE /jobs/other", "/a b", "/a\n", "/a\r", "/a\x00", "/a\x7f", "/a\t"} {
+		require.Equal(t, codes.InvalidArgument, status.Code(promise("bad", target)), "%q", target)
+	}
+	for i, target := range []string{"", "/api?a=%20b&c=+", "/ecuación", "http://x/api"} {
+		require.NoError(t, promise(fmt.Sprint("good", i), target), "%q", target)
+	}
+}
--- a/internal/net/promises/service.go
+++ b/internal/net/promises/service.go
@@ -1,6 +1,7 @@
 package promises
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -115,7 +116,7 @@
 	if err := promise.CheckID(q.Id); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	if err := j.Check(); err != nil {
+	if err := cmp.Or(j.Check(), promise.CheckTarget(j.Target)); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	return j, nil
--- a/internal/promise/machine.go
+++ b/internal/promise/machine.go
@@ -93,6 +93,17 @@
 	return nil
 }
 
+// CheckTarget reports what is invalid in a target, which becomes part of a request line. It is checked where a job is
+// received, not by the machine: replicas of different builds must decide alike on what is already in the log.
+func CheckTarget(target string) error {
+	for _, c := range []byte(target) {
+		if c <= ' ' || c == 127 {
+			return fmt.Errorf("a target has no spaces or control characters")
+		}
+	}
+	return nil
+}
+
 // Receipt confirms that a job is promised. An ID keeps the same receipt for as long as its job is stored.
 type Receipt struct {
 	ID      string        `json:"id"`
