Named locations that lead to each other end with 500

Cause: redirects to named locations were not counted; only a changed URI was.

Change: they are counted for a request and end with 500 beyond ten, as nginx does. Cases of TestImportedRouting, also for a location that names itself.

--- a/internal/nginx/import_test.go
+++ b/internal/nginx/import_test.go
@@ -194,6 +194,13 @@
   location /if { if ($request_method = POST) { return 405; } if ($arg_k !~ ^[0-9]+$) { return 400 bad; } proxy_pass http://p; }
   location /v { return 200 "$v $site $near $half $is_args$args"; }
   location /try { try_files $uri @app; }
+  location /round { try_files $uri @a; }
+  location @a { try_files $uri @b; }
+  location @b { try_files $uri @a; }
+  location /self { try_files $uri @self; }
+  location @self { try_files $uri @self; }
+  location /again { try_files $uri @again; }
+  location @again { rewrite ^ /again last; }
   location @app { proxy_pass http://q; }
   location = /moved-here { return 301 /there; }
   location /url { return https://z.x/$arg_a; }
@@ -231,6 +238,9 @@
 		{":81", "r", "GET", "/if?k=12", "p /if?k=12"},
 		{":81", "r", "GET", "/v?w", "200 one none lab b ?w"},
 		{":81", "r", "GET", "/try/this", "q /try/this"},
+		{":81", "r", "GET", "/round", "500 "}, // named locations that lead to each other must not go on for ever
+		{":81", "r", "GET", "/self", "500 "},
+		{":81", "r", "GET", "/again", "500 "},
 		{":81", "r", "GET", "/moved-here", "301 /there"},
 		{":81", "r", "GET", "/url?a=b", "302 https://z.x/b"},
 		{":81", "r", "GET", "/..", "400 "},
--- a/internal/routes/decide.go
+++ b/internal/routes/decide.go
@@ -180,6 +180,11 @@
 				d.Status = 500
 				return false, true
 			}
+			if e.namedRedirects++; e.namedRedirects > maxInternalRedirects {
+				e.trace("too many internal redirects")
+				d.Status = 500
+				return false, true
+			}
 			return e.enterLocation(next, d)
 		}
 	}
--- a/internal/routes/vars.go
+++ b/internal/routes/vars.go
@@ -20,6 +20,7 @@
 	args             string
 	uriChanged       bool // by a rewrite: the raw target is no longer used
 	uriChangedHere   bool // by a rewrite in the current location
+	namedRedirects   int  // to named locations
 	rewroteWithBreak bool // by a rewrite that ends in break: the URI of the pass is no longer used either
 	captures         []string
 	namedCaptures    map[string]string
