A pool whose members are all backups is served by them

Cause: ip_hash, hash and random divide by the weight of the members that are not backups, consistent hash by their points; both may be none.

Change: the method is used only where there is such a member, as round robin and least_conn did. TestPoolOfBackups panicked before and passes now.

--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -148,19 +148,8 @@
 // Pick selects a member and counts a connection to it until Done; false: none is eligible.
 func (p *Pool) Pick(now time.Duration, criteria Criteria) (*Member, bool) {
 	var m *Member
-	switch p.method {
-	case IPHash:
-		m = p.pickIPHash(now, criteria)
-	case Hash:
-		m = p.pickHash(now, criteria)
-	case Consistent:
-		m = p.pickConsistent(now, criteria)
-	case LeastConn:
-		m = p.pickLeastConn(now, criteria, false)
-	case Random:
-		m = p.pickRandomTwo(now, criteria)
-	default:
-		m = p.pickRoundRobin(now, criteria, false, nil)
+	if p.totalWeight > 0 { // otherwise all members are backups
+		m = p.pickPrimary(now, criteria)
 	}
 	if m == nil { // the backups have their own round robin
 		if p.method == LeastConn {
@@ -176,6 +165,23 @@
 	return m, true
 }
 
+// pickPrimary selects a member that is not a backup, by the pool's method. There must be one, eligible or not.
+func (p *Pool) pickPrimary(now time.Duration, criteria Criteria) *Member {
+	switch p.method {
+	case IPHash:
+		return p.pickIPHash(now, criteria)
+	case Hash:
+		return p.pickHash(now, criteria)
+	case Consistent:
+		return p.pickConsistent(now, criteria)
+	case LeastConn:
+		return p.pickLeastConn(now, criteria, false)
+	case Random:
+		return p.pickRandomTwo(now, criteria)
+	}
+	return p.pickRoundRobin(now, criteria, false, nil)
+}
+
 // eligible reports whether a request may be sent to the member.
 func (m *Member) eligible(now time.Duration, criteria Criteria) bool {
 	return !m.Down && !criteria.Tried[m.index] && (m.MaxConns == 0 || m.conns < m.MaxConns) &&
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -216,3 +216,17 @@
 		require.Equal(t, want, d)
 	}
 }
+
+// Guards against a pool whose members are all backups ending the process: it is served by them, whatever its method.
+func TestPoolOfBackups(t *testing.T) {
+	for _, method := range []Method{"", IPHash, Hash, Consistent, LeastConn, Random} {
+		backup := member(1, 1)
+		backup.Backup = true
+		p := newPool(t, string(method), "$uri", backup)
+		for key := range 20 {
+			m, ok := p.Pick(0, Criteria{Key: string(rune('a' + key)), Remote: "10.0.0.1"})
+			require.True(t, ok, method)
+			p.Done(0, m, false)
+		}
+	}
+}
