Reading ahead of a peer's disconnect stands in a package of its own

Moved from the client listener, for use by the front as well; peerClosed moves to package sock. No change of behaviour: the budget that buffers grow from is not bounded yet. Tests name what moved, and check the same.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -1,19 +1,17 @@
 package clients
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/readahead"
 	"caperrelay/internal/net/sock"
 )
 
@@ -35,14 +33,12 @@
 	server    *Server
 	id        uint64 // unique in this process, from 1
 	nc        net.Conn
-	reader    *bufio.Reader
+	reader    *readahead.Reader
 	outBuf    []byte      // buffer for answers
-	received  []byte      // received by the process that passed the connection here; read first
 	firstTask func() bool // if set, run before reading requests; returns false if the connection is to be closed
 
 	peerGone      bool // the peer has closed it, or does not read its answer
 	extraRequests int  // requests answered since it should have been closed
-	discarded     int  // bytes received after a request and discarded
 	unanswered    bool // a request has been received, at least in part, and is not answered yet
 
 	// Guarded by the server's lock.
@@ -105,7 +101,7 @@
 // serve answers requests until the connection is to be closed. Every request received by then is answered, unless the
 // peer has closed the connection.
 func (c *conn) serve() {
-	c.setBuffer(c.received, http1.MaxLine)
+	defer c.reader.Release()
 	if c.firstTask != nil && !c.firstTask() {
 		return
 	}
@@ -132,10 +128,13 @@
 	}
 }
 
-// setBuffer sets a read buffer of at least the given size that starts with the received bytes.
-func (c *conn) setBuffer(received []byte, size int) {
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(received), c.nc), max(size, len(received)))
-	c.reader.Peek(len(received)) // fills the buffer, so that they are passed on with the connection
+// setReader sets the reader, which begins with the bytes that another process has received on the connection.
+func (c *conn) setReader(received []byte) {
+	c.reader = readahead.New(c.nc, received, c.server.readAhead, func() {
+		c.server.mu.Lock()
+		c.flooded = true
+		c.server.mu.Unlock()
+	})
 }
 
 // readRequest reads the next request.
@@ -144,7 +143,7 @@
 		return nil, err
 	}
 	c.unanswered = true
-	return http1.ReadRequest(c.reader, func() error {
+	return http1.ReadRequest(c.reader.Reader, func() error {
 		err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // the deadline of the last answer may have passed
 		if err == nil {
 			_, err = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -180,8 +179,7 @@
 		return false
 	}
 	p.Answered, p.FromInstance, p.Flooded = c.answered, c.fromInstance, c.flooded
-	unread, _ := c.reader.Peek(c.reader.Buffered())
-	p.Received = append(p.Received, unread...)
+	p.Received = append(p.Received, c.reader.Unread()...)
 	c.passed = true
 	c.server.newer.Pass(tcp, p)
 	return true
@@ -366,27 +364,7 @@
 func (w *commandClient) Disconnected() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.nc != nil && peerClosed(w.nc)
-}
-
-// peerClosed reports whether the peer has closed the connection, or it is broken, provided that no unread bytes
-// precede that. Unlike sock.Peek it does not wait for a goroutine that is reading.
-func peerClosed(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ended := false
-	var buf [1]byte
-	err = raw.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return ended || err != nil
+	return w.nc != nil && sock.PeerClosed(w.nc)
 }
 
 // HandOver tells the connection's goroutine that another process answers the command.
@@ -434,7 +412,11 @@
 	if !answerBy.IsZero() && cmd.Deadline.After(answerBy) {
 		cmd.Deadline = answerBy
 	}
-	if err := c.checkClient(); err != nil { // the request may have been in a backlog for long
+	err = c.nc.SetReadDeadline(time.Time{})
+	if err == nil {
+		err = c.reader.CheckPeer()
+	}
+	if err != nil { // the request may have been in a backlog for long
 		return c.endGone(err)
 	}
 	w := &commandClient{cmd: cmd, closeAfter: q.Close, mayRetry: mayRetry, answer: make(chan outcome, 1), nc: c.nc}
@@ -443,11 +425,11 @@
 	return c.awaitAnswer(w)
 }
 
-// endGone closes a connection after checkClient or watchClient has failed: the client has disconnected, or it has
+// endGone closes a connection after CheckPeer or WatchPeer has failed: the client has disconnected, or it has
 // sent so much that a disconnect could go unnoticed. In the second case the command may have run, so the status must
 // not be one after which the client may simply retry.
 func (c *conn) endGone(err error) bool {
-	if errors.Is(err, errFlood) {
+	if errors.Is(err, readahead.ErrFlood) {
 		return c.reply(413, nil, "too much behind the request\n", true)
 	}
 	c.peerGone = true
@@ -458,9 +440,9 @@
 func (c *conn) awaitAnswer(w *commandClient) bool {
 	err := w.setConn(c.nc)
 	if err == nil {
-		err = c.watchClient()
+		err = c.reader.WatchPeer()
 	}
-	if answered := len(w.answer) > 0; err != nil && !(answered && errors.Is(err, errFlood)) {
+	if answered := len(w.answer) > 0; err != nil && !(answered && errors.Is(err, readahead.ErrFlood)) {
 		c.server.core.ClientGone(w.cmd)
 		return c.endGone(err)
 	}
@@ -482,84 +464,6 @@
 	return c.writeAnswer(dispatch.Answer{Verdict: dispatch.Failed}, true)
 }
 
-// Bounds of what a client may send after a request that is not answered yet.
-const (
-	maxReadAhead = http1.MaxBody // bytes that are buffered
-	maxDiscarded = 1 << 20       // bytes that are read and discarded beyond that, to notice a disconnect
-)
-
-// errGone reports that the client has disconnected.
-var errGone = errors.New("client has disconnected")
-
-// errFlood reports that a client has sent more after its request than is read to notice a disconnect.
-var errFlood = errors.New("too many bytes after a request")
-
-// checkClient checks, without waiting, that the client is still connected before its request is submitted. It returns
-// errGone or errFlood otherwise. Bytes sent after the request precede the end of the connection, so they are read
-// first.
-func (c *conn) checkClient() error {
-	if c.nc.SetReadDeadline(time.Time{}) != nil {
-		return errGone
-	}
-	for sock.Peek(c.nc) == sock.Data {
-		if err := c.readAhead(); err != nil {
-			return err
-		}
-	}
-	if sock.Peek(c.nc) == sock.Closed {
-		return errGone
-	}
-	return nil
-}
-
-// watchClient waits until a message interrupts the read, which is nil, or the client disconnects, which is errGone or
-// errFlood. Bytes sent after the request precede the end of the connection, so they are read: a client that sends
-// much and disconnects must be noticed, too.
-func (c *conn) watchClient() error {
-	for {
-		if err := c.readAhead(); errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil
-		} else if err != nil {
-			return err
-		}
-	}
-}
-
-// readAhead waits for more bytes after the current request. It buffers them as long as there is room, and discards
-// further ones.
-func (c *conn) readAhead() error {
-	_, err := c.reader.Peek(c.reader.Buffered() + 1)
-	switch size := c.reader.Size(); {
-	case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
-		return err
-	case !errors.Is(err, bufio.ErrBufferFull):
-		return errGone
-	case size < maxReadAhead:
-		received, _ := c.reader.Peek(c.reader.Buffered())
-		c.setBuffer(bytes.Clone(received), 2*size)
-		return nil
-	}
-	return c.discardInput()
-}
-
-// discardInput reads and discards bytes once the buffer is full. The amount is bounded, since a client could otherwise cause any
-// amount of work.
-func (c *conn) discardInput() error {
-	if c.discarded >= maxDiscarded {
-		return errFlood
-	}
-	c.server.mu.Lock()
-	c.flooded = true
-	c.server.mu.Unlock()
-	var buf [4 << 10]byte
-	n, err := c.nc.Read(buf[:])
-	c.discarded += n
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return errGone
-	}
-	return err
-}
-
 // writeAnswer writes a command's final answer.
 func (c *conn) writeAnswer(a dispatch.Answer, closeConn bool) bool {
 	switch a.Verdict {
--- a/internal/net/clients/disconnect_test.go
+++ b/internal/net/clients/disconnect_test.go
@@ -16,6 +16,7 @@
 	"caperrelay/decide"
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/readahead"
 	"caperrelay/internal/wire"
 )
 
@@ -142,7 +143,7 @@
 	core, s := newServer(1)
 	serverEnd, client := acceptedConn(t)
 	c := &conn{server: s, nc: serverEnd, state: handling}
-	c.setBuffer(nil, http1.MaxLine)
+	c.setReader(nil)
 	require.NoError(t, serverEnd.SetReadDeadline(pastDeadline))
 	q, err := http1.ReadRequest(bufio.NewReader(strings.NewReader(commandRequest)), nil)
 	require.NoError(t, err)
@@ -155,7 +156,7 @@
 // request seconds later. Whether the client stays or not, its request is cancelled once more has arrived than is read:
 // it gets one answer, and no further one.
 func TestFloodEndsItsRequest(t *testing.T) {
-	flood := strings.Repeat("x", maxReadAhead+maxDiscarded+http1.MaxBody)
+	flood := strings.Repeat("x", readahead.MaxBuffered+readahead.MaxDiscarded+http1.MaxBody)
 	for _, stays := range []bool{true, false} {
 		core, s, dial := serve(t, 2, 0)
 		nc := dial()
@@ -195,11 +196,11 @@
 	core, s := newServer(1)
 	serverEnd, client := acceptedConn(t)
 	c := &conn{server: s, nc: serverEnd, state: handling}
-	c.setBuffer(nil, http1.MaxLine)
+	c.setReader(nil)
 	go io.Copy(client, endlessReader{})
-	require.ErrorIs(t, c.watchClient(), errFlood)
-	require.LessOrEqual(t, c.reader.Size(), maxReadAhead)
-	require.LessOrEqual(t, c.discarded, maxDiscarded+4<<10)
+	require.ErrorIs(t, c.reader.WatchPeer(), readahead.ErrFlood)
+	require.LessOrEqual(t, c.reader.Size(), readahead.MaxBuffered)
+	require.LessOrEqual(t, c.reader.Discarded(), readahead.MaxDiscarded+4<<10)
 	w := &commandClient{cmd: &dispatch.Command{ID: "1"}, answer: make(chan outcome, 1)}
 	w.answer <- outcome{Answer: dispatch.Answer{Verdict: dispatch.Refused}}
 	go c.awaitAnswer(w)
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -3,11 +3,11 @@
 package clients
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"log/slog"
 	"maps"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -20,6 +20,7 @@
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
 	"caperrelay/internal/net/loadreport"
+	"caperrelay/internal/net/readahead"
 	"caperrelay/internal/wire"
 )
 
@@ -76,6 +77,7 @@
 	log          *slog.Logger
 	reports      *loadreport.Reader // of instances' load reports; nil: there are none
 	timeouts     timeouts
+	readAhead    *readahead.Budget
 	slots        chan struct{} // one for each connection; bounds the file descriptors used here
 	connCounters *dispatch.Counters
 	lastConnID   atomic.Uint64
@@ -116,7 +118,7 @@
 // New returns a server for at most maxConns connections.
 func New(core Core, settings decide.Settings, names wire.Names, maxConns int, counters func() string, logger *slog.Logger) *Server {
 	server := &Server{
-		core: core, countersText: counters, log: logger, timeouts: defaultTimeouts, slots: make(chan struct{}, maxConns),
+		core: core, countersText: counters, log: logger, timeouts: defaultTimeouts, readAhead: readahead.NewBudget(math.MaxInt), slots: make(chan struct{}, maxConns),
 		conns: map[*conn]struct{}{}, expected: map[string]*commandClient{}, connCounters: new(dispatch.Counters),
 	}
 	server.UpdateSettings(settings, names)
@@ -207,7 +209,11 @@
 	s.crowded = crowded
 }
 
-func (s *Server) startConn(nc net.Conn) { s.runConn(&conn{server: s, nc: nc, stateSince: time.Now()}) }
+func (s *Server) startConn(nc net.Conn) {
+	c := &conn{server: s, nc: nc, stateSince: time.Now()}
+	c.setReader(nil)
+	s.runConn(c)
+}
 
 func (s *Server) runConn(c *conn) {
 	c.id = s.lastConnID.Add(1)
@@ -295,7 +301,8 @@
 			return
 		}
 	}
-	c := &conn{server: s, nc: nc, stateSince: time.Now(), answered: p.Answered, fromInstance: p.FromInstance, received: p.Received, flooded: p.Flooded}
+	c := &conn{server: s, nc: nc, stateSince: time.Now(), answered: p.Answered, fromInstance: p.FromInstance, flooded: p.Flooded}
+	c.setReader(p.Received)
 	switch {
 	case p.Request != nil:
 		c.state, c.firstTask = handling, func() bool { return c.handleCommand(p.Request, p.Deadline) }
@@ -310,7 +317,8 @@
 
 // rejectConn closes a connection for which there is no slot, after answering its request, if any.
 func (s *Server) rejectConn(nc net.Conn, p PassedConn, w *commandClient) {
-	c := &conn{server: s, nc: nc, stateSince: time.Now(), answered: p.Answered, reader: bufio.NewReader(nc)}
+	c := &conn{server: s, nc: nc, stateSince: time.Now(), answered: p.Answered}
+	c.setReader(nil)
 	verdict := dispatch.Failed
 	if p.Request != nil { // it was never submitted
 		verdict = dispatch.Refused
--- a/internal/net/sock/sock.go
+++ b/internal/net/sock/sock.go
@@ -44,3 +44,23 @@
 	}
 	return state
 }
+
+// PeerClosed reports whether the peer has closed the connection, or it is broken, provided that no unread bytes precede
+// that. Unlike Peek it does not wait for a goroutine that is reading.
+func PeerClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	var buf [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return ended || err != nil
+}
