Memory held for what clients send behind requests is bounded over all of them

Cause: each connection's buffer grew to 64 KB and stayed so; a connection or command that is taken over was kept two or three times (its JSON, the bytes received, the buffer); the older process kept what it had collected.

Change: all buffers together grow by 4 MB, beyond that bytes are discarded as behind a full buffer before; a buffer shrinks once it can; what was taken over is kept once; the older process returns its memory to the system.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -194,6 +194,7 @@
 		s.mu.Unlock()
 		return errPassed
 	}
+	c.reader.Shrink()
 	isFirst, now := !c.answered, time.Now()
 	deadline := c.stateSince.Add(s.timeouts.firstRequest)
 	if c.state = waiting; !isFirst {
--- a/internal/net/clients/server.go
+++ b/internal/net/clients/server.go
@@ -7,7 +7,6 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"math"
 	"net"
 	"os"
 	"slices"
@@ -33,7 +32,8 @@
 	lingerTimeout       = 500 * time.Millisecond // from closing this side's half until the peer closes its own
 	acceptRetryInterval = 5 * time.Millisecond
 
-	maxExtraRequests = 16 // pipelined requests answered after a connection should have been closed
+	maxReadAhead     = 4 << 20 // bytes by which all connections' buffers may have grown to hold what is sent behind a request
+	maxExtraRequests = 16      // pipelined requests answered after a connection should have been closed
 )
 
 // How long clients are answered after the process has been told to end. By the protocol, it is killed no sooner than
@@ -118,7 +118,7 @@
 // New returns a server for at most maxConns connections.
 func New(core Core, settings decide.Settings, names wire.Names, maxConns int, counters func() string, logger *slog.Logger) *Server {
 	server := &Server{
-		core: core, countersText: counters, log: logger, timeouts: defaultTimeouts, readAhead: readahead.NewBudget(math.MaxInt), slots: make(chan struct{}, maxConns),
+		core: core, countersText: counters, log: logger, timeouts: defaultTimeouts, readAhead: readahead.NewBudget(maxReadAhead), slots: make(chan struct{}, maxConns),
 		conns: map[*conn]struct{}{}, expected: map[string]*commandClient{}, connCounters: new(dispatch.Counters),
 	}
 	server.UpdateSettings(settings, names)
--- /dev/null
+++ b/internal/net/readahead/readahead_test.go
@@ -0,0 +1,76 @@
+package readahead
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caperrelay/internal/net/http1"
+)
+
+// connection returns a reader of a connection, and the peer's end.
+func connection(t *testing.T, budget *Budget) (*Reader, net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { peer.Close() })
+	c, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return New(c, nil, budget, nil), peer
+}
+
+// Guards against many clients that send much behind their requests making the process hold more memory than its limit:
+// beyond the budget, bytes are discarded, and the end of the connection is still noticed.
+func TestBuffersOfAllConnectionsAreBounded(t *testing.T) {
+	const size = 3 * MaxBuffered
+	budget := NewBudget(size)
+	var readers []*Reader
+	grown := 0
+	for range 8 {
+		r, peer := connection(t, budget)
+		_, err := peer.Write([]byte(strings.Repeat("x", 2*MaxBuffered)))
+		require.NoError(t, err)
+		require.NoError(t, peer.Close())
+		require.ErrorIs(t, r.WatchPeer(), ErrGone)
+		require.Positive(t, r.Discarded())
+		readers, grown = append(readers, r), grown+r.Size()-http1.MaxLine
+	}
+	require.Positive(t, grown)
+	require.LessOrEqual(t, grown, size)
+	for _, r := range readers {
+		r.Release()
+	}
+	require.True(t, budget.take(size), "all has been given back")
+}
+
+// A buffer that has grown is given back once what it holds has been read, and loses nothing.
+func TestShrinkKeepsWhatIsUnread(t *testing.T) {
+	budget := NewBudget(MaxBuffered)
+	r, peer := connection(t, budget)
+	text := strings.Repeat("x", 20<<10) + "rest"
+	_, err := peer.Write([]byte(text))
+	require.NoError(t, err)
+	for r.Buffered() < len(text) {
+		require.NoError(t, r.readMore())
+	}
+	r.Shrink()
+	require.Greater(t, r.Size(), http1.MaxLine, "it does not fit yet")
+	_, err = r.Discard(20 << 10)
+	require.NoError(t, err)
+	r.Shrink()
+	require.Equal(t, http1.MaxLine, r.Size())
+	require.Equal(t, "rest", string(r.Unread()))
+	_, err = peer.Write([]byte("more"))
+	require.NoError(t, err)
+	require.NoError(t, r.conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	next, err := r.Peek(8)
+	require.NoError(t, err)
+	require.Equal(t, "restmore", string(next))
+	require.True(t, budget.take(MaxBuffered))
+}
--- a/internal/program/takeover.go
+++ b/internal/program/takeover.go
@@ -290,6 +290,7 @@
 		return
 	}
 	p.resize()
+	go debug.FreeOSMemory() // the newer process needs what this one has collected and not returned
 	link.Run(func(m handover.Message, f *os.File) {
 		switch m.Kind {
 		case msgReady:
@@ -323,6 +324,10 @@
 
 func (sharedListener) Close() error { return nil }
 
+// releaseMemoryAfter is the time after a handover in which connections are passed on. Then the memory that they used is
+// returned to the system: the newer process needs it, and this one allocates too little for a collection of its own.
+const releaseMemoryAfter = 250 * time.Millisecond
+
 // handOver hands over all pending commands and all new work to the newer process.
 func (p *Program) handOver(link *handover.Link) {
 	release := p.server.HoldCallbacks()
@@ -343,6 +348,7 @@
 		p.handedSnapshot = state.Module
 		p.mu.Unlock()                                     // the handover socket stays, turning callers away, until the newer process has its own in that place
 		p.enter(HandedOver, Serving, Quiescing, Quiesced) // unless termination has begun
+		time.AfterFunc(releaseMemoryAfter, debug.FreeOSMemory)
 		return true
 	})
 }
@@ -426,6 +432,7 @@
 		if err := json.Unmarshal(c.Payload, q); err != nil {
 			return err
 		}
+		c.Payload = nil // the command, which stays, is a part of c
 		c.Command.Payload, c.Client = q, r.server.ExpectConn(&c.Command, q.Close)
 		r.commands = append(r.commands, c)
 	case msgHandedOver:
