Bytes to be discarded are read in large pieces

Change: a peer is still waited for with 512 bytes; once it sends more, 32 KB are read at a time from pooled buffers.

TestDiscardingMuchTakesFewReads counts the calls.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -323,9 +323,8 @@
 	if err != nil {
 		return
 	}
-	var buf [512]byte // small, since most peers send nothing more
 	for left := 4 * http1.MaxBody; left > 0; {
-		n, err := c.nc.Read(buf[:])
+		n, err := readahead.DiscardSome(c.nc, left)
 		if n > 0 && wasIdle {
 			s.countEnd(dispatch.RequestInFlight)
 			wasIdle = false
--- a/internal/net/readahead/readahead.go
+++ b/internal/net/readahead/readahead.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"caperrelay/internal/net/http1"
@@ -172,11 +173,32 @@
 	if r.discarded.Load() == 0 && r.onDiscard != nil {
 		r.onDiscard()
 	}
-	var buf [4 << 10]byte
-	n, err := r.conn.Read(buf[:])
+	n, err := DiscardSome(r.conn, MaxDiscarded-r.Discarded())
 	r.discarded.Add(int64(n))
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return ErrGone
 	}
 	return err
 }
+
+// Sizes of the buffers that bytes are discarded with.
+const (
+	waitBufferSize = 512 // while waiting, since most peers send nothing more
+	bulkBufferSize = 32 << 10
+)
+
+var bulkBuffers = sync.Pool{New: func() any { return new([bulkBufferSize]byte) }}
+
+// DiscardSome waits for bytes of a peer, discards them and further ones that have arrived, and returns their number: about
+// limit at most. A peer that sends much costs few calls, one that sends nothing little memory.
+func DiscardSome(c net.Conn, limit int) (int, error) {
+	var buf [waitBufferSize]byte
+	n, err := c.Read(buf[:])
+	if n < len(buf) || n >= limit || err != nil || sock.Peek(c) != sock.Data {
+		return n, err
+	}
+	bulk := bulkBuffers.Get().(*[bulkBufferSize]byte)
+	defer bulkBuffers.Put(bulk)
+	more, err := c.Read(bulk[:min(len(bulk), limit-n)])
+	return n + more, err
+}
--- a/internal/net/readahead/readahead_test.go
+++ b/internal/net/readahead/readahead_test.go
@@ -74,3 +74,36 @@
 	require.Equal(t, "restmore", string(next))
 	require.True(t, budget.take(MaxBuffered))
 }
+
+// countingConn counts the calls of Read.
+type countingConn struct {
+	*net.TCPConn
+	reads int
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	c.reads++
+	return c.TCPConn.Read(b)
+}
+
+// Guards against clients that send much to be discarded taking the processor from others, by one call for each 512 bytes.
+func TestDiscardingMuchTakesFewReads(t *testing.T) {
+	const much = 256 << 10
+	r, peer := connection(t, NewBudget(0))
+	go peer.Write(make([]byte, much))
+	c := &countingConn{TCPConn: r.conn.(*net.TCPConn)}
+	for left := much; left > 0; {
+		n, err := DiscardSome(c, left)
+		require.NoError(t, err)
+		left -= n
+	}
+	require.Less(t, c.reads, much/waitBufferSize/4)
+	_, err := peer.Write(make([]byte, waitBufferSize+100))
+	require.NoError(t, err)
+	for left := waitBufferSize + 100; left > 0; {
+		n, err := DiscardSome(c, left)
+		require.NoError(t, err)
+		require.LessOrEqual(t, n, left)
+		left -= n
+	}
+}
