The front notices clients that leave with bytes unread behind their request

Cause: the front looked for one byte to notice the end of the connection, and the byte of a pipelined request was there. While a request waited its turn nobody looked.

Change: it reads ahead as the client listener does, looks once more after the turn has come, and a server's attempt asks the connection itself directly before the first byte. Beyond what is read ahead a client gets 413.

TestClientThatLeftWithBytesUnreadIsNoticed failed before (3 requests at the server where 2 are wanted).

--- a/internal/net/plain/front.go
+++ b/internal/net/plain/front.go
@@ -6,7 +6,6 @@
 package plain
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -26,6 +25,7 @@
 
 	"caperrelay/internal/dispatch"
 	"caperrelay/internal/net/http1"
+	"caperrelay/internal/net/readahead"
 	"caperrelay/internal/net/sock"
 	"caperrelay/internal/pools"
 	"caperrelay/internal/routes"
@@ -39,6 +39,9 @@
 	lingerTimeout = 500 * time.Millisecond
 )
 
+// maxReadAhead is the number of bytes by which all connections' buffers may have grown to hold what is sent behind a request.
+const maxReadAhead = 4 << 20
+
 // Front serves plain HTTP on one listener.
 type Front struct {
 	listen         string
@@ -48,6 +51,7 @@
 	limits         atomic.Pointer[Limits]
 	requestTimeout time.Duration // longest time for one request
 	log            *slog.Logger
+	readAhead      *readahead.Budget
 	connSlots      chan struct{}
 	lastID         atomic.Uint64
 	idPrefix       uint64
@@ -68,7 +72,7 @@
 
 // New returns a front that serves at most maxConns connections at once.
 func New(address string, t *routes.Table, p *Pools, l *Limits, core Core, requestTimeout time.Duration, maxConns int, logger *slog.Logger) *Front {
-	f := &Front{listen: address, core: core, requestTimeout: requestTimeout, log: logger, connSlots: make(chan struct{}, maxConns), idPrefix: rand.Uint64(), conns: map[net.Conn]bool{}}
+	f := &Front{listen: address, core: core, requestTimeout: requestTimeout, log: logger, readAhead: readahead.NewBudget(maxReadAhead), connSlots: make(chan struct{}, maxConns), idPrefix: rand.Uint64(), conns: map[net.Conn]bool{}}
 	f.SetRoutes(t, p, l)
 	return f
 }
@@ -169,19 +173,21 @@
 }
 
 func (f *Front) serve(nc net.Conn) {
-	br := bufio.NewReaderSize(nc, http1.MaxLine)
+	r := readahead.New(nc, nil, f.readAhead, nil)
+	defer func() { r.Release() }()
 	for {
+		r.Shrink()
 		if nc.SetReadDeadline(time.Now().Add(idleTimeout)) != nil || !f.setBusy(nc, false) {
 			return
 		}
-		if _, err := br.Peek(1); err != nil {
+		if _, err := r.Peek(1); err != nil {
 			return
 		}
 		f.setBusy(nc, true)
 		if nc.SetReadDeadline(time.Now().Add(readTimeout)) != nil {
 			return
 		}
-		q, err := http1.ReadRequest(br, func() error {
+		q, err := http1.ReadRequest(r.Reader, func() error {
 			_, err := io.WriteString(nc, "HTTP/1.1 100 Continue\r\n\r\n")
 			return err
 		})
@@ -194,7 +200,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			reply(nc, &http1.Request{}, 408, nil, nil, true)
 			return
-		case err != nil || !f.handle(nc, br, q):
+		case err != nil || !f.handle(nc, r, q):
 			return
 		}
 	}
@@ -232,7 +238,7 @@
 }
 
 // handle serves one request. It returns false if the connection must close.
-func (f *Front) handle(nc net.Conn, br *bufio.Reader, q *http1.Request) bool {
+func (f *Front) handle(nc net.Conn, r *readahead.Reader, q *http1.Request) bool {
 	if q.Header.Conflicts("Host") {
 		return reply(nc, q, 400, nil, []byte("more than one Host\n"), true)
 	}
@@ -278,7 +284,7 @@
 		class = d.Pool + onceSuffix
 	}
 	x.start, x.deadline = time.Now(), deadline
-	w := &waiter{answer: make(chan dispatch.Answer, 1)}
+	w := &waiter{answer: make(chan dispatch.Answer, 1), nc: nc}
 	cmd := &dispatch.Command{
 		ID: strconv.FormatUint(f.idPrefix, 36) + "-" + strconv.FormatUint(f.lastID.Add(1), 36), Class: class, Payload: x, Client: w, Deadline: deadline,
 	}
@@ -298,32 +304,44 @@
 		}
 		defer p.Done(d.Pool, cmd.ID, false)
 	}
+	if nc.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	if err := r.CheckPeer(); err != nil { // the client may have left while its request waited its turn
+		return endGone(nc, q, err)
+	}
 	f.core.Submit(cmd)
-	// If the client closes the connection while it waits, the command is cancelled.
-	clientGone := make(chan struct{})
-	watchDone := make(chan struct{})
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		defer close(watchDone)
-		nc.SetReadDeadline(time.Time{})
-		if _, err := br.Peek(1); err != nil && ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			close(clientGone)
-		}
-	}()
-	defer func() {
-		cancel()
-		nc.SetReadDeadline(time.Unix(1, 0)) // unblocks Peek
-		<-watchDone
-	}()
+	return f.awaitAnswer(nc, r, q, cmd, x)
+}
+
+// awaitAnswer waits for the answer of a command and writes it. If the client closes the connection while it waits, the
+// command is cancelled.
+func (f *Front) awaitAnswer(nc net.Conn, r *readahead.Reader, q *http1.Request, cmd *dispatch.Command, x *Exchange) bool {
+	w := cmd.Client.(*waiter)
+	clientGone := make(chan error, 1)
+	go func() { clientGone <- r.WatchPeer() }()
 	select {
 	case a := <-w.answer:
+		nc.SetReadDeadline(time.Unix(1, 0)) // ends WatchPeer
+		err := <-clientGone
+		q.Close = q.Close || err != nil || r.Discarded() > 0
 		return f.relay(nc, q, a, x)
-	case <-clientGone:
+	case err := <-clientGone:
 		f.core.ClientGone(cmd)
-		return false
+		return endGone(nc, q, err)
 	}
 }
 
+// endGone closes a connection whose client has disconnected, or has sent so much behind its request that a disconnect could
+// go unnoticed.
+func endGone(nc net.Conn, q *http1.Request, err error) bool {
+	if errors.Is(err, readahead.ErrFlood) {
+		reply(nc, q, 413, nil, []byte("too much behind the request\n"), true)
+		linger(nc)
+	}
+	return false
+}
+
 // idempotent reports whether a request with this method may be sent again when it may have run.
 func idempotent(method string) bool {
 	switch method {
@@ -340,11 +358,17 @@
 )
 
 // waiter receives the answer of a command; it implements the client interface of package dispatch.
-type waiter struct{ answer chan dispatch.Answer }
+type waiter struct {
+	answer chan dispatch.Answer
+	nc     net.Conn
+}
 
 func (w *waiter) Answer(a dispatch.Answer) { w.answer <- a }
 func (w *waiter) HandOver(bool)            {}
 
+// Disconnected checks the connection itself, because the goroutine that watches it may not have run since the disconnect.
+func (w *waiter) Disconnected() bool { return sock.PeerClosed(w.nc) }
+
 // relay writes the answer of a command to the client.
 func (f *Front) relay(nc net.Conn, q *http1.Request, a dispatch.Answer, x *Exchange) bool {
 	switch a.Verdict {
--- a/internal/net/plain/plain_test.go
+++ b/internal/net/plain/plain_test.go
@@ -475,3 +475,54 @@
 	require.False(t, p.Header.Present("X-Rest"))
 	require.Equal(t, "/app?q=/try", string(k.do("GET", "/try", "").Body), "the connection goes on")
 }
+
+// Guards against requests of a client that has left being sent afterwards, because bytes behind a request hid the end of
+// the connection: one that waits its turn, the one behind it, and one that a server has.
+func TestClientThatLeftWithBytesUnreadIsNoticed(t *testing.T) {
+	cancelled := make(chan bool, 1)
+	a := startServer(t, "a", func(c net.Conn, q *http1.Request) bool {
+		if q.Target == "/held" {
+			c.Read(make([]byte, 1)) // until the front closes the connection
+			cancelled <- true
+			return false
+		}
+		c.Write(http1.AppendResponse(nil, 200, nil, nil))
+		return true
+	})
+	c := onePool("", routes.Member{Address: a.address()})
+	c.Zones = []routes.Zone{{Name: "r", Key: "all", Rate: 4, MaxKeys: 1}}
+	c.Servers[0].Locations = []routes.Location{
+		{Pattern: "/held", Pass: "http://p"}, {Pattern: "/", Pass: "http://p", Limits: []routes.Limit{{Zone: "r", Burst: 10}}},
+	}
+	s := startSite(t, c)
+	for _, behind := range []string{"GET /behind HTTP/1.1\r\nHost: x\r\n\r\n", strings.Repeat("y", 200<<10)} {
+		a.requests.Store(0)
+		require.Equal(t, 200, dial(t, s).do("GET", "/first", "").Status)
+		k := dial(t, s)
+		_, err := io.WriteString(k.nc, "POST /waits HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"+behind)
+		require.NoError(t, err)
+		require.NoError(t, k.nc.Close())
+		require.Equal(t, 200, dial(t, s).do("GET", "/last", "").Status) // its turn comes after that of the one that left
+		require.Eventually(t, s.Front.Quiet, 10*time.Second, time.Millisecond)
+		require.EqualValues(t, 2, a.requests.Load())
+
+		k = dial(t, s)
+		_, err = io.WriteString(k.nc, "GET /held HTTP/1.1\r\nHost: x\r\n\r\n"+behind)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return a.requests.Load() == 3 }, 10*time.Second, time.Millisecond)
+		require.NoError(t, k.nc.Close())
+		select {
+		case <-cancelled:
+		case <-time.After(10 * time.Second):
+			require.FailNow(t, "the server still has the request")
+		}
+	}
+	k := dial(t, s) // a client that stays has both of its requests answered
+	_, err := io.WriteString(k.nc, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	for range 2 {
+		p, err := http1.ReadResponse(k.br, "GET")
+		require.NoError(t, err)
+		require.Equal(t, 200, p.Status)
+	}
+}
