An ID does not run again once its client has left and it may have run

The protocol asks for a new ID with each request; libraries repeat calls.

Cause: a command was forgotten as soon as its attempts were cancelled here, while its encoder may have run it, at least in part.

Change: IDs of commands that must not run twice are kept for a minute after their clients have left, 4,096 at most, and are handed over; who comes again is told 502, as it may have run. Commands that never were at an encoder, or may be repeated, and those with a record of their own run as before.

The recording of HandoverState gains the new field, left out when empty; all else in it is as it was, and older builds ignore the field.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -9,8 +9,8 @@
 )
 
 // admit registers a command and passes it to the decision module. Commands that the module cannot be asked about
-// are answered here: one whose ID is already pending, since its callbacks could not be told apart, and one whose
-// class is not in the settings.
+// are answered here: one whose ID is already pending, since its callbacks could not be told apart, one whose class is not
+// in the settings, and one whose ID may have run for a client that has left.
 func (l *Loop) admit(c *Command) {
 	if l.handedOver { // it was queued during the handover
 		l.Counters.pending.Add(-1)
@@ -31,6 +31,12 @@
 		c.Client.Answer(Answer{Verdict: Unusable})
 		return
 	}
+	if !c.hasRecord() && l.departed.contains(c.ID, time.Now()) {
+		l.Counters.pending.Add(-1)
+		l.Counters.countAnswer(class, Failed)
+		c.Client.Answer(Answer{Verdict: Failed})
+		return
+	}
 	p := &pendingCommand{Command: c, class: class, definition: l.settings.Classes[class], request: l.newRequestID()}
 	l.byID[c.ID], l.byRequest[p.request] = p, p
 	var candidates []uint32
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -198,6 +198,7 @@
 	byID       map[string]*pendingCommand // pending commands by correlation ID
 	takenOver  sync.Map                   // the subset that was taken over from another process, as *Command; read by any goroutine
 	byRequest  map[uint32]*pendingCommand // pending commands by the decision module's request ID
+	departed   departedIDs
 	lastID     uint32
 	handedOver bool // to a newer process
 
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -52,11 +52,12 @@
 
 // HandoverState is the state that one loop hands over to another.
 type HandoverState struct {
-	Module      decide.Snapshot    `json:"Module"`
-	InstanceIDs map[uint32]string  `json:"Numbers"` // instance IDs by the decision module's worker IDs
-	Commands    []*HandoverCommand `json:"-"`       // each is sent as a separate message
-	Names       wire.Names         `json:"Names"`
-	Classes     []decide.Class     `json:"Classes"` // indexed by class number; also earlier definitions that commands still have
+	Module      decide.Snapshot      `json:"Module"`
+	InstanceIDs map[uint32]string    `json:"Numbers"` // instance IDs by the decision module's worker IDs
+	Commands    []*HandoverCommand   `json:"-"`       // each is sent as a separate message
+	Names       wire.Names           `json:"Names"`
+	Classes     []decide.Class       `json:"Classes"`            // indexed by class number; also earlier definitions that commands still have
+	Departed    map[string]time.Time `json:"Departed,omitempty"` // IDs that are refused because their clients have left, until when
 }
 
 // HandoverCommand is a command that is handed over.
@@ -84,7 +85,7 @@
 		for len(l.events) > 0 {
 			l.handleEvents()
 		}
-		state := HandoverState{Module: l.mod.Snapshot(), InstanceIDs: l.instanceIDs, Names: l.allNames}
+		state := HandoverState{Module: l.mod.Snapshot(), InstanceIDs: l.instanceIDs, Names: l.allNames, Departed: l.departed.until}
 		classes := l.classTable()
 		for _, r := range state.Module.Requests {
 			if p := l.byRequest[r.ID]; p != nil && !p.answered && p.Gate == nil && !p.Reserved { // other clients have no connection that could be passed on
@@ -186,6 +187,7 @@
 		l.takenOver.Store(c.ID, &c.Command)
 	}
 	l.post(func(l *Loop) {
+		l.departed.merge(state.Departed, time.Now())
 		classNumbers, err := l.mergeClasses(state)
 		if err != nil {
 			l.log.Error("cannot merge the older process's classes into the settings", "err", err)
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -171,3 +172,59 @@
 	require.Len(t, c.answers, 1)
 	require.Equal(t, Served, c.answers[0].Verdict)
 }
+
+// Guards against a command that must not run twice running again under its ID after its client has left, here or at the
+// process that takes over. A command that never ran, or may run again, is sent.
+func TestIDOfClientThatLeftDoesNotRunAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect    decide.Effect
+		neverSent bool
+		refused   bool
+	}{
+		"may have run":  {effect: decide.Unsafe, refused: true},
+		"never sent":    {effect: decide.Unsafe, neverSent: true},
+		"may run again": {effect: decide.Safe},
+	} {
+		for _, replaced := range []bool{false, true} {
+			f := &fleet{}
+			l, newer := loopWithEffect(t, f, c.effect), loopWithEffect(t, f, c.effect)
+			if c.neverSent {
+				l.UpdateInstances(InstanceUpdate{Instances: []Instance{{ID: "s-1", State: decide.Draining}, {ID: "s-2", State: decide.Draining}}}, true)
+			}
+			cmd := &Command{ID: "id", Class: "safe", Deadline: time.Now().Add(time.Hour), Client: &client{}}
+			l.Submit(cmd)
+			l.runBatch()
+			l.ClientGone(cmd)
+			l.runBatch()
+			if replaced {
+				handOverEncoded(t, l, newer)
+				l = newer
+			}
+			l.UpdateInstances(InstanceUpdate{Instances: []Instance{{ID: "s-8", State: decide.Ready}, {ID: "s-9", State: decide.Ready}}}, true)
+			again := submit(l, "id")
+			l.runBatch()
+			if c.refused {
+				require.Equal(t, []Answer{{Verdict: Failed}}, again.answers)
+				require.Zero(t, l.Pending())
+				continue
+			}
+			require.Empty(t, again.answers)
+			require.EqualValues(t, 1, l.Pending(), "%s, replaced: %v", name, replaced)
+		}
+	}
+}
+
+// The IDs of clients that left are kept for a while only, and not without bound.
+func TestDepartedIDsAreBounded(t *testing.T) {
+	var d departedIDs
+	now := time.Now()
+	for n := range 3 * maxDepartedIDs {
+		d.add(fmt.Sprint(n%(2*maxDepartedIDs)), now.Add(departedRetention), now)
+		require.LessOrEqual(t, len(d.until), maxDepartedIDs)
+	}
+	require.Equal(t, len(d.until), len(d.order))
+	require.True(t, d.contains(d.order[0], now))
+	require.False(t, d.contains(d.order[0], now.Add(departedRetention)))
+	d.add("later", now.Add(2*departedRetention), now.Add(departedRetention))
+	require.Len(t, d.until, 1)
+}
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -49,6 +49,7 @@
 func (l *Loop) cancelCommand(p *pendingCommand) {
 	if !p.answered {
 		l.Counters.Cancelled.Add(1)
+		l.noteDeparted(p)
 		l.markAnswered(p)
 		l.queueEvent(decide.RequestCancelled{Request: p.request})
 		l.removeIfDone(p)
