A client that sends without pause lets others have their turn

Cause: as long as its next request is there, a connection's goroutine neither reads nor waits; with one processor it runs on until it is preempted, 10 ms each time.

Change: after an answer it lets others run if more has come, at the client listener and the front.

TestYieldLetsOthersRun failed 20 of 20 without the call.

--- a/internal/net/clients/conn.go
+++ b/internal/net/clients/conn.go
@@ -125,6 +125,7 @@
 		case !c.handle(q):
 			return
 		}
+		c.reader.Yield()
 	}
 }
 
--- a/internal/net/plain/front.go
+++ b/internal/net/plain/front.go
@@ -176,6 +176,7 @@
 	r := readahead.New(nc, nil, f.readAhead, nil)
 	defer func() { r.Release() }()
 	for {
+		r.Yield()
 		r.Shrink()
 		if nc.SetReadDeadline(time.Now().Add(idleTimeout)) != nil || !f.setBusy(nc, false) {
 			return
--- a/internal/net/readahead/readahead.go
+++ b/internal/net/readahead/readahead.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 
@@ -106,6 +107,14 @@
 // Discarded returns how many bytes were read and discarded; after that no further request can be read.
 func (r *Reader) Discarded() int { return int(r.discarded.Load()) }
 
+// Yield lets other connections' goroutines run if more has been received: a peer that sends without pause would otherwise
+// have its goroutine run on, each time until it is preempted.
+func (r *Reader) Yield() {
+	if r.Buffered() > 0 {
+		runtime.Gosched()
+	}
+}
+
 // Shrink gives a buffer that has grown back, if what it holds fits into one of the usual size.
 func (r *Reader) Shrink() {
 	if r.taken > 0 && r.Buffered() <= http1.MaxLine {
--- a/internal/net/readahead/readahead_test.go
+++ b/internal/net/readahead/readahead_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,3 +109,19 @@
 		left -= n
 	}
 }
+
+// Guards against a peer that sends without pause keeping the processor from other connections until it is preempted.
+func TestYieldLetsOthersRun(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	r, peer := connection(t, NewBudget(0))
+	_, err := peer.Write([]byte("next request"))
+	require.NoError(t, err)
+	_, err = r.Peek(1)
+	require.NoError(t, err)
+	var othersRan atomic.Bool
+	go othersRan.Store(true)
+	for range 100 { // the scheduler may choose this goroutine again
+		r.Yield()
+	}
+	require.True(t, othersRan.Load())
+}
