Calls whose message has come in part are bounded at the control listener

Cause: a call holds what has come of its message, up to 1 MB, for as long as its client likes; streams are bounded for a connection, connections are not.

Change: a call counts from the reading of its message until that has come. A call whose message is there does not count, however many come at once.

--- a/internal/net/control/server.go
+++ b/internal/net/control/server.go
@@ -125,7 +125,9 @@
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
+	receiving := &receivingCalls{}
 	options := []grpc.ServerOption{
+		grpc.InTapHandle(receiving.tap), grpc.StatsHandler(receiving),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(c.maxStreams()), grpc.ConnectionTimeout(5 * time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
--- a/internal/rig/hostile_test.go
+++ b/internal/rig/hostile_test.go
@@ -1,20 +1,26 @@
 package rig_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"caperrelay/internal/net/handover"
+	"caperrelay/internal/net/http1"
 	"caperrelay/internal/rig"
+	"caperrelay/internal/standin/ledger"
 )
 
 const (
@@ -187,3 +193,148 @@
 	require.Less(t, peak, int64(memoryLimit))
 	w.serves(0, 1)
 }
+
+// flood keeps many requests under way on one connection, without pause, until the context ends. It returns how many were
+// answered.
+func flood(ctx context.Context, address string, request func(n int) string) (answered int) {
+	attack(ctx, 1, address, func(_ context.Context, _ int, c net.Conn) error {
+		const atOnce = 1000
+		reader := bufio.NewReaderSize(c, http1.MaxLine)
+		for {
+			var batch strings.Builder
+			for n := range atOnce {
+				batch.WriteString(request(answered + n))
+			}
+			go io.WriteString(c, batch.String())
+			for range atOnce {
+				if _, err := http1.ReadResponse(reader, "POST"); err != nil {
+					return err
+				}
+				answered++
+			}
+		}
+	}).Wait()
+	return answered
+}
+
+// TestFloodOfOneClientIsBorne guards against one client that sends small or unsound requests on one connection at full speed,
+// also under ever new names, keeping others from being served or making the daemon grow.
+func TestFloodOfOneClientIsBorne(t *testing.T) {
+	for name, request := range map[string]func(n int) string{
+		"unknown class": func(n int) string {
+			return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: d\r\nX-Correlation-Id: u%d\r\nX-Service-Class: c%d\r\nContent-Length: 0\r\n\r\n", n, n)
+		},
+		"callbacks that match nothing": func(n int) string {
+			body := fmt.Sprintf(`{"id":"u%d","from":"s-%d","state":"done","result":"x"}`, n, n)
+			return fmt.Sprintf("POST /_jobs/news HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		},
+		"figures": func(int) string { return "GET /_counters HTTP/1.1\r\nHost: d\r\n\r\n" },
+		"new accounts and keys": func(n int) string {
+			return fmt.Sprintf("POST /api?class=preview&work_us=1 HTTP/1.1\r\nHost: d\r\nX-Correlation-Id: n%d\r\nX-Service-Class: preview\r\nX-Account: a%d\r\nCookie: user=u%d\r\nX-Time-Left: 1m\r\nContent-Length: 0\r\n\r\n", n, n, n)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := hostileTown(t)
+			ctx, end := context.WithTimeout(t.Context(), hostileDuration)
+			defer end()
+			sound := w.soundClients(ctx, 4)
+			answered := flood(ctx, w.Daemon(0).Listen, request)
+			statuses, longest := sound()
+			peak := peakMemory(t, w.Daemon(0).Pid())
+			t.Logf("%d answered, peak %d MB, sound clients %v, longest %v", answered, peak>>20, statuses, longest)
+			require.Positive(t, answered)
+			require.Less(t, peak, int64(memoryLimit))
+			require.Positive(t, statuses[200])
+			require.Zero(t, statuses[0], "no answer")
+		})
+	}
+}
+
+// publish writes a request that must not run twice, with bytes behind it.
+func publish(t *testing.T, address, id string, work time.Duration, behind int) net.Conn {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	_, err = fmt.Fprintf(c, "POST /api?class=publish&once=1&work_us=%d HTTP/1.1\r\nHost: d\r\nX-Correlation-Id: %s\r\nX-Service-Class: publish\r\nX-Account: ups\r\nX-Time-Left: 20000m\r\nContent-Length: 0\r\n\r\n%s",
+		work.Microseconds(), id, strings.Repeat("y", behind))
+	require.NoError(t, err)
+	return c
+}
+
+// arrivals returns when attempts of a job reached an encoder.
+func (w *town) arrivals(job string) (all []time.Time) {
+	for _, a := range w.Host.Ledger.Attempts() {
+		if a.Job == job {
+			all = append(all, a.Arrived)
+		}
+	}
+	return all
+}
+
+// TestNothingIsSentForClientsThatLeft guards against requests of clients that closed their connections with much still unread
+// being sent afterwards, once encoders have room.
+func TestNothingIsSentForClientsThatLeft(t *testing.T) {
+	const slots, leavers, grace = 12, 20, 100 * time.Millisecond
+	w := hostileTown(t)
+	var busy []net.Conn
+	for n := range 2 * slots { // so that all encoders are full for a while
+		busy = append(busy, publish(t, w.Daemon(0).Listen, fmt.Sprint("busy-", n), time.Second, 0))
+	}
+	left := map[string]time.Time{}
+	for n := range leavers {
+		id := fmt.Sprint("left-", n)
+		c := publish(t, w.Daemon(0).Listen, id, time.Millisecond, []int{0, 4 << 10, 100 << 10, 500 << 10}[n%4])
+		require.NoError(t, c.Close())
+		left[id] = time.Now()
+	}
+	for _, c := range busy {
+		_, err := http1.ReadResponse(bufio.NewReaderSize(c, http1.MaxLine), "POST")
+		require.NoError(t, err)
+		c.Close()
+	}
+	w.serves(0, 1)
+	for id, at := range left {
+		for _, arrived := range w.arrivals(id) {
+			require.Less(t, arrived.Sub(at), grace, id)
+		}
+	}
+}
+
+// TestIDOfClientThatLeftRunsOnce guards against a request that must not run twice running again when its ID comes again after
+// its client has left, also at the process that takes over.
+func TestIDOfClientThatLeftRunsOnce(t *testing.T) {
+	w := hostileTown(t)
+	again := func(id string) int {
+		c := publish(t, w.Daemon(0).Listen, id, time.Millisecond, 0)
+		defer c.Close()
+		p, err := http1.ReadResponse(bufio.NewReaderSize(c, http1.MaxLine), "POST")
+		require.NoError(t, err)
+		return p.Status
+	}
+	for _, replaced := range []bool{false, true} {
+		id := fmt.Sprint("left-", replaced)
+		c := publish(t, w.Daemon(0).Listen, id, 10*time.Second, 0)
+		w.await("an encoder has it", func() bool { return len(w.arrivals(id)) == 1 })
+		require.NoError(t, c.Close())
+		w.await("it is taken back", func() bool {
+			return slices.ContainsFunc(w.Host.Ledger.Attempts(), func(a ledger.Attempt) bool { return a.Job == id && a.Fate == ledger.Dropped })
+		})
+		if replaced {
+			path := handover.Path(w.Dir, w.Daemon(0).Listen)
+			before, err := os.Stat(path)
+			require.NoError(t, err)
+			older, err := w.Daemon(0).Beside()
+			require.NoError(t, err)
+			w.await("the newer process has taken over", func() bool {
+				now, err := os.Stat(path)
+				return err == nil && !os.SameFile(before, now)
+			})
+			older.Signal(syscall.SIGTERM)
+			older.Wait()
+			w.serves(0, 1)
+		}
+		require.Equal(t, 502, again(id), "it may have run")
+		require.Len(t, w.arrivals(id), 1)
+	}
+	w.rules()
+}
