A command that is taken over keeps the kind of encoder that its class needs

Callers would see: after a replacement by a process whose settings do not name that kind, a command went to an encoder of any kind without a name there.

Cause: kinds cross by name, and a name that is missing became the number that all kinds without a name share.

Change: it becomes a number that no instance has. TestCommandKeepsItsKindAcross- Handover failed before (the command was sent to another kind).

--- a/internal/dispatch/classes.go
+++ b/internal/dispatch/classes.go
@@ -69,9 +69,7 @@
 			numbers[i] = -1
 			continue
 		}
-		if c.Kind >= 0 {
-			c.Kind = l.kindNumber(nameAt(state.Names.Kinds, c.Kind))
-		}
+		c.Kind = l.translateKind(c.Kind, state.Names.Kinds)
 		numbers[i] = merged.numberOf(name, c)
 	}
 	n, s := l.allNames, l.settings
@@ -79,6 +77,22 @@
 	return numbers, l.reconfigure(s, numberedNames{n, l.configuredNames})
 }
 
+// missingKind is the number of a kind that another process's settings name and those here do not. No instance has it: those
+// without a kind in the settings may be of any.
+const missingKind = 2 * unknownNumber
+
+// translateKind converts the kind that another process's class needs to the number in use here.
+func (l *Loop) translateKind(kind int, names []string) int {
+	switch name := nameAt(names, kind); {
+	case kind < 0 || kind == missingKind: // any, or missing at the other process as well
+		return kind
+	case name != "" && indexOrLen(l.configuredNames.Kinds, name) == len(l.configuredNames.Kinds):
+		return missingKind
+	default:
+		return l.kindNumber(name)
+	}
+}
+
 // renumberClasses returns values by class with the numbers in use here, for size classes. Values of classes with the
 // number -1 are dropped; classes that are missing have the zero value.
 func renumberClasses[T any](values []T, numbers []int, size int) []T {
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
@@ -147,6 +148,32 @@
 	require.Equal(t, newer.mod.Snapshot().Workers[0].ClassErrors[0], newer.mod.Snapshot().Workers[0].ClassErrors[1])
 }
 
+// Guards against a command in hand going to an instance of another kind, because neither its kind nor the instance's is in
+// the newer process's settings.
+func TestCommandKeepsItsKindAcrossHandover(t *testing.T) {
+	newLoop := func(f *fleet, kind int, kinds ...string) *Loop {
+		s := newTestLoop(t, f).settings
+		s.Classes = slices.Clone(s.Classes)
+		s.Classes[0].Kind = kind
+		l, err := New(s, wire.Names{Classes: []string{"safe"}, Kinds: kinds}, f, f, f, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		return l
+	}
+	f := &fleet{}
+	older, newer := newLoop(f, 1, "small", "large"), newLoop(f, decide.Any, "small")
+	clients := submit(older, "large only")
+	older.runBatch()
+	handOverEncoded(t, older, newer)
+	newer.UpdateInstances(InstanceUpdate{Instances: []Instance{{ID: "s-1", Kind: "medium", State: decide.Ready}}}, true)
+	newer.runBatch()
+	require.Empty(t, f.sent)
+	require.Empty(t, clients.answers)
+	submit(newer, "any")
+	newer.runBatch()
+	require.Len(t, f.sent, 1)
+	require.Equal(t, "any", f.sent[0].Command.ID)
+}
+
 // Guards against late messages of an older process about a command that it had handed over being taken for a new command
 // with the same ID: its attempt would count as never sent and be sent a second time, or its client as gone.
 func TestLateMessagesOfOlderProcessDoNotReachNewCommand(t *testing.T) {
