The end of an attempt known by a call-back is heard after a hand-over again

Callers would see since: a request that may be repeated, whose encoder had called back before a hand-over and whose response then broke at the older process, waited for its deadline; it was sent again before.

Cause: the older process's message counted only for attempts of which the hand-over said that nobody had confirmed them, and a call-back does that.

Change: it counts for a command that was taken over, as a client's leaving does; both ask by one function.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -243,6 +243,16 @@
 	}
 }
 
+// takenOverCommand returns the pending command with this ID that was taken over, or nil. An older process's messages name a
+// command by its ID only, which a later command here may have as well.
+func (l *Loop) takenOverCommand(id string) *pendingCommand {
+	p := l.byID[id]
+	if c, ok := l.takenOver.Load(id); !ok || p == nil || p.Command != c {
+		return nil
+	}
+	return p
+}
+
 // UpdateAttempt processes a change of an attempt that an older process sent.
 func (l *Loop) UpdateAttempt(f AttemptUpdate) {
 	l.post(func(l *Loop) {
@@ -250,9 +260,9 @@
 			l.otherProcess.ForwardUpdate(f)
 			return
 		}
-		p := l.byID[f.ID]
-		if p == nil || f.Index < 0 || f.Index >= len(p.attempts) || p.attempts[f.Index].ended || !p.attempts[f.Index].sentByOlder {
-			return // also if it is about an earlier command with the same ID
+		p := l.takenOverCommand(f.ID)
+		if p == nil || f.Index < 0 || f.Index >= len(p.attempts) || p.attempts[f.Index].ended {
+			return
 		}
 		a := p.attempts[f.Index]
 		if f.CancelPending {
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -174,6 +174,21 @@
 	require.Equal(t, "any", f.sent[0].Command.ID)
 }
 
+// Guards against losing the end of an attempt that an instance had called back about before the handover, while its response
+// was still due at the older process: the command would wait for its deadline.
+func TestEndOfAttemptKnownByCallbackIsForwarded(t *testing.T) {
+	older, f, _ := loopWithCommand(t)
+	older.HandleCallback(Callback{ID: "c1", From: "s-1", State: Started})
+	older.runBatch()
+	newer := loopWithEffect(t, &fleet{}, decide.Safe)
+	handOverEncoded(t, older, newer)
+	older.AttemptEnded(f.sent[0], decide.Reset, 0)
+	older.runBatch()
+	newer.UpdateAttempt(f.updates[0])
+	newer.runBatch()
+	require.True(t, newer.byID["c1"].attempts[0].ended)
+}
+
 // Guards against late messages of an older process about a command that it had handed over being taken for a new command
 // with the same ID: its attempt would count as never sent and be sent a second time, or its client as gone.
 func TestLateMessagesOfOlderProcessDoNotReachNewCommand(t *testing.T) {
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -38,10 +38,8 @@
 	l.post(func(l *Loop) {
 		if l.handedOver { // handed over to a third process meanwhile
 			l.otherProcess.ForwardClientGone(id)
-		} else if c, ok := l.takenOver.Load(id); ok {
-			if p := l.byID[id]; p != nil && p.Command == c { // not a later command with the same ID
-				l.cancelCommand(p)
-			}
+		} else if p := l.takenOverCommand(id); p != nil {
+			l.cancelCommand(p)
 		}
 	})
 }
